Workspace: packages, checks and the value types of Core

Cause: the project starts; every package needs the same identifiers, times, errors and messages. Before: nothing. Conclusion: the packages can grow side by side.

--- /dev/null
+++ b/packages/Configuration/filbertspoke/src/Configuration/ServiceConfiguration.h
@@ -0,0 +1,49 @@
+#ifndef FILBERTSPOKE_SERVICE_CONFIGURATION_H
+#define FILBERTSPOKE_SERVICE_CONFIGURATION_H
+
+#include <filbertspoke/Core>
+
+#include <algorithm>
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief How calls with one method below one path are treated. */
+struct RouteRule {
+    std::string method; ///< "GET", "POST" and so on, or "*" for every method
+    std::string pathPrefix; ///< starts with '/'
+    bool idempotent = false; ///< may be repeated after a failure
+    bool hedged = false; ///< needed at once: a second endpoint is asked when the first is slow
+
+    bool matches(std::string_view callMethod, std::string_view callPath) const
+    {
+        return (this->method == "*" || this->method == callMethod) && callPath.starts_with(this->pathPrefix);
+    }
+
+    auto operator<=>(const RouteRule&) const = default;
+};
+
+/** \brief A plain service and which of its calls are idempotent. */
+struct ServiceConfiguration {
+    ServiceId id;
+    std::vector<RouteRule> rules; ///< the first rule that matches decides
+    Duration deadline {}; ///< applies where the caller names none
+
+    /** \returns the rule for a call, or null when the service has no such path */
+    const RouteRule* findRule(std::string_view method, std::string_view path) const
+    {
+        auto rule = std::find_if(this->rules.begin(), this->rules.end(), [&](const RouteRule& candidate) {
+            return candidate.matches(method, path);
+        });
+        return rule == this->rules.end() ? nullptr : &*rule;
+    }
+
+    auto operator<=>(const ServiceConfiguration&) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.h
@@ -0,0 +1,68 @@
+#ifndef FILBERTSPOKE_ERROR_CODE_H
+#define FILBERTSPOKE_ERROR_CODE_H
+
+#include <string_view>
+#include <system_error>
+
+namespace filbertspoke {
+
+/** \brief Every failure that filbertspoke reports to a caller, an operator or its own log.
+ *
+ * The enumerators convert to std::error_code; name() gives the code that callers see.
+ */
+enum class ErrorCode {
+    // Malformed input.
+    MalformedRequest = 1,
+    BodyTooLarge,
+    HeaderTimeout,
+    UnknownAccount,
+    UnknownModel,
+    UnknownService,
+    UnknownPath,
+    MalformedKey,
+    KeyExpired,
+    KeyInFuture,
+    KeyReused,
+    // Refusals by policy.
+    QueueFull,
+    DeadlineUnreachable,
+    AccountLimit,
+    NotReady,
+    Draining,
+    ConfigurationUnavailable,
+    // Failures of what stands behind the daemon.
+    NoEndpoint,
+    NoPipeline,
+    EndpointUnreachable,
+    EndpointFailed,
+    EndpointRejected,
+    DeadlineExceeded,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    PeerUnreachable,
+    CallerGone,
+    // Malformed records, settings and messages.
+    MalformedSettings,
+    MalformedQuestionnaire,
+    MalformedRecord,
+    UnsupportedVersion,
+    HashMismatch,
+    StaleBase,
+    MalformedMessage,
+    LogTruncated,
+};
+
+/** \returns the stable code in lower-case words with hyphens, for example "unknown-model" */
+std::string_view name(ErrorCode code);
+
+const std::error_category& errorCategory();
+
+std::error_code make_error_code(ErrorCode code);
+
+}
+
+template <>
+struct std::is_error_code_enum<filbertspoke::ErrorCode> : std::true_type {
+};
+
+#endif
