Routing: view of endpoints, planner, picker and admission, in a first version

Cause: the decision object needs the view of endpoints and the decisions on chains, replicas and admission before its handlers can be written. Change: EndpointView with indexes by model version and by service; a planner that takes the cheapest way over layer boundaries, with a few candidates drawn per range; a picker for plain services; admission by weighted fair queueing with priorities, deadlines and limits per client account. Loads are counted in steps, so mixed accelerators and links are not told apart yet. No measurement yet.

--- /dev/null
+++ b/packages/Routing/filbertspoke/src/Routing/AdmissionRequest.h
@@ -0,0 +1,43 @@
+#ifndef FILBERTSPOKE_ADMISSION_REQUEST_H
+#define FILBERTSPOKE_ADMISSION_REQUEST_H
+
+#include <filbertspoke/Core>
+
+#include <cstdint>
+
+namespace filbertspoke {
+
+/** \brief A request that asks to be started. */
+struct AdmissionRequest {
+    RequestId request;
+    AccountId account;
+    std::int32_t priority = 0; ///< higher goes first within the account
+    TimePoint deadline; ///< the request is worth nothing when it starts later
+    double cost = 1; ///< work that it takes, in tokens for completions
+
+    auto operator<=>(const AdmissionRequest&) const = default;
+};
+
+/** \brief The request starts now. It is ended by Admission::finished(). */
+struct Admitted {
+    auto operator<=>(const Admitted&) const = default;
+};
+
+/** \brief The request waits; Admission::finished() or Admission::expire() names it later. */
+struct Queued {
+    Duration expectedWait {};
+
+    auto operator<=>(const Queued&) const = default;
+};
+
+/** \brief A request that Admission gave up on, with its final answer. */
+struct RefusedRequest {
+    RequestId request;
+    Refusal refusal;
+
+    bool operator==(const RefusedRequest&) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Routing/filbertspoke/src/Routing/Planner.cpp
@@ -0,0 +1,61 @@
+#include "Planner.h"
+
+#include "internal/Candidates.h"
+
+#include <map>
+
+namespace filbertspoke {
+
+namespace internal {
+
+/** \brief The cheapest way found so far to a layer boundary. */
+struct Reached {
+    double cost = 0;
+    ChainStage stage; ///< the last stage; empty at the boundary where the chain begins
+};
+
+using ReachedBoundaries = std::map<std::uint32_t, Reached>;
+
+/** \brief Follows the stages back from the end of \a range. */
+Chain trace(const ReachedBoundaries& boundaries, const LayerRange& range)
+{
+    Chain chain;
+    for (std::uint32_t boundary = range.last(); boundary != range.first();) {
+        const ChainStage& stage = boundaries.at(boundary).stage;
+        chain.push_back(stage);
+        boundary = stage.layers.first();
+    }
+    std::reverse(chain.begin(), chain.end());
+    return chain;
+}
+
+}
+
+Result<Chain> Planner::plan(const PlanRequest& request, const EndpointView& view, Random& random, TimePoint) const
+{
+    const EndpointView::EngineGroups* groups = view.engines(request.model(), request.version());
+    if (!groups || request.layers().empty())
+        return make_error_code(ErrorCode::NoPipeline);
+
+    // Groups are ordered by their first layer, so a boundary is final before a group that begins there is met.
+    internal::ReachedBoundaries boundaries { { request.layers().first(), {} } };
+    for (const auto& [layers, group] : *groups) {
+        auto start = boundaries.find(layers.first());
+        if (start == boundaries.end() || layers.empty() || layers.last() > request.layers().last())
+            continue;
+        const auto usable = [&](const EndpointState& state) { return state.takesNewWork() && !request.excludes(state.endpoint().id()); };
+        const EndpointState* best = internal::leastLoaded(group, usable, random);
+        if (!best)
+            continue;
+        const double cost = start->second.cost + 1.0 + best->expectedLoad();
+        auto [end, isNew] = boundaries.try_emplace(layers.last());
+        if (isNew || cost < end->second.cost)
+            end->second = { cost, { best->endpoint().id(), layers } };
+    }
+
+    if (!boundaries.contains(request.layers().last()))
+        return make_error_code(ErrorCode::NoPipeline);
+    return internal::trace(boundaries, request.layers());
+}
+
+}
--- /dev/null
+++ b/packages/Routing/tests/Picking.cpp
@@ -0,0 +1,43 @@
+#include <filbertspoke/Routing>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertspoke;
+
+namespace {
+
+const ServiceId service("bench-app");
+
+Endpoint replica(const std::string& name)
+{
+    return Endpoint::Builder(EndpointId(name)).failureDomain(FailureDomainId("a")).role(ServiceRole { service }).build();
+}
+
+struct Fixture {
+    EndpointView view { FailureDomainId("a") };
+    Random random { 1 };
+    ServicePicker picker;
+    TimePoint now;
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(pickSkipsExcludedReplicas, Fixture)
+{
+    this->view.put(replica("first"));
+    this->view.put(replica("second"));
+
+    const Result<EndpointId> picked = this->picker.pick(service, { EndpointId("first") }, this->view, this->random, this->now);
+
+    BOOST_TEST(picked.value().str() == "second");
+}
+
+BOOST_FIXTURE_TEST_CASE(noReplicaIsNoEndpoint, Fixture)
+{
+    this->view.put(replica("first"));
+    this->view.remove(EndpointId("first"));
+
+    const Result<EndpointId> picked = this->picker.pick(service, {}, this->view, this->random, this->now);
+
+    BOOST_TEST((picked.error() == ErrorCode::NoEndpoint));
+}
