--- /dev/null
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -0,0 +1,55 @@
+#ifndef FILBERTSPOKE_ROUTER_CONTEXT_H
+#define FILBERTSPOKE_ROUTER_CONTEXT_H
+
+#include "Action.h"
+#include "DaemonIdentity.h"
+#include "TraceJournal.h"
+
+#include <filbertspoke/Configuration>
+#include <filbertspoke/Core>
+#include <filbertspoke/Routing>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace filbertspoke::internal {
+
+/** \brief The configuration that the daemon follows, with the log offset that put it into force. */
+struct ConfigurationInForce {
+    LogOffset revision = 0;
+    Configuration configuration;
+
+    bool operator==(const ConfigurationInForce&) const = default;
+};
+
+/** \brief What the handlers of one Router share. Each field names the handler that writes it. */
+struct RouterContext {
+    RouterContext(DaemonIdentity own, Random::result_type seed)
+        : identity(std::move(own))
+        , endpoints(this->identity.failureDomain)
+        , random(seed)
+    {
+    }
+
+    DaemonIdentity identity;
+    EndpointView endpoints; ///< MembershipHandler; work in progress by whoever sends it
+    Random random;
+    std::optional<ConfigurationInForce> configuration; ///< ConfigurationHandler
+    bool draining = false; ///< Router, from StopRequested on
+    std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
+    std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
+    TraceJournal traces;
+};
+
+/** \returns the action that counts one event of a kind on the metrics page */
+inline CountMetric count(std::string metric, std::string label = {})
+{
+    return { std::move(metric), std::move(label) };
+}
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -0,0 +1,178 @@
+#include "RouterParts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertspoke::internal {
+
+RouterParts::RouterParts(DaemonIdentity identity, Random::result_type seed)
+    : context(std::move(identity), seed)
+    , configuration(this->context)
+    , membership(this->context)
+    , completions(this->context)
+    , calls(this->context)
+{
+}
+
+void RouterParts::start(const Now& now, Actions& actions)
+{
+    this->configuration.start(now, actions);
+    this->calls.start(now, actions);
+}
+
+void RouterParts::handle(const CompletionReceived& event, const Now& now, Actions& actions)
+{
+    this->completions.handle(event, now, actions);
+}
+
+void RouterParts::handle(const CallReceived& event, const Now& now, Actions& actions)
+{
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const CallerGone& event, const Now& now, Actions& actions)
+{
+    this->completions.handle(event, now, actions);
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const StepAnswered& event, const Now& now, Actions& actions)
+{
+    this->completions.handle(event, now, actions);
+}
+
+void RouterParts::handle(const StepFailed& event, const Now& now, Actions& actions)
+{
+    this->completions.handle(event, now, actions);
+}
+
+void RouterParts::handle(const CallAnswered& event, const Now& now, Actions& actions)
+{
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const CallFailed& event, const Now& now, Actions& actions)
+{
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const EndpointReported& event, const Now& now, Actions& actions)
+{
+    this->membership.handle(event, now, actions);
+}
+
+void RouterParts::handle(const EndpointSilent& event, const Now& now, Actions& actions)
+{
+    this->membership.handle(event, now, actions);
+}
+
+void RouterParts::handle(const RecordsRead& event, const Now& now, Actions& actions)
+{
+    this->configuration.handle(event, now, actions);
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const ReadFailed& event, const Now& now, Actions& actions)
+{
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const RecordsAppended& event, const Now& now, Actions& actions)
+{
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const AppendFailed& event, const Now& now, Actions& actions)
+{
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
+{
+    this->membership.handle(event, now, actions);
+}
+
+void RouterParts::handle(const HostListFailed&, const Now&, Actions& actions)
+{
+    actions.push_back(count("host_list_failures_total"));
+}
+
+void RouterParts::handle(const PeerReceived& event, const Now& now, Actions& actions)
+{
+    this->membership.handle(event, now, actions);
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
+{
+    this->membership.handle(event, now, actions);
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const Tick& event, const Now& now, Actions& actions)
+{
+    this->configuration.handle(event, now, actions);
+    this->membership.handle(event, now, actions);
+    this->completions.handle(event, now, actions);
+    this->calls.handle(event, now, actions);
+}
+
+void RouterParts::handle(const StopRequested& event, const Now& now, Actions& actions)
+{
+    if (this->context.draining) {
+        this->completions.abandon(now, actions);
+        this->calls.abandon(now, actions);
+        return;
+    }
+    this->context.draining = true;
+    this->membership.handle(event, now, actions);
+}
+
+void RouterParts::settle(const Now& now, Actions& actions)
+{
+    const std::vector<EndpointId> lost = std::exchange(this->context.lostEndpoints, {});
+    for (const EndpointId& endpoint : lost)
+        this->completions.endpointLost(endpoint, now, actions);
+    if (this->context.draining && !this->stopped && this->inProgress() == 0) {
+        this->stopped = true;
+        actions.push_back(StopProcess {});
+    }
+}
+
+std::optional<TimePoint> RouterParts::nextWake() const
+{
+    const std::optional<TimePoint> control = earlier(this->configuration.nextWake(), this->membership.nextWake());
+    return earlier(control, earlier(this->completions.nextWake(), this->calls.nextWake()));
+}
+
+RouterStatus RouterParts::status() const
+{
+    RouterStatus status;
+    status.identity = this->context.identity;
+    status.draining = this->context.draining;
+    status.ready = this->context.configuration.has_value() && !this->context.draining;
+    if (this->context.configuration)
+        status.configurationRevision = this->context.configuration->revision;
+    status.requestsInProgress = static_cast<std::uint32_t>(this->inProgress());
+    status.requestsQueued = static_cast<std::uint32_t>(this->completions.queued());
+    this->context.endpoints.forEach([&](const EndpointState& state) {
+        status.endpoints.push_back({ state.endpoint(), state.takesNewWork(), state.ownInFlight(), state.load().queued });
+    });
+    std::sort(status.endpoints.begin(), status.endpoints.end(), [](const EndpointStatus& a, const EndpointStatus& b) {
+        return a.endpoint.id() < b.endpoint.id();
+    });
+    status.peers = this->membership.peers();
+    return status;
+}
+
+const RequestTrace* RouterParts::findTrace(const RequestId& request) const
+{
+    return this->context.traces.find(request);
+}
+
+std::size_t RouterParts::inProgress() const
+{
+    return this->completions.inProgress() + this->calls.inProgress();
+}
+
+}
