Observability: JSON-line log, metrics page, status and trace as JSON

Cause: an operator has to see what a daemon does and why. Change: Boost.Log writes one JSON object a line; prometheus-cpp keeps counters, gauges and histograms and serializes the page; the daemon's status and a request's trace become JSON.

--- /dev/null
+++ b/packages/Observability/tests/Metrics.cpp
@@ -0,0 +1,21 @@
+#include <filbertspoke/Observability>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertspoke;
+
+BOOST_AUTO_TEST_CASE(pageHoldsCountersGaugesAndHistograms)
+{
+    Metrics metrics;
+    metrics.count({ "completions_total", "complete" });
+    metrics.count({ "completions_total", "complete" });
+    metrics.observeFirstToken(std::chrono::milliseconds(30));
+    RouterStatus status;
+    status.configurationRevision = 7;
+    metrics.update(status);
+
+    const std::string page = metrics.page();
+    BOOST_TEST(page.find("filbertspoke_completions_total{kind=\"complete\"} 2") != std::string::npos);
+    BOOST_TEST(page.find("filbertspoke_configuration_revision 7") != std::string::npos);
+    BOOST_TEST(page.find("filbertspoke_first_token_seconds_bucket{le=\"0.04\"} 1") != std::string::npos);
+}
