--- a/packages/Routing/filbertspoke/src/Routing/Admission.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/Admission.cpp
@@ -8,8 +8,8 @@
 namespace internal {
 
 constexpr int serviceTimeSmoothing = 16; ///< one request moves the smoothed time by a sixteenth
-constexpr Duration minimumRetryDelay = std::chrono::milliseconds(100);
-constexpr double minimumWeight = 1e-6; ///< keeps divisions by weights finite
+constexpr Duration shortestRetryDelay = std::chrono::milliseconds(100);
+constexpr double fewestSlots = 1e-3; ///< keeps divisions by slots finite
 
 }
 
@@ -21,12 +21,14 @@
 
 void Admission::configure(const Configuration& configuration)
 {
-    for (const AccountConfiguration& account : configuration.accounts())
-        this->accounts[account.id].configuration = account;
-    std::erase_if(this->accounts, [&](const auto& entry) {
-        const Account& account = entry.second;
-        return !configuration.findAccount(entry.first) && account.queue.empty() && account.inProgress == 0;
-    });
+    this->knownAccounts.clear();
+    this->accountConfigurations = configuration.accounts();
+    for (const AccountConfiguration& account : this->accountConfigurations) {
+        this->knownAccounts.insert(account.id);
+        for (auto& [id, pool] : this->pools)
+            pool.queue.setWeight(account.id, account.weight);
+    }
+    this->accountLimiter.configure(configuration);
 }
 
 void Admission::setLimits(AdmissionLimits newLimits)
@@ -34,63 +36,79 @@
     this->limits = newLimits;
 }
 
+void Admission::setConcurrency(const AdmissionPool& id, std::uint32_t concurrency)
+{
+    this->pool(id).concurrency = concurrency;
+}
+
 AdmissionDecision Admission::offer(const AdmissionRequest& request, TimePoint now)
 {
-    auto place = this->accounts.find(request.account);
-    if (place == this->accounts.end())
+    if (!this->knownAccounts.contains(request.account))
         return Refusal(ErrorCode::UnknownAccount, Ran::No);
-    Account& account = place->second;
-
-    if (account.queue.empty() && this->mayStart(account)) {
-        this->start(account, request, now);
+    if (const std::optional<Duration> delay = this->accountLimiter.take(request.account, now))
+        return this->refusal(ErrorCode::AccountLimit, *delay);
+
+    Pool& pool = this->pool(request.pool);
+    const std::size_t ahead = pool.queue.queued(request.account);
+    if (ahead == 0 && this->hasRoom(pool) && this->accountLimiter.mayStart(request.account, now)) {
+        pool.queue.charge(request);
+        this->start(request, pool, now);
         return Admitted {};
     }
 
-    const Duration wait = this->expectedWait(account);
-    if (account.queue.size() >= this->limits.queuedPerAccount)
-        return Refusal(ErrorCode::QueueFull, Ran::No).retryAfter(std::max(wait, internal::minimumRetryDelay));
+    const Duration wait = this->expectedWait(request, pool, now);
+    if (ahead >= this->limits.queuedPerAccount)
+        return this->refusal(ErrorCode::QueueFull, wait);
     if (now + wait > request.deadline)
-        return Refusal(ErrorCode::DeadlineUnreachable, Ran::No).retryAfter(std::max(now + wait - request.deadline, internal::minimumRetryDelay));
+        return this->refusal(ErrorCode::DeadlineUnreachable, now + wait - request.deadline);
 
-    if (account.queue.empty())
-        account.virtualTime = std::max(account.virtualTime, this->virtualTime);
-    const Waiting entry { request, this->arrivals++ };
-    account.queue.insert(entry);
-    this->waiting.emplace(request.request, entry);
+    pool.queue.push(request);
+    this->accountLimiter.queued(request.account);
+    this->waiting.emplace(request.request, request);
     this->deadlines.emplace(request.deadline, request.request);
     return Queued { wait };
 }
 
-std::vector<RequestId> Admission::finished(const RequestId& request, TimePoint now)
+std::vector<RequestId> Admission::finished(const RequestId& id, TimePoint now, std::optional<double> usedCost)
 {
-    auto place = this->running.find(request);
+    auto place = this->running.find(id);
     if (place == this->running.end())
         return {};
+    const AdmissionRequest& request = place->second.request;
+    Pool& pool = this->pool(request.pool);
     const Duration taken = now - place->second.startedAt;
-    this->serviceTime = this->serviceTime == Duration::zero()
-        ? taken
-        : this->serviceTime + (taken - this->serviceTime) / internal::serviceTimeSmoothing;
+    const bool first = pool.serviceTime == Duration::zero();
+    pool.serviceTime = first ? taken : pool.serviceTime + (taken - pool.serviceTime) / internal::serviceTimeSmoothing;
+    if (usedCost)
+        pool.queue.correct(request.account, *usedCost - request.cost);
     return this->endRunning(place, now);
 }
 
-std::vector<RequestId> Admission::cancel(const RequestId& request, TimePoint now)
+std::vector<RequestId> Admission::cancel(const RequestId& id, TimePoint now)
 {
-    if (auto place = this->running.find(request); place != this->running.end())
+    if (auto place = this->running.find(id); place != this->running.end())
         return this->endRunning(place, now);
-    if (auto place = this->waiting.find(request); place != this->waiting.end())
-        this->removeWaiting(Waiting(place->second));
+    if (auto place = this->waiting.find(id); place != this->waiting.end())
+        this->removeWaiting(AdmissionRequest(place->second));
     return {};
 }
 
+std::vector<RequestId> Admission::startWaiting(TimePoint now)
+{
+    std::vector<RequestId> started;
+    for (auto& [id, pool] : this->pools)
+        this->startFrom(pool, now, started);
+    return started;
+}
+
 std::vector<RefusedRequest> Admission::expire(TimePoint now)
 {
     std::vector<RefusedRequest> refused;
     while (!this->deadlines.empty() && this->deadlines.begin()->first < now) {
-        const RequestId request = this->deadlines.begin()->second;
-        const Waiting entry = this->waiting.at(request);
-        this->removeWaiting(entry);
-        const Duration wait = this->expectedWait(this->accounts.at(entry.request.account));
-        refused.push_back({ request, Refusal(ErrorCode::DeadlineExceeded, Ran::No).retryAfter(std::max(wait, internal::minimumRetryDelay)) });
+        const AdmissionRequest request = this->waiting.at(this->deadlines.begin()->second);
+        this->removeWaiting(request);
+        const Duration wait = this->expectedWait(request, this->pool(request.pool), now);
+        refused.push_back({ request.request, this->refusal(ErrorCode::DeadlineExceeded, wait) });
     }
     return refused;
 }
@@ -102,70 +120,77 @@
     return this->deadlines.begin()->first + Duration(1);
 }
 
-bool Admission::mayStart(const Account& account) const
+Admission::Pool& Admission::pool(const AdmissionPool& id)
 {
-    const std::uint32_t limit = account.configuration.maximumConcurrent;
-    return this->running.size() < this->limits.concurrent && (limit == 0 || account.inProgress < limit);
+    auto [place, isNew] = this->pools.try_emplace(id);
+    if (isNew) {
+        for (const AccountConfiguration& account : this->accountConfigurations)
+            place->second.queue.setWeight(account.id, account.weight);
+    }
+    return place->second;
 }
 
-void Admission::start(Account& account, const AdmissionRequest& request, TimePoint now)
+bool Admission::hasRoom(const Pool& pool) const
 {
-    account.virtualTime = std::max(account.virtualTime, this->virtualTime);
-    this->virtualTime = account.virtualTime;
-    account.virtualTime += request.cost / std::max(account.configuration.weight, internal::minimumWeight);
-    ++account.inProgress;
-    this->running.emplace(request.request, Running { request.account, now });
+    return pool.inProgress < pool.concurrency.value_or(this->limits.concurrent);
 }
 
-void Admission::removeWaiting(const Waiting& entry)
+void Admission::start(const AdmissionRequest& request, Pool& pool, TimePoint now)
 {
-    this->accounts.at(entry.request.account).queue.erase(entry);
-    this->deadlines.erase({ entry.request.deadline, entry.request.request });
-    this->waiting.erase(entry.request.request);
+    ++pool.inProgress;
+    this->accountLimiter.started(request.account);
+    this->running.emplace(request.request, Running { request, now });
 }
 
-std::vector<RequestId> Admission::endRunning(std::unordered_map<RequestId, Running>::iterator place, TimePoint now)
+void Admission::removeWaiting(const AdmissionRequest& request)
 {
-    --this->accounts.at(place->second.account).inProgress;
-    this->running.erase(place);
-    return this->startWaiting(now);
+    this->pool(request.pool).queue.erase(request);
+    this->accountLimiter.unqueued(request.account);
+    this->deadlines.erase({ request.deadline, request.request });
+    this->waiting.erase(request.request);
 }
 
-std::vector<RequestId> Admission::startWaiting(TimePoint now)
+std::vector<RequestId> Admission::endRunning(std::unordered_map<RequestId, Running>::iterator place, TimePoint now)
 {
+    const AdmissionRequest request = place->second.request;
+    this->running.erase(place);
+    this->accountLimiter.finished(request.account);
+    Pool& pool = this->pool(request.pool);
+    --pool.inProgress;
+
     std::vector<RequestId> started;
-    while (Account* account = this->nextAccount()) {
-        const Waiting entry = *account->queue.begin();
-        this->removeWaiting(entry);
-        this->start(*account, entry.request, now);
-        started.push_back(entry.request.request);
-    }
+    this->startFrom(pool, now, started);
+    // An account at its concurrency limit may have been waiting for another pool.
+    if (started.empty() && this->accountLimiter.concurrency(request.account, now))
+        return this->startWaiting(now);
     return started;
 }
 
-Admission::Account* Admission::nextAccount()
+void Admission::startFrom(Pool& pool, TimePoint now, std::vector<RequestId>& started)
 {
-    Account* next = nullptr;
-    for (auto& [id, account] : this->accounts) {
-        if (!account.queue.empty() && this->mayStart(account) && (!next || account.virtualTime < next->virtualTime))
-            next = &account;
+    const auto mayStart = [&](const AccountId& id) { return this->accountLimiter.mayStart(id, now); };
+    while (this->hasRoom(pool)) {
+        const std::optional<AdmissionRequest> request = pool.queue.pop(mayStart);
+        if (!request)
+            return;
+        this->removeWaiting(*request);
+        this->start(*request, pool, now);
+        started.push_back(request->request);
     }
-    return next;
 }
 
-Duration Admission::expectedWait(const Account& account) const
+Duration Admission::expectedWait(const AdmissionRequest& request, const Pool& pool, TimePoint now) const
 {
-    double backloggedWeight = account.configuration.weight;
-    for (const auto& [id, other] : this->accounts) {
-        if (&other != &account && !other.queue.empty())
-            backloggedWeight += other.configuration.weight;
-    }
-    const double share = account.configuration.weight / std::max(backloggedWeight, internal::minimumWeight);
-    double slots = share * this->limits.concurrent;
-    if (account.configuration.maximumConcurrent != 0)
-        slots = std::min<double>(slots, account.configuration.maximumConcurrent);
-    const double rounds = static_cast<double>(account.queue.size() + 1) / std::max(slots, internal::minimumWeight);
-    return Duration(static_cast<Duration::rep>(rounds * static_cast<double>(this->serviceTime.count())));
+    double slots = pool.queue.share(request.account) * pool.concurrency.value_or(this->limits.concurrent);
+    if (const std::optional<std::uint32_t> limit = this->accountLimiter.concurrency(request.account, now))
+        slots = std::min<double>(slots, *limit);
+    const double rounds = static_cast<double>(pool.queue.queued(request.account) + 1) / std::max(slots, internal::fewestSlots);
+    return Duration(static_cast<Duration::rep>(rounds * static_cast<double>(pool.serviceTime.count())));
+}
+
+Refusal Admission::refusal(ErrorCode code, Duration delay) const
+{
+    return Refusal(code, Ran::No).retryAfter(std::max(delay, internal::shortestRetryDelay));
 }
 
 }
--- a/packages/Routing/filbertspoke/src/Routing/Admission.h
+++ b/packages/Routing/filbertspoke/src/Routing/Admission.h
@@ -1,7 +1,9 @@
 #ifndef FILBERTSPOKE_ADMISSION_H
 #define FILBERTSPOKE_ADMISSION_H
 
+#include "AccountLimiter.h"
 #include "AdmissionRequest.h"
+#include "FairQueue.h"
 
 #include <filbertspoke/Configuration>
 #include <filbertspoke/Core>
@@ -12,15 +14,16 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
 namespace filbertspoke {
 
-/** \brief Limits of one daemon, over all client accounts. */
+/** \brief Limits of one daemon. */
 struct AdmissionLimits {
-    std::uint32_t concurrent = 256; ///< requests in progress
-    std::size_t queuedPerAccount = 256; ///< requests that wait
+    std::uint32_t concurrent = 256; ///< requests in progress in a pool whose concurrency isn't set
+    std::size_t queuedPerAccount = 256; ///< requests of an account that wait for a pool
 
     auto operator<=>(const AdmissionLimits&) const = default;
 };
@@ -29,7 +32,8 @@
 
 /** \brief Decides which request starts, waits or is refused, fairly among client accounts.
  *
- * Weighted fair queueing over the cost of requests; priorities order requests within an account.
+ * Each pool is shared by weighted fair queueing over the cost of requests; priorities order requests
+ * within an account. A request that can't be started by its deadline is refused at once.
  */
 class Admission {
 public:
@@ -38,14 +42,19 @@
     /** \brief Takes new weights and limits into force; requests that wait or run stay. */
     void configure(const Configuration&);
     void setLimits(AdmissionLimits);
+    /** \brief Sets how many requests of a pool this daemon may have in progress. */
+    void setConcurrency(const AdmissionPool&, std::uint32_t);
 
     /** \returns the decision; a Refusal carries when to come back */
     AdmissionDecision offer(const AdmissionRequest&, TimePoint);
-    /** \returns the requests that start now in its place */
-    std::vector<RequestId> finished(const RequestId&, TimePoint);
+    /** \param usedCost what the request really cost, when it was not the cost that was offered
+     * \returns the requests that start now in its place */
+    std::vector<RequestId> finished(const RequestId&, TimePoint, std::optional<double> usedCost = std::nullopt);
     /** \brief Drops a request whose caller is gone, be it waiting or in progress.
      * \returns the requests that start now in its place */
     std::vector<RequestId> cancel(const RequestId&, TimePoint);
+    /** \returns the requests that start now because limits or shares have grown */
+    std::vector<RequestId> startWaiting(TimePoint);
     /** \returns the waiting requests whose deadline has passed, each with its final answer */
     std::vector<RefusedRequest> expire(TimePoint);
     /** \returns when expire() has something to do at the earliest */
@@ -54,50 +63,40 @@
     std::size_t queued() const { return this->waiting.size(); }
     std::size_t inProgress() const { return this->running.size(); }
 
-private:
-    struct Waiting {
-        AdmissionRequest request;
-        std::uint64_t arrival = 0;
-    };
-
-    struct WaitingOrder {
-        bool operator()(const Waiting& left, const Waiting& right) const
-        {
-            if (left.request.priority != right.request.priority)
-                return left.request.priority > right.request.priority;
-            return left.arrival < right.arrival;
-        }
-    };
+    /** \returns the part that holds the accounts' limits over all daemons, for the demand of peers */
+    AccountLimiter& limiter() { return this->accountLimiter; }
+    const AccountLimiter& limiter() const { return this->accountLimiter; }
 
-    struct Account {
-        AccountConfiguration configuration;
-        std::set<Waiting, WaitingOrder> queue;
-        double virtualTime = 0; ///< cost started so far over weight
+private:
+    struct Pool {
+        FairQueue queue;
+        std::optional<std::uint32_t> concurrency;
         std::uint32_t inProgress = 0;
+        Duration serviceTime {}; ///< smoothed time that a request is in progress
     };
 
     struct Running {
-        AccountId account;
+        AdmissionRequest request;
         TimePoint startedAt;
     };
 
-    bool mayStart(const Account&) const;
-    void start(Account&, const AdmissionRequest&, TimePoint);
-    void removeWaiting(const Waiting&);
+    Pool& pool(const AdmissionPool&);
+    bool hasRoom(const Pool&) const;
+    void start(const AdmissionRequest&, Pool&, TimePoint);
+    void removeWaiting(const AdmissionRequest&);
     std::vector<RequestId> endRunning(std::unordered_map<RequestId, Running>::iterator, TimePoint);
-    std::vector<RequestId> startWaiting(TimePoint);
-    /** \returns the account whose next waiting request starts, or null */
-    Account* nextAccount();
-    Duration expectedWait(const Account&) const;
+    void startFrom(Pool&, TimePoint, std::vector<RequestId>& started);
+    Duration expectedWait(const AdmissionRequest&, const Pool&, TimePoint) const;
+    Refusal refusal(ErrorCode, Duration delay) const;
 
     AdmissionLimits limits;
-    std::map<AccountId, Account> accounts;
-    std::unordered_map<RequestId, Waiting> waiting;
+    std::set<AccountId> knownAccounts;
+    std::vector<AccountConfiguration> accountConfigurations;
+    AccountLimiter accountLimiter;
+    std::map<AdmissionPool, Pool> pools;
+    std::unordered_map<RequestId, AdmissionRequest> waiting;
     std::set<std::pair<TimePoint, RequestId>> deadlines;
     std::unordered_map<RequestId, Running> running;
-    double virtualTime = 0; ///< that of the request started last
-    std::uint64_t arrivals = 0;
-    Duration serviceTime {}; ///< smoothed time that a request is in progress
 };
 
 }
--- a/packages/Routing/filbertspoke/src/Routing/AdmissionRequest.h
+++ b/packages/Routing/filbertspoke/src/Routing/AdmissionRequest.h
@@ -3,10 +3,15 @@
 
 #include <filbertspoke/Core>
 
+#include <compare>
 #include <cstdint>
+#include <variant>
 
 namespace filbertspoke {
 
+/** \brief What requests compete for: the engines of a model, or the replicas of a plain service. */
+using AdmissionPool = std::variant<ModelId, ServiceId>;
+
 /** \brief A request that asks to be started. */
 struct AdmissionRequest {
     RequestId request;
@@ -14,6 +19,7 @@
     std::int32_t priority = 0; ///< higher goes first within the account
     TimePoint deadline; ///< the request is worth nothing when it starts later
     double cost = 1; ///< work that it takes, in tokens for completions
+    AdmissionPool pool {};
 
     auto operator<=>(const AdmissionRequest&) const = default;
 };
--- /dev/null
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.cpp
@@ -0,0 +1,40 @@
+#include "EndpointState.h"
+
+#include <chrono>
+
+namespace filbertspoke {
+
+namespace internal {
+
+constexpr double rateWithoutReport = 100; ///< tokens or calls a second
+constexpr double microsecondsPerSecond = 1e6;
+constexpr double prefillTolerance = 3; ///< a prompt may take this much longer than expected
+constexpr Duration slowStartTime = std::chrono::seconds(5);
+constexpr double slowStartFloor = 0.2; ///< part of the rate that a newcomer is trusted with at once
+
+}
+
+Duration EndpointState::answerTimeout(std::uint32_t positions) const
+{
+    const double prefill = positions > 1 ? internal::prefillTolerance * this->prefillTime * positions : 0;
+    return this->latency.timeout() + Duration(static_cast<Duration::rep>(prefill));
+}
+
+double EndpointState::rate() const
+{
+    if (this->latestLoad.tokensPerSecond > 0)
+        return this->latestLoad.tokensPerSecond;
+    if (!this->latency.empty())
+        return internal::microsecondsPerSecond / static_cast<double>(std::max(this->latency.smallest(), Duration(1)).count());
+    return internal::rateWithoutReport;
+}
+
+double EndpointState::rampedRate(TimePoint now) const
+{
+    if (!this->rampStart)
+        return this->rate() * internal::slowStartFloor;
+    const double elapsed = static_cast<double>((now - *this->rampStart).count()) / static_cast<double>(internal::slowStartTime.count());
+    return this->rate() * std::clamp(elapsed, internal::slowStartFloor, 1.0);
+}
+
+}
--- a/packages/Routing/filbertspoke/src/Routing/EndpointState.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.h
@@ -1,6 +1,9 @@
 #ifndef FILBERTSPOKE_ENDPOINT_STATE_H
 #define FILBERTSPOKE_ENDPOINT_STATE_H
 
+#include "Breaker.h"
+#include "internal/LatencyHistory.h"
+
 #include <filbertspoke/Core>
 
 #include <algorithm>
@@ -26,26 +29,42 @@
     }
 
     const Endpoint& endpoint() const { return this->description; }
-    /** \returns whether membership allows new work */
+    /** \returns whether membership and the endpoint itself allow new work */
     bool takesNewWork() const { return this->newWorkAllowed && !this->latestLoad.draining; }
+    /** \returns whether new work may be sent now: it is taken, and the breaker lets it pass */
+    bool available(TimePoint now) const { return this->takesNewWork() && this->breaker.allows(now); }
     const LoadReport& load() const { return this->latestLoad; }
     /** \returns when the latest load report came, if there was one */
     std::optional<TimePoint> reportedAt() const { return this->reportTime; }
     /** \returns steps or calls of this daemon that have no answer yet */
     std::uint32_t ownInFlight() const { return this->ownWork; }
-    std::uint32_t consecutiveFailures() const { return this->failures; }
+    /** \returns chains of this daemon that have a stage at the endpoint */
+    std::uint32_t ownChains() const { return this->openChains; }
 
-    /** \returns steps and calls at the endpoint: those reported, with this daemon's own part
-     * replaced by what it has in flight now */
-    std::uint32_t expectedLoad() const
+    /** \returns steps and calls that others have at the endpoint, as of the latest report */
+    std::uint32_t othersLoad() const
     {
         const std::uint32_t reported = this->latestLoad.queued + this->latestLoad.running;
-        const std::uint32_t others = reported - std::min(reported, this->ownWorkAtReport);
-        return others + this->ownWork;
+        return reported - std::min(reported, this->ownWorkAtReport);
     }
+    /** \returns steps and calls at the endpoint: those reported, with this daemon's own part
+     * replaced by what it has in flight now */
+    std::uint32_t expectedLoad() const { return this->othersLoad() + this->ownWork; }
 
     /** \returns the smoothed time from sending work to its answer; zero before the first answer */
-    Duration smoothedLatency() const { return this->latency; }
+    Duration smoothedLatency() const { return this->latency.smoothed(); }
+    /** \returns the time from sending work to its answer with little load; zero before the first answer */
+    Duration smallestLatency() const { return this->latency.smallest(); }
+    /** \returns the time that an engine takes for one token of a prompt; zero before the first prompt */
+    double prefillMicrosecondsPerToken() const { return this->prefillTime; }
+    /** \returns how long an answer for work on \a positions tokens may take before the endpoint is suspected */
+    Duration answerTimeout(std::uint32_t positions = 1) const;
+
+    /** \returns the tokens or calls a second that the endpoint serves at full load: its own word, or
+     * else what its latency allows */
+    double rate() const;
+    /** \returns rate(), reduced while the endpoint is new or has just come back */
+    double rampedRate(TimePoint now) const;
 
 private:
     friend class EndpointView;
@@ -55,10 +74,13 @@
     bool newWorkAllowed = true;
     LoadReport latestLoad;
     std::optional<TimePoint> reportTime;
+    std::optional<TimePoint> rampStart; ///< first report, or the end of a failure
     std::uint32_t ownWork = 0;
     std::uint32_t ownWorkAtReport = 0;
-    std::uint32_t failures = 0;
-    Duration latency {};
+    std::uint32_t openChains = 0;
+    internal::LatencyHistory latency; ///< of work on one token position, and of calls
+    double prefillTime = 0;
+    Breaker breaker;
     std::size_t groupPosition = 0;
 };
 
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
@@ -6,7 +6,7 @@
 
 namespace internal {
 
-constexpr int latencySmoothing = 8; ///< one answer moves the smoothed latency by an eighth
+constexpr double prefillGain = 1.0 / 4; ///< part by which one prompt moves the smoothed time
 
 }
 
@@ -48,34 +48,62 @@
     if (!state)
         return;
     state->latestLoad = load;
+    if (!state->rampStart)
+        state->rampStart = now;
     state->reportTime = now;
     state->ownWorkAtReport = state->ownWork;
 }
 
-void EndpointView::workStarted(const EndpointId& id, TimePoint)
+void EndpointView::workStarted(const EndpointId& id, TimePoint now)
 {
-    if (EndpointState* state = this->findMutable(id))
-        ++state->ownWork;
+    EndpointState* state = this->findMutable(id);
+    if (!state)
+        return;
+    ++state->ownWork;
+    state->breaker.started(now);
 }
 
-void EndpointView::workFinished(const EndpointId& id, Duration latency, TimePoint)
+void EndpointView::workFinished(const EndpointId& id, Duration latency, TimePoint now, std::uint32_t positions)
 {
     EndpointState* state = this->findMutable(id);
     if (!state)
         return;
     state->ownWork -= state->ownWork > 0 ? 1 : 0;
-    state->failures = 0;
-    const bool first = state->latency == Duration::zero();
-    state->latency = first ? latency : state->latency + (latency - state->latency) / internal::latencySmoothing;
+    if (!state->breaker.isClosed())
+        state->rampStart = now;
+    state->breaker.succeeded(now);
+    if (positions <= 1) {
+        state->latency.add(latency);
+        return;
+    }
+    const double sample = static_cast<double>(latency.count()) / positions;
+    state->prefillTime += (sample - state->prefillTime) * (state->prefillTime == 0 ? 1.0 : internal::prefillGain);
 }
 
-void EndpointView::workFailed(const EndpointId& id, TimePoint)
+void EndpointView::workFailed(const EndpointId& id, TimePoint now)
 {
     EndpointState* state = this->findMutable(id);
     if (!state)
         return;
     state->ownWork -= state->ownWork > 0 ? 1 : 0;
-    ++state->failures;
+    state->breaker.failed(now);
+}
+
+void EndpointView::chainOpened(const Chain& chain)
+{
+    for (const ChainStage& stage : chain) {
+        if (EndpointState* state = this->findMutable(stage.endpoint))
+            ++state->openChains;
+    }
+}
+
+void EndpointView::chainClosed(const Chain& chain)
+{
+    for (const ChainStage& stage : chain) {
+        EndpointState* state = this->findMutable(stage.endpoint);
+        if (state && state->openChains > 0)
+            --state->openChains;
+    }
 }
 
 const EndpointState* EndpointView::find(const EndpointId& id) const
@@ -96,6 +124,11 @@
     return place == this->replicasByService.end() ? nullptr : &place->second;
 }
 
+bool EndpointView::isLocal(const EndpointState& state) const
+{
+    return state.endpoint().failureDomain() == this->ownDomain;
+}
+
 EndpointState* EndpointView::findMutable(const EndpointId& id)
 {
     auto place = this->states.find(id);
@@ -105,8 +138,8 @@
 void EndpointView::insertIntoIndex(EndpointState& state)
 {
     std::visit(Overloaded {
-                   [&](const EngineRole& role) { this->enginesByModel[{ role.model, role.version }][role.layers].insert(state); },
-                   [&](const ServiceRole& role) { this->replicasByService[role.service].insert(state); } },
+                   [&](const EngineRole& role) { this->enginesByModel[{ role.model, role.version }][role.layers].insert(state, this->isLocal(state)); },
+                   [&](const ServiceRole& role) { this->replicasByService[role.service].insert(state, this->isLocal(state)); } },
         state.endpoint().role());
 }
 
@@ -116,7 +149,7 @@
                    [&](const EngineRole& role) {
                        auto model = this->enginesByModel.find({ role.model, role.version });
                        auto group = model->second.find(role.layers);
-                       group->second.erase(state);
+                       group->second.erase(state, this->isLocal(state));
                        if (group->second.empty())
                            model->second.erase(group);
                        if (model->second.empty())
@@ -124,7 +157,7 @@
                    },
                    [&](const ServiceRole& role) {
                        auto group = this->replicasByService.find(role.service);
-                       group->second.erase(state);
+                       group->second.erase(state, this->isLocal(state));
                        if (group->second.empty())
                            this->replicasByService.erase(group);
                    } },
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.h
@@ -1,12 +1,14 @@
 #ifndef FILBERTSPOKE_ENDPOINT_VIEW_H
 #define FILBERTSPOKE_ENDPOINT_VIEW_H
 
+#include "Chain.h"
 #include "EndpointState.h"
 #include "internal/EndpointGroup.h"
 
 #include <filbertspoke/Core>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -40,11 +42,17 @@
     void report(const EndpointId&, const LoadReport&, TimePoint);
     /** \brief Notes that a step or call was sent. Each is ended by workFinished() or workFailed(). */
     void workStarted(const EndpointId&, TimePoint);
-    /** \param latency from sending the work to its answer */
-    void workFinished(const EndpointId&, Duration latency, TimePoint);
+    /** \param latency from sending the work to its answer
+     * \param positions how many token positions the work ran */
+    void workFinished(const EndpointId&, Duration latency, TimePoint, std::uint32_t positions = 1);
     /** \brief Notes that a step or call got no answer, or that the endpoint failed it. */
     void workFailed(const EndpointId&, TimePoint);
 
+    /** \brief Counts a chain against its endpoints until chainClosed(); call it as soon as the chain is
+     * planned, so that requests planned at the same moment spread out. */
+    void chainOpened(const Chain&);
+    void chainClosed(const Chain&);
+
     /** \returns null when the endpoint is unknown */
     const EndpointState* find(const EndpointId&) const;
     std::size_t size() const { return this->states.size(); }
@@ -63,6 +71,7 @@
     }
 
 private:
+    bool isLocal(const EndpointState&) const;
     EndpointState* findMutable(const EndpointId&);
     void insertIntoIndex(EndpointState&);
     void eraseFromIndex(EndpointState&);
--- a/packages/Routing/filbertspoke/src/Routing/Planner.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/Planner.cpp
@@ -31,26 +31,28 @@
 
 }
 
-Result<Chain> Planner::plan(const PlanRequest& request, const EndpointView& view, Random& random, TimePoint) const
+Result<Chain> Planner::plan(const PlanRequest& request, const EndpointView& view, Random& random, TimePoint now) const
 {
     const EndpointView::EngineGroups* groups = view.engines(request.model(), request.version());
     if (!groups || request.layers().empty())
         return make_error_code(ErrorCode::NoPipeline);
 
+    const auto usable = [&](const EndpointState& state) { return state.available(now) && !request.excludes(state.endpoint().id()); };
+    const auto stageCost = [&](const EndpointState& state) { return this->cost(state, request, now); };
+
     // Groups are ordered by their first layer, so a boundary is final before a group that begins there is met.
     internal::ReachedBoundaries boundaries { { request.layers().first(), {} } };
     for (const auto& [layers, group] : *groups) {
         auto start = boundaries.find(layers.first());
         if (start == boundaries.end() || layers.empty() || layers.last() > request.layers().last())
             continue;
-        const auto usable = [&](const EndpointState& state) { return state.takesNewWork() && !request.excludes(state.endpoint().id()); };
-        const EndpointState* best = internal::leastLoaded(group, usable, random);
-        if (!best)
+        const internal::Candidate best = internal::cheapest(group, this->drawsPerSide, usable, stageCost, random);
+        if (!best.state)
             continue;
-        const double cost = start->second.cost + 1.0 + best->expectedLoad();
+        const double reached = start->second.cost + best.cost;
         auto [end, isNew] = boundaries.try_emplace(layers.last());
-        if (isNew || cost < end->second.cost)
-            end->second = { cost, { best->endpoint().id(), layers } };
+        if (isNew || reached < end->second.cost)
+            end->second = { reached, { best.state->endpoint().id(), layers } };
     }
 
     if (!boundaries.contains(request.layers().last()))
--- /dev/null
+++ b/packages/Routing/filbertspoke/src/Routing/RetryBudget.h
@@ -0,0 +1,39 @@
+#ifndef FILBERTSPOKE_RETRY_BUDGET_H
+#define FILBERTSPOKE_RETRY_BUDGET_H
+
+#include <algorithm>
+
+namespace filbertspoke {
+
+/** \brief Bounds retries and hedges to a part of the first attempts, so that they can't multiply load. */
+class RetryBudget {
+public:
+    /** \param part retries allowed for each first attempt
+     * \param reserve retries allowed without recent attempts, and the most that can be saved up */
+    RetryBudget(double part, double reserve)
+        : part(part)
+        , reserve(reserve)
+        , balance(reserve)
+    {
+    }
+
+    void firstAttempt() { this->balance = std::min(this->balance + this->part, this->reserve); }
+
+    /** \returns whether a retry may be made now, and counts it when it may */
+    bool takeRetry()
+    {
+        if (this->balance < 1)
+            return false;
+        this->balance -= 1;
+        return true;
+    }
+
+private:
+    double part;
+    double reserve;
+    double balance;
+};
+
+}
+
+#endif
--- a/packages/Routing/filbertspoke/src/Routing/ServicePicker.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/ServicePicker.cpp
@@ -6,20 +6,27 @@
 
 namespace filbertspoke {
 
+namespace internal {
+
+constexpr std::size_t replicasDrawn = 2; ///< from each side: own and other failure domains
+
+}
+
 Result<EndpointId> ServicePicker::pick(const ServiceId& service, const std::vector<EndpointId>& excluded,
-    const EndpointView& view, Random& random, TimePoint) const
+    const EndpointView& view, Random& random, TimePoint now) const
 {
     const internal::EndpointGroup* replicas = view.replicas(service);
     if (!replicas)
         return make_error_code(ErrorCode::NoEndpoint);
 
     const auto usable = [&](const EndpointState& state) {
-        return state.takesNewWork() && std::find(excluded.begin(), excluded.end(), state.endpoint().id()) == excluded.end();
+        return state.available(now) && std::find(excluded.begin(), excluded.end(), state.endpoint().id()) == excluded.end();
     };
-    const EndpointState* best = internal::leastLoaded(*replicas, usable, random);
-    if (!best)
+    const auto expectedTime = [&](const EndpointState& state) { return (state.expectedLoad() + 1) / state.rampedRate(now); };
+    const internal::Candidate best = internal::cheapest(*replicas, internal::replicasDrawn, usable, expectedTime, random);
+    if (!best.state)
         return make_error_code(ErrorCode::NoEndpoint);
-    return best->endpoint().id();
+    return best.state->endpoint().id();
 }
 
 }
--- a/packages/Routing/filbertspoke/src/Routing/internal/EndpointGroup.h
+++ b/packages/Routing/filbertspoke/src/Routing/internal/EndpointGroup.h
@@ -3,35 +3,55 @@
 
 #include "../EndpointState.h"
 
+#include <array>
+#include <cstddef>
 #include <vector>
 
 namespace filbertspoke::internal {
 
-/** \brief Endpoints that can stand in for each other; insertion and removal in constant time. */
+/** \brief Endpoints that can stand in for each other, those of the own failure domain apart.
+ *
+ * Insertion and removal take constant time.
+ */
 class EndpointGroup {
 public:
-    void insert(EndpointState& state)
+    using Members = std::vector<EndpointState*>;
+
+    void insert(EndpointState& state, bool local)
     {
-        state.groupPosition = this->members.size();
-        this->members.push_back(&state);
+        Members& members = this->membersByPlace[local ? 0 : 1];
+        state.groupPosition = members.size();
+        members.push_back(&state);
     }
 
-    void erase(EndpointState& state)
+    void erase(EndpointState& state, bool local)
     {
-        EndpointState* last = this->members.back();
+        Members& members = this->membersByPlace[local ? 0 : 1];
+        EndpointState* last = members.back();
         last->groupPosition = state.groupPosition;
-        this->members[state.groupPosition] = last;
-        this->members.pop_back();
+        members[state.groupPosition] = last;
+        members.pop_back();
     }
 
-    bool empty() const { return this->members.empty(); }
-    std::size_t size() const { return this->members.size(); }
-    const EndpointState& operator[](std::size_t position) const { return *this->members[position]; }
-    auto begin() const { return this->members.begin(); }
-    auto end() const { return this->members.end(); }
+    /** \returns the endpoints of the own failure domain */
+    const Members& local() const { return this->membersByPlace[0]; }
+    /** \returns the endpoints of all other failure domains */
+    const Members& remote() const { return this->membersByPlace[1]; }
+    std::size_t size() const { return this->local().size() + this->remote().size(); }
+    bool empty() const { return this->size() == 0; }
+
+    /** \brief Calls \a visit with every EndpointState of the group. */
+    template <typename Visitor>
+    void forEach(Visitor&& visit) const
+    {
+        for (const Members& members : this->membersByPlace) {
+            for (const EndpointState* member : members)
+                visit(*member);
+        }
+    }
 
 private:
-    std::vector<EndpointState*> members;
+    std::array<Members, 2> membersByPlace;
 };
 
 }
