--- a/packages/Configuration/filbertspoke/src/Configuration/Configuration.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/Configuration.cpp
@@ -1,5 +1,7 @@
 #include <filbertspoke/Configuration>
 
+#include <algorithm>
+
 namespace filbertspoke {
 
 namespace internal {
--- a/packages/Configuration/filbertspoke/src/Configuration/Configuration.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/Configuration.h
@@ -6,17 +6,32 @@
 #include "ServiceConfiguration.h"
 
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace filbertspoke {
 
+/** \brief Which of the two measures goes first where they pull apart. */
+enum class Objective {
+    Throughput,
+    RecoveryTime,
+};
+
+/** \returns "throughput" or "recovery-time" */
+constexpr std::string_view name(Objective objective)
+{
+    return objective == Objective::Throughput ? "throughput" : "recovery-time";
+}
+
 /** \brief The configuration generated from one questionnaire: what the daemons serve, and to whom. */
 class Configuration {
 public:
     class Builder;
 
     const std::string& organisation() const { return this->organisationName; }
+    Objective objective() const { return this->firstMeasure; }
+    const std::vector<FailureDomainId>& failureDomains() const { return this->failureDomainList; }
     const std::vector<ModelConfiguration>& models() const { return this->modelList; }
     const std::vector<ServiceConfiguration>& services() const { return this->serviceList; }
     const std::vector<AccountConfiguration>& accounts() const { return this->accountList; }
@@ -34,6 +49,8 @@
     Configuration() = default;
 
     std::string organisationName;
+    Objective firstMeasure = Objective::Throughput;
+    std::vector<FailureDomainId> failureDomainList;
     std::vector<ModelConfiguration> modelList;
     std::vector<ServiceConfiguration> serviceList;
     std::vector<AccountConfiguration> accountList;
@@ -47,6 +64,16 @@
         this->configuration.organisationName = std::move(name);
         return *this;
     }
+    Builder& objective(Objective objective)
+    {
+        this->configuration.firstMeasure = objective;
+        return *this;
+    }
+    Builder& failureDomain(FailureDomainId id)
+    {
+        this->configuration.failureDomainList.push_back(std::move(id));
+        return *this;
+    }
     Builder& model(ModelConfiguration model)
     {
         this->configuration.modelList.push_back(std::move(model));
--- a/packages/Configuration/filbertspoke/src/Configuration/ServiceConfiguration.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/ServiceConfiguration.h
@@ -3,7 +3,6 @@
 
 #include <filbertspoke/Core>
 
-#include <algorithm>
 #include <compare>
 #include <string>
 #include <string_view>
@@ -18,10 +17,8 @@
     bool idempotent = false; ///< may be repeated after a failure
     bool hedged = false; ///< needed at once: a second endpoint is asked when the first is slow
 
-    bool matches(std::string_view callMethod, std::string_view callPath) const
-    {
-        return (this->method == "*" || this->method == callMethod) && callPath.starts_with(this->pathPrefix);
-    }
+    /** \returns whether the rule covers the call; the prefix ends at a segment of the path */
+    bool matches(std::string_view callMethod, std::string_view callPath) const;
 
     auto operator<=>(const RouteRule&) const = default;
 };
@@ -32,14 +29,12 @@
     std::vector<RouteRule> rules; ///< the first rule that matches decides
     Duration deadline {}; ///< applies where the caller names none
 
-    /** \returns the rule for a call, or null when the service has no such path */
-    const RouteRule* findRule(std::string_view method, std::string_view path) const
-    {
-        auto rule = std::find_if(this->rules.begin(), this->rules.end(), [&](const RouteRule& candidate) {
-            return candidate.matches(method, path);
-        });
-        return rule == this->rules.end() ? nullptr : &*rule;
-    }
+    /** \brief Finds how a call is treated.
+     *
+     * A path that a service may resolve to another one (dot segments, encoded separators) has no rule.
+     * \returns the rule for a call, or null when the service has no such path
+     */
+    const RouteRule* findRule(std::string_view method, std::string_view path) const;
 
     auto operator<=>(const ServiceConfiguration&) const = default;
 };
