AccountDemand stands in Core once

Cause: Membership and Routing each brought a struct of that name; together they did not compile. Change: one struct in Core with the number of requests in progress; both use it. Conclusion: shared messages belong in Core.

--- a/packages/Membership/filbertspoke/src/Membership/PeerMessage.h
+++ b/packages/Membership/filbertspoke/src/Membership/PeerMessage.h
@@ -111,15 +111,6 @@
     auto operator<=>(const LoadReports&) const = default;
 };
 
-/** \brief What one client account asks of the sender. */
-struct AccountDemand {
-    AccountId account;
-    double requestsPerSecond = 0;
-    std::uint32_t inProgress = 0; ///< requests
-
-    auto operator<=>(const AccountDemand&) const = default;
-};
-
 /** \brief What the sender's callers ask for, from which daemons share out the account limits. */
 struct DemandReport {
     std::vector<AccountDemand> demands;
--- a/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
@@ -100,8 +100,8 @@
     const Account& account = place->second;
     const double limit = account.configuration.maximumConcurrent;
     const double demand = account.waiting + account.inProgress;
-    const auto concurrent = [](const AccountDemand& peer) { return peer.concurrent; };
-    const double part = limit * this->share(account, demand, limit / this->daemons, concurrent, now);
+    const auto inProgress = [](const AccountDemand& peer) { return static_cast<double>(peer.inProgress); };
+    const double part = limit * this->share(account, demand, limit / this->daemons, inProgress, now);
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(part)));
 }
 
--- a/packages/Routing/filbertspoke/src/Routing/AccountLimiter.h
+++ b/packages/Routing/filbertspoke/src/Routing/AccountLimiter.h
@@ -12,15 +12,6 @@
 
 namespace filbertspoke {
 
-/** \brief What one client account asks of one daemon; daemons tell each other. */
-struct AccountDemand {
-    AccountId account;
-    double requestsPerSecond = 0; ///< offered, admitted or not
-    double concurrent = 0; ///< requests in progress and waiting
-
-    auto operator<=>(const AccountDemand&) const = default;
-};
-
 /** \brief Holds the client accounts' limits over all daemons, with no coordinator.
  *
  * Each daemon takes a part of the limit in proportion to the demand that it sees. Every daemon that
