Http: a client connection that tells whether a byte left

Cause: the adapters towards the platform and the endpoints both need HTTP with timeouts and a truthful answer to whether a request left this process; writing it in each of them would stand twice. Change: package Http with HttpConnection (Beast behind a plain header). An idle connection that the server closed is noticed before the next request is written, so that a request isn't lost to it.

--- /dev/null
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -0,0 +1,219 @@
+#include "HttpConnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+class HttpConnection::State : public std::enable_shared_from_this<State> {
+public:
+    State(asio::io_context& context, HttpAddress address, HttpLimits limits)
+        : stream(context)
+        , idleTimer(context)
+        , address(std::move(address))
+        , limits(limits)
+    {
+    }
+
+    void exchange(HttpRequest, Duration timeout, Callback);
+    bool busy() const { return static_cast<bool>(this->callback); }
+    void close();
+
+private:
+    void connect();
+    void write();
+    void read();
+    void finish();
+    void fail(beast::error_code, bool sent);
+    void watchIdle();
+    bool closedByServer();
+
+    beast::tcp_stream stream;
+    asio::steady_timer idleTimer;
+    HttpAddress address;
+    HttpLimits limits;
+    Duration timeout {};
+    Callback callback;
+    std::uint64_t epoch = 0; ///< changes with every exchange and close, so that late handlers stop
+    bool connected = false;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
+void HttpConnection::State::exchange(HttpRequest message, Duration exchangeTimeout, Callback done)
+{
+    ++this->epoch;
+    this->timeout = exchangeTimeout;
+    this->callback = std::move(done);
+    this->request = {};
+    this->request.version(11);
+    this->request.method_string(message.method);
+    this->request.target(message.target);
+    this->request.set(http::field::host, this->address.address + ":" + std::to_string(this->address.port));
+    for (const HttpHeader& header : message.headers)
+        this->request.set(header.name, header.value);
+    this->request.body() = std::move(message.body);
+    this->request.prepare_payload();
+
+    if (this->connected && this->closedByServer())
+        this->connected = false;
+    asio::post(this->stream.get_executor(), [self = this->shared_from_this(), epoch = this->epoch] {
+        if (epoch != self->epoch)
+            return;
+        if (self->connected)
+            self->write();
+        else
+            self->connect();
+    });
+}
+
+void HttpConnection::State::connect()
+{
+    beast::error_code error;
+    const auto ip = asio::ip::make_address(this->address.address, error);
+    if (error)
+        return this->fail(error, false);
+    this->stream.close();
+    this->buffer.clear();
+    this->stream.expires_after(this->limits.connectTimeout);
+    this->stream.async_connect(asio::ip::tcp::endpoint(ip, this->address.port),
+        [self = this->shared_from_this(), epoch = this->epoch](beast::error_code connectError) {
+            if (epoch != self->epoch)
+                return;
+            if (connectError)
+                return self->fail(connectError, false);
+            self->connected = true;
+            beast::error_code ignored;
+            self->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+}
+
+void HttpConnection::State::write()
+{
+    this->stream.expires_after(this->timeout);
+    http::async_write(this->stream, this->request,
+        [self = this->shared_from_this(), epoch = this->epoch](beast::error_code error, std::size_t bytes) {
+            if (epoch != self->epoch)
+                return;
+            // After a timeout the number of bytes says nothing: the write may have gone through.
+            if (error)
+                return self->fail(error, bytes > 0 || error == beast::error::timeout);
+            self->read();
+        });
+}
+
+void HttpConnection::State::read()
+{
+    this->parser.emplace();
+    this->parser->body_limit(this->limits.responseBytes);
+    if (this->request.method() == http::verb::head)
+        this->parser->skip(true);
+    http::async_read(this->stream, this->buffer, *this->parser,
+        [self = this->shared_from_this(), epoch = this->epoch](beast::error_code error, std::size_t) {
+            if (epoch != self->epoch)
+                return;
+            if (error)
+                return self->fail(error, true);
+            self->finish();
+        });
+}
+
+void HttpConnection::State::finish()
+{
+    auto message = this->parser->release();
+    HttpResponse response;
+    response.status = message.result_int();
+    for (const auto& field : message)
+        response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    response.body = std::move(message.body());
+
+    const Callback done = std::exchange(this->callback, nullptr);
+    if (message.keep_alive())
+        this->watchIdle();
+    else
+        this->close();
+    done(std::move(response));
+}
+
+void HttpConnection::State::fail(beast::error_code error, bool sent)
+{
+    const Callback done = std::exchange(this->callback, nullptr);
+    this->close();
+    done(HttpFailure { error, sent });
+}
+
+void HttpConnection::State::close()
+{
+    ++this->epoch;
+    this->callback = nullptr;
+    this->connected = false;
+    this->idleTimer.cancel();
+    this->stream.close();
+}
+
+void HttpConnection::State::watchIdle()
+{
+    // Anything that arrives or happens while no exchange is in progress ends the connection.
+    const auto closeIfIdle = [self = this->shared_from_this(), epoch = this->epoch](beast::error_code) {
+        if (epoch == self->epoch)
+            self->close();
+    };
+    this->stream.socket().async_wait(asio::socket_base::wait_read, closeIfIdle);
+    this->idleTimer.expires_after(this->limits.idleTimeout);
+    this->idleTimer.async_wait(closeIfIdle);
+}
+
+bool HttpConnection::State::closedByServer()
+{
+    char byte = 0;
+    beast::error_code error;
+    auto& socket = this->stream.socket();
+    socket.non_blocking(true, error);
+    if (error)
+        return true;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+HttpConnection::HttpConnection(asio::io_context& context, HttpAddress address, HttpLimits limits)
+    : state(std::make_shared<State>(context, std::move(address), limits))
+{
+}
+
+HttpConnection::~HttpConnection()
+{
+    this->state->close();
+}
+
+void HttpConnection::exchange(HttpRequest request, Duration timeout, Callback callback)
+{
+    this->state->exchange(std::move(request), timeout, std::move(callback));
+}
+
+bool HttpConnection::busy() const
+{
+    return this->state->busy();
+}
+
+void HttpConnection::close()
+{
+    this->state->close();
+}
+
+}
