--- /dev/null
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
@@ -0,0 +1,115 @@
+#include "RelayStandIn.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json/parse.hpp>
+
+#include <array>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds blackHoleCheck { 5 };
+constexpr std::size_t chunkBytes = 64 * 1024;
+
+tcp::endpoint toEndpoint(const HttpAddress& address)
+{
+    return { asio::ip::make_address(address.address), address.port };
+}
+
+}
+
+RelayStandIn::RelayStandIn(asio::io_context& context, const HttpAddress& address, const HttpAddress& target, const HttpAddress& control)
+    : context(context)
+    , target(toEndpoint(target))
+    , acceptor(context, toEndpoint(address))
+    , controlServer(context, control, [this](HttpRequest request) -> asio::awaitable<std::optional<HttpResponse>> {
+        this->control(boost::json::parse(request.body).as_object());
+        co_return jsonResponse(boost::json::object());
+    })
+{
+    asio::co_spawn(context, this->listen(), asio::detached);
+}
+
+HttpAddress RelayStandIn::address() const
+{
+    const tcp::endpoint endpoint = this->acceptor.local_endpoint();
+    return { endpoint.address().to_string(), endpoint.port() };
+}
+
+asio::awaitable<void> RelayStandIn::listen()
+{
+    while (this->acceptor.is_open()) {
+        auto [error, accepted] = co_await this->acceptor.async_accept(asTuple);
+        if (error || this->mode == Mode::Cut)
+            continue;
+        asio::co_spawn(this->context, this->connect(std::make_shared<Socket>(std::move(accepted))), asio::detached);
+    }
+}
+
+asio::awaitable<void> RelayStandIn::connect(SharedSocket client)
+{
+    auto server = std::make_shared<Socket>(this->context);
+    const auto [error] = co_await server->async_connect(this->target, asTuple);
+    if (error)
+        co_return;
+    client->set_option(tcp::no_delay(true));
+    server->set_option(tcp::no_delay(true));
+    this->sockets.insert(client);
+    this->sockets.insert(server);
+    asio::co_spawn(this->context, this->forward(client, server), asio::detached);
+    asio::co_spawn(this->context, this->forward(server, client), asio::detached);
+}
+
+asio::awaitable<void> RelayStandIn::forward(SharedSocket from, SharedSocket to)
+{
+    std::array<char, chunkBytes> chunk {};
+    bool open = true;
+    while (open) {
+        const auto [readError, bytes] = co_await from->async_read_some(asio::buffer(chunk), asTuple);
+        if (readError)
+            break;
+        if (this->delay.count() > 0)
+            co_await this->pauseFor(this->delay);
+        while (this->mode == Mode::BlackHole)
+            co_await this->pauseFor(blackHoleCheck);
+        const auto [writeError, written] = co_await asio::async_write(*to, asio::buffer(chunk, bytes), asTuple);
+        open = !writeError;
+    }
+    boost::system::error_code ignored;
+    to->close(ignored);
+    from->close(ignored);
+    this->sockets.erase(from);
+}
+
+asio::awaitable<void> RelayStandIn::pauseFor(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(this->context, duration);
+    co_await timer.async_wait(asTuple);
+}
+
+void RelayStandIn::control(const boost::json::object& order)
+{
+    if (const auto* value = order.if_contains("delayMs"))
+        this->delay = std::chrono::milliseconds(value->to_number<std::int64_t>());
+    if (const auto* value = order.if_contains("mode"))
+        this->mode = *value == "cut" ? Mode::Cut : *value == "black-hole" ? Mode::BlackHole
+                                                                          : Mode::Forward;
+    if (this->mode != Mode::Cut)
+        return;
+    boost::system::error_code ignored;
+    for (const SharedSocket& socket : this->sockets)
+        socket->close(ignored);
+}
+
+}
