--- /dev/null
+++ b/packages/Routing/filbertspoke/src/Routing/Admission.cpp
@@ -0,0 +1,196 @@
+#include "Admission.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace filbertspoke {
+
+namespace internal {
+
+constexpr int serviceTimeSmoothing = 16; ///< one request moves the smoothed time by a sixteenth
+constexpr Duration shortestRetryDelay = std::chrono::milliseconds(100);
+constexpr double fewestSlots = 1e-3; ///< keeps divisions by slots finite
+
+}
+
+Admission::Admission(const Configuration& configuration, AdmissionLimits limits)
+    : limits(limits)
+{
+    this->configure(configuration);
+}
+
+void Admission::configure(const Configuration& configuration)
+{
+    this->knownAccounts.clear();
+    this->accountConfigurations = configuration.accounts();
+    for (const AccountConfiguration& account : this->accountConfigurations) {
+        this->knownAccounts.insert(account.id);
+        for (auto& [id, pool] : this->pools)
+            pool.queue.setWeight(account.id, account.weight);
+    }
+    this->accountLimiter.configure(configuration);
+}
+
+void Admission::setLimits(AdmissionLimits newLimits)
+{
+    this->limits = newLimits;
+}
+
+void Admission::setConcurrency(const AdmissionPool& id, std::uint32_t concurrency)
+{
+    this->pool(id).concurrency = concurrency;
+}
+
+AdmissionDecision Admission::offer(const AdmissionRequest& request, TimePoint now)
+{
+    if (!this->knownAccounts.contains(request.account))
+        return Refusal(ErrorCode::UnknownAccount, Ran::No);
+    if (const std::optional<Duration> delay = this->accountLimiter.take(request.account, now))
+        return this->refusal(ErrorCode::AccountLimit, *delay);
+
+    Pool& pool = this->pool(request.pool);
+    const std::size_t ahead = pool.queue.queued(request.account);
+    if (ahead == 0 && this->hasRoom(pool) && this->accountLimiter.mayStart(request.account, now)) {
+        pool.queue.charge(request);
+        this->start(request, pool, now);
+        return Admitted {};
+    }
+
+    const Duration wait = this->expectedWait(request, pool, now);
+    if (ahead >= this->limits.queuedPerAccount)
+        return this->refusal(ErrorCode::QueueFull, wait);
+    if (now + wait > request.deadline)
+        return this->refusal(ErrorCode::DeadlineUnreachable, now + wait - request.deadline);
+
+    pool.queue.push(request);
+    this->accountLimiter.queued(request.account);
+    this->waiting.emplace(request.request, request);
+    this->deadlines.emplace(request.deadline, request.request);
+    return Queued { wait };
+}
+
+std::vector<RequestId> Admission::finished(const RequestId& id, TimePoint now, std::optional<double> usedCost)
+{
+    auto place = this->running.find(id);
+    if (place == this->running.end())
+        return {};
+    const AdmissionRequest& request = place->second.request;
+    Pool& pool = this->pool(request.pool);
+    const Duration taken = now - place->second.startedAt;
+    const bool first = pool.serviceTime == Duration::zero();
+    pool.serviceTime = first ? taken : pool.serviceTime + (taken - pool.serviceTime) / internal::serviceTimeSmoothing;
+    if (usedCost)
+        pool.queue.correct(request.account, *usedCost - request.cost);
+    return this->endRunning(place, now);
+}
+
+std::vector<RequestId> Admission::cancel(const RequestId& id, TimePoint now)
+{
+    if (auto place = this->running.find(id); place != this->running.end())
+        return this->endRunning(place, now);
+    if (auto place = this->waiting.find(id); place != this->waiting.end())
+        this->removeWaiting(AdmissionRequest(place->second));
+    return {};
+}
+
+std::vector<RequestId> Admission::startWaiting(TimePoint now)
+{
+    std::vector<RequestId> started;
+    for (auto& [id, pool] : this->pools)
+        this->startFrom(pool, now, started);
+    return started;
+}
+
+std::vector<RefusedRequest> Admission::expire(TimePoint now)
+{
+    std::vector<RefusedRequest> refused;
+    while (!this->deadlines.empty() && this->deadlines.begin()->first < now) {
+        const AdmissionRequest request = this->waiting.at(this->deadlines.begin()->second);
+        this->removeWaiting(request);
+        const Duration wait = this->expectedWait(request, this->pool(request.pool), now);
+        refused.push_back({ request.request, this->refusal(ErrorCode::DeadlineExceeded, wait) });
+    }
+    return refused;
+}
+
+std::optional<TimePoint> Admission::nextWake() const
+{
+    if (this->deadlines.empty())
+        return std::nullopt;
+    return this->deadlines.begin()->first + Duration(1);
+}
+
+Admission::Pool& Admission::pool(const AdmissionPool& id)
+{
+    auto [place, isNew] = this->pools.try_emplace(id);
+    if (isNew) {
+        for (const AccountConfiguration& account : this->accountConfigurations)
+            place->second.queue.setWeight(account.id, account.weight);
+    }
+    return place->second;
+}
+
+bool Admission::hasRoom(const Pool& pool) const
+{
+    return pool.inProgress < pool.concurrency.value_or(this->limits.concurrent);
+}
+
+void Admission::start(const AdmissionRequest& request, Pool& pool, TimePoint now)
+{
+    ++pool.inProgress;
+    this->accountLimiter.started(request.account);
+    this->running.emplace(request.request, Running { request, now });
+}
+
+void Admission::removeWaiting(const AdmissionRequest& request)
+{
+    this->pool(request.pool).queue.erase(request);
+    this->accountLimiter.unqueued(request.account);
+    this->deadlines.erase({ request.deadline, request.request });
+    this->waiting.erase(request.request);
+}
+
+std::vector<RequestId> Admission::endRunning(std::unordered_map<RequestId, Running>::iterator place, TimePoint now)
+{
+    const AdmissionRequest request = place->second.request;
+    this->running.erase(place);
+    this->accountLimiter.finished(request.account);
+    Pool& pool = this->pool(request.pool);
+    --pool.inProgress;
+
+    std::vector<RequestId> started;
+    this->startFrom(pool, now, started);
+    // An account at its concurrency limit may have been waiting for another pool.
+    if (started.empty() && this->accountLimiter.concurrency(request.account, now))
+        return this->startWaiting(now);
+    return started;
+}
+
+void Admission::startFrom(Pool& pool, TimePoint now, std::vector<RequestId>& started)
+{
+    const auto mayStart = [&](const AccountId& id) { return this->accountLimiter.mayStart(id, now); };
+    while (this->hasRoom(pool)) {
+        const std::optional<AdmissionRequest> request = pool.queue.pop(mayStart);
+        if (!request)
+            return;
+        this->removeWaiting(*request);
+        this->start(*request, pool, now);
+        started.push_back(request->request);
+    }
+}
+
+Duration Admission::expectedWait(const AdmissionRequest& request, const Pool& pool, TimePoint now) const
+{
+    double slots = pool.queue.share(request.account) * pool.concurrency.value_or(this->limits.concurrent);
+    if (const std::optional<std::uint32_t> limit = this->accountLimiter.concurrency(request.account, now))
+        slots = std::min<double>(slots, *limit);
+    const double rounds = static_cast<double>(pool.queue.queued(request.account) + 1) / std::max(slots, internal::fewestSlots);
+    return Duration(static_cast<Duration::rep>(rounds * static_cast<double>(pool.serviceTime.count())));
+}
+
+Refusal Admission::refusal(ErrorCode code, Duration delay) const
+{
+    return Refusal(code, Ran::No).retryAfter(std::max(delay, internal::shortestRetryDelay));
+}
+
+}
