--- a/packages/StandIns/filbertspoke/src/StandIns/HttpServer.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpServer.cpp
@@ -1,4 +1,4 @@
-#include "HttpServer.h"
+#include <filbertspoke/Http>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/packages/StandIns/filbertspoke/src/StandIns/HttpServer.h
+++ b/packages/Http/filbertspoke/src/Http/HttpServer.h
@@ -1,7 +1,8 @@
 #ifndef FILBERTSPOKE_HTTP_SERVER_H
 #define FILBERTSPOKE_HTTP_SERVER_H
 
-#include <filbertspoke/Http>
+#include "HttpConnection.h"
+#include "HttpMessage.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
--- a/packages/StandIns/filbertspoke/src/StandIns/EngineStandIn.h
+++ b/packages/StandIns/filbertspoke/src/StandIns/EngineStandIn.h
@@ -1,8 +1,8 @@
 #ifndef FILBERTSPOKE_ENGINE_STAND_IN_H
 #define FILBERTSPOKE_ENGINE_STAND_IN_H
 
-#include "HttpServer.h"
 #include "ReferenceModel.h"
+#include <filbertspoke/Http>
 
 #include <filbertspoke/Core>
 
--- a/packages/StandIns/filbertspoke/src/StandIns/ServiceStandIn.h
+++ b/packages/StandIns/filbertspoke/src/StandIns/ServiceStandIn.h
@@ -1,7 +1,7 @@
 #ifndef FILBERTSPOKE_SERVICE_STAND_IN_H
 #define FILBERTSPOKE_SERVICE_STAND_IN_H
 
-#include "HttpServer.h"
+#include <filbertspoke/Http>
 
 #include <filbertspoke/Core>
 
