Routing: demand of accounts in one type

Cause: Membership and Routing each declared AccountDemand, so nothing that includes both built. Change: Routing uses the message of Membership.

--- a/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
@@ -55,7 +55,7 @@
         const bool limited = account.configuration.requestsPerSecond > 0 || account.configuration.maximumConcurrent > 0;
         const double rate = this->decayedRate(account, now);
         if (limited && (rate > 0 || account.waiting + account.inProgress > 0))
-            demands.push_back({ id, rate, static_cast<double>(account.waiting + account.inProgress) });
+            demands.push_back({ id, rate, account.waiting + account.inProgress });
     }
     return demands;
 }
@@ -100,7 +100,7 @@
     const Account& account = place->second;
     const double limit = account.configuration.maximumConcurrent;
     const double demand = account.waiting + account.inProgress;
-    const auto concurrent = [](const AccountDemand& peer) { return peer.concurrent; };
+    const auto concurrent = [](const AccountDemand& peer) { return static_cast<double>(peer.inProgress); };
     const double part = limit * this->share(account, demand, limit / this->daemons, concurrent, now);
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(part)));
 }
--- a/packages/Routing/filbertspoke/src/Routing/AccountLimiter.h
+++ b/packages/Routing/filbertspoke/src/Routing/AccountLimiter.h
@@ -3,8 +3,8 @@
 
 #include <filbertspoke/Configuration>
 #include <filbertspoke/Core>
+#include <filbertspoke/Membership>
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -12,15 +12,6 @@
 
 namespace filbertspoke {
 
-/** \brief What one client account asks of one daemon; daemons tell each other. */
-struct AccountDemand {
-    AccountId account;
-    double requestsPerSecond = 0; ///< offered, admitted or not
-    double concurrent = 0; ///< requests in progress and waiting
-
-    auto operator<=>(const AccountDemand&) const = default;
-};
-
 /** \brief Holds the client accounts' limits over all daemons, with no coordinator.
  *
  * Each daemon takes a part of the limit in proportion to the demand that it sees. Every daemon that
@@ -37,7 +28,7 @@
     /** \brief Takes the latest demand of another daemon. */
     void peerDemand(const DaemonId&, const std::vector<AccountDemand>&, TimePoint);
     void forgetPeer(const DaemonId&);
-    /** \returns what this daemon tells the others */
+    /** \returns what this daemon tells the others; requests that wait count as in progress */
     std::vector<AccountDemand> demand(TimePoint) const;
 
     /** \brief Counts one offered request against the account's rate.
