--- a/packages/Routing/filbertspoke/src/Routing/AccountLimiter.h
+++ b/packages/Routing/filbertspoke/src/Routing/AccountLimiter.h
@@ -3,8 +3,8 @@
 
 #include <filbertspoke/Configuration>
 #include <filbertspoke/Core>
-#include <filbertspoke/Membership>
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,7 +28,7 @@
     /** \brief Takes the latest demand of another daemon. */
     void peerDemand(const DaemonId&, const std::vector<AccountDemand>&, TimePoint);
     void forgetPeer(const DaemonId&);
-    /** \returns what this daemon tells the others; requests that wait count as in progress */
+    /** \returns what this daemon tells the others */
     std::vector<AccountDemand> demand(TimePoint) const;
 
     /** \brief Counts one offered request against the account's rate.
