--- /dev/null
+++ b/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.cpp
@@ -0,0 +1,281 @@
+#include "ConfigurationFold.h"
+#include "ConfigurationJson.h"
+
+#include <algorithm>
+#include <set>
+
+namespace filbertspoke {
+
+namespace {
+
+// Generates the configuration from the answers alone; none when they are not sound.
+std::optional<Configuration> generateFrom(const Approval& approval)
+{
+    const auto parsed = parseQuestionnaire(approval.answers);
+    const auto* questionnaire = std::get_if<Questionnaire>(&parsed);
+    if (!questionnaire || questionnaire->team() != approval.scope)
+        return std::nullopt;
+    return generate(*questionnaire);
+}
+
+bool isApproved(const Approval& approval)
+{
+    return !approval.author.empty() && !approval.approver.empty() && approval.author != approval.approver;
+}
+
+template <typename Entries>
+bool shareName(const Entries& left, const Entries& right)
+{
+    return std::any_of(left.begin(), left.end(), [&](const auto& entry) {
+        return std::any_of(right.begin(), right.end(), [&](const auto& other) { return entry.id == other.id; });
+    });
+}
+
+AuditEntry undecided(const LogRecord& record)
+{
+    const Result<ConfigurationRecord> parsed = parseConfigurationRecord(record.payload);
+    if (!parsed)
+        return { record.offset, RecordSkipped { static_cast<ErrorCode>(parsed.error().value()) } };
+    if (const auto* change = std::get_if<ConfigurationChange>(&*parsed))
+        return { record.offset, ChangeUndecided { change->approval, change->base } };
+    if (const auto* checkpoint = std::get_if<ConfigurationCheckpoint>(&*parsed))
+        return { record.offset, CheckpointRead { checkpoint->daemon, checkpoint->snapshot.next, CheckpointUse::TooOld } };
+    return { record.offset, RecordSkipped { ErrorCode::MalformedRecord } };
+}
+
+}
+
+LogOffset ConfigurationFold::next() const
+{
+    return this->gap ? this->gap->readTo : this->applied;
+}
+
+void ConfigurationFold::truncate(LogOffset oldest)
+{
+    if (oldest > this->next())
+        this->gap = Gap { oldest, oldest, {} };
+}
+
+std::vector<AuditEntry> ConfigurationFold::apply(const LogRecord& record)
+{
+    if (record.offset < this->next())
+        return {};
+    this->truncate(record.offset);
+    if (this->gap)
+        return this->applyWaiting(record);
+    return { this->applyInOrder(record) };
+}
+
+std::vector<AuditEntry> ConfigurationFold::applyWaiting(const LogRecord& record)
+{
+    this->gap->waiting.push_back(record);
+    this->gap->readTo = record.offset + 1;
+    const Result<ConfigurationRecord> parsed = parseConfigurationRecord(record.payload);
+    const auto* checkpoint = parsed ? std::get_if<ConfigurationCheckpoint>(&*parsed) : nullptr;
+    if (!checkpoint || checkpoint->snapshot.next < this->gap->start || checkpoint->snapshot.next > record.offset)
+        return {};
+    std::optional<Scopes> restored = readScopes(checkpoint->snapshot);
+    if (!restored || this->wouldRevert(*restored))
+        return {};
+    std::vector<AuditEntry> entries = this->restore(checkpoint->snapshot.next, std::move(*restored));
+    entries.back() = { record.offset, CheckpointRead { checkpoint->daemon, checkpoint->snapshot.next, CheckpointUse::Adopted } };
+    return entries;
+}
+
+// Starts from a known state and takes the records into account that had waited for it.
+std::vector<AuditEntry> ConfigurationFold::restore(LogOffset next, Scopes restored)
+{
+    std::vector<LogRecord> waiting;
+    if (this->gap)
+        waiting = std::move(this->gap->waiting);
+    this->gap.reset();
+    this->applied = next;
+    this->scopes = std::move(restored);
+    this->newerRecord.reset();
+    std::vector<AuditEntry> entries = this->replay(waiting);
+    this->merge();
+    return entries;
+}
+
+std::vector<AuditEntry> ConfigurationFold::replay(const std::vector<LogRecord>& waiting)
+{
+    std::vector<AuditEntry> entries;
+    for (const LogRecord& record : waiting)
+        entries.push_back(record.offset < this->applied ? undecided(record) : this->applyInOrder(record));
+    return entries;
+}
+
+Result<std::vector<AuditEntry>> ConfigurationFold::adopt(const ConfigurationSnapshot& snapshot)
+{
+    if (snapshot.next <= this->applied)
+        return make_error_code(ErrorCode::StaleBase);
+    if (this->gap && snapshot.next < this->gap->start)
+        return make_error_code(ErrorCode::LogTruncated);
+    std::optional<Scopes> restored = readScopes(snapshot);
+    if (!restored)
+        return make_error_code(ErrorCode::HashMismatch);
+    if (this->wouldRevert(*restored))
+        return make_error_code(ErrorCode::StaleBase);
+    return this->restore(snapshot.next, std::move(*restored));
+}
+
+AuditEntry ConfigurationFold::applyInOrder(const LogRecord& record)
+{
+    this->applied = record.offset + 1;
+    const Result<ConfigurationRecord> parsed = parseConfigurationRecord(record.payload);
+    if (!parsed) {
+        const auto reason = static_cast<ErrorCode>(parsed.error().value());
+        if (reason == ErrorCode::UnsupportedVersion)
+            this->newerRecord = record.offset;
+        return { record.offset, RecordSkipped { reason } };
+    }
+    return std::visit([&](const auto& content) { return this->applyRecord(record.offset, content); }, *parsed);
+}
+
+AuditEntry ConfigurationFold::applyRecord(LogOffset offset, const ConfigurationChange& change)
+{
+    if (change.approval.generator > generatorVersion) {
+        this->newerRecord = offset;
+        return { offset, RecordSkipped { ErrorCode::UnsupportedVersion } };
+    }
+    std::variant<Configuration, ChangeRefused> verdict = this->judge(change);
+    if (auto* refused = std::get_if<ChangeRefused>(&verdict))
+        return { offset, std::move(*refused) };
+    ScopeState state { { offset, change.approval }, std::get<Configuration>(std::move(verdict)) };
+    this->scopes.insert_or_assign(change.approval.scope, std::move(state));
+    this->merge();
+    return { offset, ChangeAccepted { change.approval, change.base } };
+}
+
+AuditEntry ConfigurationFold::applyRecord(LogOffset offset, const ConfigurationCheckpoint& checkpoint)
+{
+    const auto entry = [&](CheckpointUse use) { return AuditEntry { offset, CheckpointRead { checkpoint.daemon, checkpoint.snapshot.next, use } }; };
+    if (checkpoint.snapshot.next > offset || !readScopes(checkpoint.snapshot))
+        return entry(CheckpointUse::Invalid);
+    return entry(this->newerRecord || this->agreesWith(checkpoint.snapshot) ? CheckpointUse::NotNeeded : CheckpointUse::Disagrees);
+}
+
+AuditEntry ConfigurationFold::applyRecord(LogOffset offset, const InForceReport&)
+{
+    return { offset, RecordSkipped { ErrorCode::MalformedRecord } };
+}
+
+// Generates the configuration of a change, or says why the change is refused.
+std::variant<Configuration, ChangeRefused> ConfigurationFold::judge(const ConfigurationChange& change) const
+{
+    const Approval& approval = change.approval;
+    const auto refusal = [&](ErrorCode reason, std::optional<LogOffset> winner = std::nullopt) { return ChangeRefused { approval, change.base, reason, winner }; };
+    if (!isApproved(approval))
+        return refusal(ErrorCode::ApprovalMissing);
+    const ScopeRevision* current = this->findScope(approval.scope);
+    if (current && current->approval.change == approval.change)
+        return refusal(ErrorCode::ChangeRepeated, current->revision);
+    const std::optional<LogOffset> revision = current ? std::optional(current->revision) : std::nullopt;
+    if (change.base != revision)
+        return refusal(ErrorCode::StaleBase, revision);
+    std::optional<Configuration> generated = generateFrom(approval);
+    if (!generated)
+        return refusal(ErrorCode::MalformedQuestionnaire);
+    if (configurationJson(*generated) != change.configuration || configurationHash(*generated) != approval.hash)
+        return refusal(ErrorCode::HashMismatch);
+    if (this->takesNames(approval.scope, *generated))
+        return refusal(ErrorCode::NameTaken);
+    return std::move(*generated);
+}
+
+// Whether the writer's state was this one as far as the records before the snapshot tell.
+bool ConfigurationFold::agreesWith(const ConfigurationSnapshot& snapshot) const
+{
+    const auto holds = [&](const ScopeRevision& wanted) {
+        const ScopeRevision* own = this->findScope(wanted.approval.scope);
+        return own && (own->revision >= snapshot.next || *own == wanted);
+    };
+    if (!std::all_of(snapshot.scopes.begin(), snapshot.scopes.end(), holds))
+        return false;
+    return std::all_of(this->scopes.begin(), this->scopes.end(), [&](const auto& scope) {
+        const ScopeRevision& own = scope.second.revision;
+        return own.revision >= snapshot.next || std::find(snapshot.scopes.begin(), snapshot.scopes.end(), own) != snapshot.scopes.end();
+    });
+}
+
+// A later state holds every scope of an earlier one at the same revision or a later one.
+bool ConfigurationFold::wouldRevert(const Scopes& restored) const
+{
+    return std::any_of(this->scopes.begin(), this->scopes.end(), [&](const auto& scope) {
+        const auto later = restored.find(scope.first);
+        return later == restored.end() || later->second.revision.revision < scope.second.revision.revision;
+    });
+}
+
+bool ConfigurationFold::takesNames(const std::string& scope, const Configuration& configuration) const
+{
+    return std::any_of(this->scopes.begin(), this->scopes.end(), [&](const auto& entry) {
+        const Configuration& other = entry.second.configuration;
+        return entry.first != scope
+            && (shareName(configuration.models(), other.models()) || shareName(configuration.services(), other.services()) || shareName(configuration.accounts(), other.accounts()));
+    });
+}
+
+std::optional<ConfigurationFold::Scopes> ConfigurationFold::readScopes(const ConfigurationSnapshot& snapshot)
+{
+    Scopes restored;
+    for (const ScopeRevision& scope : snapshot.scopes) {
+        std::optional<Configuration> configuration = generateFrom(scope.approval);
+        if (!configuration || configurationHash(*configuration) != scope.approval.hash || scope.revision >= snapshot.next)
+            return std::nullopt;
+        if (!restored.emplace(scope.approval.scope, ScopeState { scope, std::move(*configuration) }).second)
+            return std::nullopt;
+    }
+    return restored;
+}
+
+std::optional<ConfigurationSnapshot> ConfigurationFold::snapshot() const
+{
+    if (this->newerRecord)
+        return std::nullopt;
+    ConfigurationSnapshot snapshot;
+    snapshot.next = this->applied;
+    for (const auto& [scope, state] : this->scopes)
+        snapshot.scopes.push_back(state.revision);
+    return snapshot;
+}
+
+const ScopeRevision* ConfigurationFold::findScope(const std::string& scope) const
+{
+    const auto state = this->scopes.find(scope);
+    return state == this->scopes.end() ? nullptr : &state->second.revision;
+}
+
+const Configuration* ConfigurationFold::findScopeConfiguration(const std::string& scope) const
+{
+    const auto state = this->scopes.find(scope);
+    return state == this->scopes.end() ? nullptr : &state->second.configuration;
+}
+
+// The newest change names the organisation and the objective; the rest is put together from all scopes.
+void ConfigurationFold::merge()
+{
+    if (this->scopes.empty())
+        return;
+    const auto newest = std::max_element(this->scopes.begin(), this->scopes.end(), [](const auto& left, const auto& right) {
+        return left.second.revision.revision < right.second.revision.revision;
+    });
+    Configuration::Builder builder;
+    builder.organisation(newest->second.configuration.organisation());
+    builder.objective(newest->second.configuration.objective());
+    std::set<FailureDomainId> failureDomains;
+    for (const auto& [scope, state] : this->scopes) {
+        failureDomains.insert(state.configuration.failureDomains().begin(), state.configuration.failureDomains().end());
+        for (const ModelConfiguration& model : state.configuration.models())
+            builder.model(model);
+        for (const ServiceConfiguration& service : state.configuration.services())
+            builder.service(service);
+        for (const AccountConfiguration& account : state.configuration.accounts())
+            builder.account(account);
+    }
+    for (const FailureDomainId& domain : failureDomains)
+        builder.failureDomain(domain);
+    this->merged = std::make_shared<const ConfigurationInForce>(ConfigurationInForce { newest->second.revision.revision, builder.build() });
+}
+
+}
--- a/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
@@ -73,6 +73,12 @@
         return "hash-mismatch";
     case ErrorCode::StaleBase:
         return "stale-base";
+    case ErrorCode::ApprovalMissing:
+        return "approval-missing";
+    case ErrorCode::ChangeRepeated:
+        return "change-repeated";
+    case ErrorCode::NameTaken:
+        return "name-taken";
     case ErrorCode::MalformedMessage:
         return "malformed-message";
     case ErrorCode::LogTruncated:
--- a/packages/Core/filbertspoke/src/Core/ErrorCode.h
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.h
@@ -48,6 +48,9 @@
     UnsupportedVersion,
     HashMismatch,
     StaleBase,
+    ApprovalMissing,
+    ChangeRepeated,
+    NameTaken,
     MalformedMessage,
     LogTruncated,
 };
