--- a/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.h
@@ -57,6 +57,9 @@
     /** \returns the offset of the record to read next */
     LogOffset next() const;
 
+    /** \returns the offset of the first record that the configuration in force doesn't take into account */
+    LogOffset appliedTo() const { return this->applied; }
+
     /** \returns whether every record before next() is taken into account */
     bool current() const { return !this->gap; }
 
