Idempotency: keys, log records and the fold over them

Cause: a booking must run at most once whatever daemon its caller asks, and nothing but the log's order may decide that. Ruled out: a table per daemon (forgets at a restart) and leases (lapse while their holder is paused).

Change: CallerKey (UUIDv7), BoundKey, KeyRecord with its JSON codec and KeyFold, the pure fold of the stream "actions": the first claim of an attempt wins, only its holder settles it, only a release allows the next attempt. A newer version's record blocks the key that it names instead of being passed over, since it may be a claim that was acted on. Bodies travel as base64: an answer that is not UTF-8 would make a record that no reader parses.

--- /dev/null
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.cpp
@@ -0,0 +1,161 @@
+#include <filbertspoke/Idempotency>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <openssl/evp.h>
+
+#include <stdexcept>
+
+namespace filbertspoke {
+
+namespace internal {
+
+namespace json = boost::json;
+
+constexpr std::int64_t keyRecordVersion = 1;
+
+constexpr std::size_t base64Group = 4; // characters that stand for three bytes
+
+// Bodies are any bytes, JSON strings only valid UTF-8.
+std::string toBase64(const std::string& bytes)
+{
+    std::string text(base64Group * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+std::string fromBase64(const std::string& text)
+{
+    std::string bytes(3 * text.size() / base64Group + 1, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+        reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    const std::size_t padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1
+                                                                               : 0;
+    if (size < 0 || static_cast<std::size_t>(size) < padding)
+        throw std::invalid_argument("not base64");
+    bytes.resize(static_cast<std::size_t>(size) - padding);
+    return bytes;
+}
+
+json::object attemptFields(const KeyAttempt& attempt, std::string_view kind)
+{
+    return {
+        { "version", keyRecordVersion },
+        { "kind", kind },
+        { "key", attempt.key },
+        { "attempt", attempt.number },
+        { "daemon", attempt.holder.daemon.str() },
+        { "incarnation", attempt.holder.incarnation },
+    };
+}
+
+json::object toJson(const ClaimRecord& record)
+{
+    json::object object = attemptFields(record.attempt, "claim");
+    object["digest"] = record.digest;
+    object["at"] = record.at.time_since_epoch().count();
+    object["until"] = record.until.time_since_epoch().count();
+    return object;
+}
+
+json::object toJson(const ReleaseRecord& record)
+{
+    return attemptFields(record.attempt, "release");
+}
+
+json::object toJson(const OutcomeRecord& record)
+{
+    json::object object = attemptFields(record.attempt, "outcome");
+    object["status"] = record.outcome.status;
+    object["contentType"] = toBase64(record.outcome.contentType);
+    object["body"] = toBase64(record.outcome.body);
+    object["bodyDropped"] = record.outcome.bodyDropped;
+    return object;
+}
+
+json::object toJson(const UnknownRecord& record)
+{
+    return attemptFields(record.attempt, "unknown");
+}
+
+json::object toJson(const UnsupportedRecord& record)
+{
+    return { { "version", keyRecordVersion + 1 }, { "key", record.key } };
+}
+
+std::string textOf(const json::object& object, std::string_view name)
+{
+    return std::string(object.at(name).as_string());
+}
+
+WallTime timeOf(const json::object& object, std::string_view name)
+{
+    return WallTime(Duration(object.at(name).to_number<std::int64_t>()));
+}
+
+KeyAttempt attemptOf(const json::object& object)
+{
+    return {
+        textOf(object, "key"),
+        object.at("attempt").to_number<std::uint32_t>(),
+        { DaemonId(textOf(object, "daemon")), object.at("incarnation").to_number<std::uint64_t>() },
+    };
+}
+
+StoredOutcome outcomeOf(const json::object& object)
+{
+    return {
+        object.at("status").to_number<std::uint32_t>(),
+        fromBase64(textOf(object, "contentType")),
+        fromBase64(textOf(object, "body")),
+        object.at("bodyDropped").as_bool(),
+    };
+}
+
+Result<KeyRecord> recordOf(const json::object& object)
+{
+    if (object.at("version").to_number<std::int64_t>() != keyRecordVersion) {
+        const json::value* key = object.if_contains("key");
+        if (!key || !key->is_string())
+            return ErrorCode::UnsupportedVersion;
+        return KeyRecord(UnsupportedRecord { textOf(object, "key") });
+    }
+    const std::string kind = textOf(object, "kind");
+    const KeyAttempt attempt = attemptOf(object);
+    if (kind == "claim")
+        return KeyRecord(ClaimRecord { attempt, textOf(object, "digest"), timeOf(object, "at"), timeOf(object, "until") });
+    if (kind == "release")
+        return KeyRecord(ReleaseRecord { attempt });
+    if (kind == "outcome")
+        return KeyRecord(OutcomeRecord { attempt, outcomeOf(object) });
+    if (kind == "unknown")
+        return KeyRecord(UnknownRecord { attempt });
+    return ErrorCode::MalformedRecord;
+}
+
+}
+
+std::string encodeKeyRecord(const KeyRecord& record)
+{
+    const auto object = std::visit([](const auto& alternative) { return internal::toJson(alternative); }, record);
+    return boost::json::serialize(object);
+}
+
+Result<KeyRecord> decodeKeyRecord(const std::string& payload)
+{
+    boost::json::error_code error;
+    const boost::json::value value = boost::json::parse(payload, error);
+    if (error || !value.is_object())
+        return ErrorCode::MalformedRecord;
+    try {
+        return internal::recordOf(value.get_object());
+    } catch (const std::exception&) {
+        // Thrown for a member that is missing, of another type, out of range or not base64.
+        return ErrorCode::MalformedRecord;
+    }
+}
+
+}
--- /dev/null
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.h
@@ -0,0 +1,95 @@
+#ifndef FILBERTSPOKE_KEY_RECORD_H
+#define FILBERTSPOKE_KEY_RECORD_H
+
+#include <filbertspoke/Core>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace filbertspoke {
+
+/** \brief One process of a daemon: a restarted daemon is another holder. */
+struct KeyHolder {
+    DaemonId daemon;
+    std::uint64_t incarnation = 0; ///< start time of the process in microseconds since 1970
+
+    auto operator<=>(const KeyHolder&) const = default;
+};
+
+/** \brief One attempt to run the action of a key; its holder is the only one who may run it. */
+struct KeyAttempt {
+    std::string key; ///< canonical text of the CallerKey
+    std::uint32_t number = 1; ///< the next attempt is allowed once this one is released
+    KeyHolder holder;
+
+    auto operator<=>(const KeyAttempt&) const = default;
+};
+
+/** \brief What a service answered to an action. */
+struct StoredOutcome {
+    std::uint32_t status = 0; ///< HTTP status
+    std::string contentType;
+    std::string body;
+    bool bodyDropped = false; ///< the body was larger than the log should carry
+
+    auto operator<=>(const StoredOutcome&) const = default;
+};
+
+/** \brief Asks for the right to run an attempt; the first claim in log order has it. */
+struct ClaimRecord {
+    KeyAttempt attempt;
+    std::string digest; ///< \sa requestDigest
+    WallTime at; ///< when the record was written, by the holder's clock
+    WallTime until; ///< the holder starts nothing after this
+
+    auto operator<=>(const ClaimRecord&) const = default;
+};
+
+/** \brief The attempt did not run and never will. */
+struct ReleaseRecord {
+    KeyAttempt attempt;
+
+    auto operator<=>(const ReleaseRecord&) const = default;
+};
+
+/** \brief The attempt ran, with this outcome. */
+struct OutcomeRecord {
+    KeyAttempt attempt;
+    StoredOutcome outcome;
+
+    auto operator<=>(const OutcomeRecord&) const = default;
+};
+
+/** \brief The attempt was sent, and nobody will learn whether it ran. */
+struct UnknownRecord {
+    KeyAttempt attempt;
+
+    auto operator<=>(const UnknownRecord&) const = default;
+};
+
+/** \brief A record that this release can't read, written by a newer one about a key. */
+struct UnsupportedRecord {
+    std::string key;
+
+    auto operator<=>(const UnsupportedRecord&) const = default;
+};
+
+/** \brief A record of the log's stream "actions". */
+using KeyRecord = std::variant<ClaimRecord, ReleaseRecord, OutcomeRecord, UnknownRecord, UnsupportedRecord>;
+
+/** \returns the record as JSON text for the log */
+std::string encodeKeyRecord(const KeyRecord&);
+
+/** \brief Reads a record from the log.
+ *
+ * A newer version's record is an UnsupportedRecord when it names its key.
+ *
+ * \returns the record, ErrorCode::MalformedRecord or ErrorCode::UnsupportedVersion
+ */
+Result<KeyRecord> decodeKeyRecord(const std::string& payload);
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Idempotency/tests/Fold.cpp
@@ -0,0 +1,103 @@
+#include <filbertspoke/Idempotency>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertspoke;
+
+namespace {
+
+const std::string key = "017f22e2-79b0-7cc3-98c4-dc0c0c07398f";
+
+KeyAttempt attempt(std::uint32_t number, const char* daemon, std::uint64_t incarnation = 1)
+{
+    return { key, number, { DaemonId(daemon), incarnation } };
+}
+
+std::string claim(const KeyAttempt& attempt)
+{
+    return encodeKeyRecord(ClaimRecord { attempt, "digest", WallTime(Duration(5)), WallTime(Duration(9)) });
+}
+
+KeyFold foldOf(std::initializer_list<std::string> payloads)
+{
+    KeyFold fold;
+    for (const std::string& payload : payloads)
+        fold.apply(payload);
+    return fold;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(recordsRoundTrip)
+{
+    const KeyAttempt first = attempt(1, "d1", 18446744073709551615u);
+    for (const KeyRecord& record : {
+             KeyRecord(ClaimRecord { first, "digest", WallTime(Duration(-5)), WallTime(Duration(9)) }),
+             KeyRecord(ReleaseRecord { first }),
+             KeyRecord(OutcomeRecord { first, { 201, "text/plain", "a \"hub\"", true } }),
+             KeyRecord(OutcomeRecord { first, { 200, "", std::string("\0\xff", 2), false } }),
+             KeyRecord(UnknownRecord { first }),
+             KeyRecord(UnsupportedRecord { key }) })
+        BOOST_TEST((decodeKeyRecord(encodeKeyRecord(record)).value() == record));
+}
+
+BOOST_AUTO_TEST_CASE(firstClaimInLogOrderWins)
+{
+    const KeyFold fold = foldOf({ claim(attempt(1, "d2")), claim(attempt(1, "d1")), claim(attempt(2, "d3")) });
+    BOOST_TEST((fold.find(key)->attempt == attempt(1, "d2")));
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheHolderSettlesAnAttempt)
+{
+    const KeyFold fold = foldOf({
+        claim(attempt(1, "d1")),
+        encodeKeyRecord(ReleaseRecord { attempt(1, "d2") }),
+        encodeKeyRecord(ReleaseRecord { attempt(1, "d1", 2) }),
+        encodeKeyRecord(OutcomeRecord { attempt(2, "d1"), {} }),
+    });
+    BOOST_TEST((fold.find(key)->status == KeyStatus::Claimed));
+}
+
+BOOST_AUTO_TEST_CASE(releaseAllowsTheNextAttemptOnly)
+{
+    const std::string release = encodeKeyRecord(ReleaseRecord { attempt(1, "d1") });
+    const KeyFold repeated = foldOf({ claim(attempt(1, "d1")), release, claim(attempt(1, "d1")), claim(attempt(3, "d2")) });
+    BOOST_TEST((repeated.find(key)->status == KeyStatus::Released));
+    const KeyFold next = foldOf({ claim(attempt(1, "d1")), release, claim(attempt(2, "d2")), release });
+    BOOST_TEST((next.find(key)->attempt == attempt(2, "d2")));
+    BOOST_TEST((next.find(key)->status == KeyStatus::Claimed));
+}
+
+BOOST_AUTO_TEST_CASE(anOutcomeIsNeverReplaced)
+{
+    const KeyFold fold = foldOf({
+        claim(attempt(1, "d1")),
+        encodeKeyRecord(OutcomeRecord { attempt(1, "d1"), { 201, "text/plain", "first", false } }),
+        encodeKeyRecord(OutcomeRecord { attempt(1, "d1"), { 500, "text/plain", "second", false } }),
+        encodeKeyRecord(ReleaseRecord { attempt(1, "d1") }),
+    });
+    BOOST_TEST(fold.find(key)->outcome->body == "first");
+}
+
+BOOST_AUTO_TEST_CASE(unreadableRecordsAreSkippedAndCounted)
+{
+    const KeyFold fold = foldOf({ "", "[]", "{", "{}", R"({"version":1,"kind":"claim"})", R"({"version":1,"kind":"claim","key":7})", R"({"version":"1"})", R"({"version":9})", "\xff\xfe" });
+    BOOST_TEST(fold.size() == 0u);
+    BOOST_TEST(fold.skipped() == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(newerRecordBlocksItsKey)
+{
+    const KeyFold fold = foldOf({ R"({"version":2,"kind":"lease","key":")" + key + R"("})", claim(attempt(1, "d1")) });
+    BOOST_TEST((fold.find(key)->status == KeyStatus::Unknown));
+    BOOST_TEST(fold.skipped() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(oldKeysAreForgotten)
+{
+    KeyFold fold = foldOf({ claim(attempt(1, "d1")) });
+    fold.forgetBefore(key);
+    BOOST_TEST(fold.size() == 1u);
+    fold.forgetBefore("018");
+    BOOST_TEST(fold.size() == 0u);
+}
