--- a/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
@@ -55,6 +55,8 @@
         return "deadline-exceeded";
     case ErrorCode::OutcomeUnknown:
         return "outcome-unknown";
+    case ErrorCode::OutcomeNotKept:
+        return "outcome-not-kept";
     case ErrorCode::PlatformUnavailable:
         return "platform-unavailable";
     case ErrorCode::PeerUnreachable:
--- a/packages/Core/filbertspoke/src/Core/ErrorCode.h
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.h
@@ -38,6 +38,7 @@
     EndpointRejected,
     DeadlineExceeded,
     OutcomeUnknown,
+    OutcomeNotKept,
     PlatformUnavailable,
     PeerUnreachable,
     CallerGone,
--- a/packages/Core/filbertspoke/src/Core/Refusal.cpp
+++ b/packages/Core/filbertspoke/src/Core/Refusal.cpp
@@ -28,6 +28,7 @@
     case ErrorCode::EndpointFailed:
     case ErrorCode::EndpointRejected:
     case ErrorCode::OutcomeUnknown:
+    case ErrorCode::OutcomeNotKept:
         return 502;
     case ErrorCode::DeadlineExceeded:
         return 504;
--- a/packages/Idempotency/filbertspoke/src/Idempotency/CallerKey.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/CallerKey.cpp
@@ -43,4 +43,13 @@
     return CallerKey(boost::uuids::to_string(uuid), WallTime(std::chrono::milliseconds(milliseconds)));
 }
 
+std::string CallerKey::lowerBound(WallTime time)
+{
+    const std::int64_t milliseconds = std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(time.time_since_epoch()).count());
+    boost::uuids::uuid uuid {};
+    for (std::size_t i = 0; i < internal::timestampBytes; ++i)
+        uuid.data[i] = static_cast<std::uint8_t>(milliseconds >> (8 * (internal::timestampBytes - 1 - i)));
+    return boost::uuids::to_string(uuid);
+}
+
 }
--- a/packages/Idempotency/filbertspoke/src/Idempotency/CallerKey.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/CallerKey.h
@@ -22,6 +22,9 @@
      */
     static Result<CallerKey> parse(std::string_view text);
 
+    /** \returns a text that orders after every key older than \a time and before all others */
+    static std::string lowerBound(WallTime time);
+
     /** \returns the canonical text in lower case */
     const std::string& str() const { return this->text; }
     /** \returns when the key was made, by the caller's clock, to the millisecond */
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyFold.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyFold.cpp
@@ -1,15 +1,29 @@
 #include <filbertspoke/Idempotency>
 
+#include <algorithm>
+
 namespace filbertspoke {
 
-void KeyFold::apply(const std::string& payload)
+Result<KeyRecord> KeyFold::apply(const std::string& payload)
 {
-    const Result<KeyRecord> record = decodeKeyRecord(payload);
-    if (!record) {
+    Result<KeyRecord> record = decodeKeyRecord(payload);
+    if (record)
+        std::visit([this](const auto& body) { this->apply(body); }, record->body);
+    else
         ++this->skippedCount;
-        return;
-    }
-    std::visit([this](const auto& alternative) { this->apply(alternative); }, *record);
+    return record;
+}
+
+bool KeyFold::isReplaced(const KeyHolder& holder) const
+{
+    const auto newest = this->newestIncarnations.find(holder.daemon);
+    return newest != this->newestIncarnations.end() && newest->second > holder.incarnation;
+}
+
+void KeyFold::noteHolder(const KeyHolder& holder)
+{
+    std::uint64_t& newest = this->newestIncarnations[holder.daemon];
+    newest = std::max(newest, holder.incarnation);
 }
 
 const KeyState* KeyFold::find(const std::string& key) const
@@ -25,6 +39,7 @@
 
 void KeyFold::apply(const ClaimRecord& record)
 {
+    this->noteHolder(record.attempt.holder);
     const KeyState* current = this->find(record.attempt.key);
     const bool next = current
         ? current->status == KeyStatus::Released && record.attempt.number == current->attempt.number + 1
@@ -62,6 +77,10 @@
         state.status = KeyStatus::Unknown;
 }
 
+void KeyFold::apply(const MarkRecord&)
+{
+}
+
 KeyState* KeyFold::findClaimed(const KeyAttempt& attempt)
 {
     const auto state = this->states.find(attempt.key);
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyFold.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyFold.h
@@ -39,12 +39,18 @@
  */
 class KeyFold {
 public:
-    /** \brief Takes the next record of the log. */
-    void apply(const std::string& payload);
+    /** \brief Takes the next record of the log.
+     *
+     * \returns the record, or why it was skipped
+     */
+    Result<KeyRecord> apply(const std::string& payload);
 
     /** \returns the key's state, or null when the log doesn't name the key */
     const KeyState* find(const std::string& key) const;
 
+    /** \returns whether a younger process of the holder's daemon has written to the log */
+    bool isReplaced(const KeyHolder&) const;
+
     /** \brief Forgets the keys whose text orders before \a key; version 7 orders by time. */
     void forgetBefore(const std::string& key);
 
@@ -53,14 +59,17 @@
     std::uint64_t skipped() const { return this->skippedCount; }
 
 private:
+    void noteHolder(const KeyHolder&);
     void apply(const ClaimRecord&);
     void apply(const ReleaseRecord&);
     void apply(const OutcomeRecord&);
     void apply(const UnknownRecord&);
     void apply(const UnsupportedRecord&);
+    void apply(const MarkRecord&);
     KeyState* findClaimed(const KeyAttempt&);
 
     std::map<std::string, KeyState> states;
+    std::map<DaemonId, std::uint64_t> newestIncarnations;
     std::uint64_t skippedCount = 0;
 };
 
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.cpp
@@ -43,7 +43,6 @@
 json::object attemptFields(const KeyAttempt& attempt, std::string_view kind)
 {
     return {
-        { "version", keyRecordVersion },
         { "kind", kind },
         { "key", attempt.key },
         { "attempt", attempt.number },
@@ -56,7 +55,6 @@
 {
     json::object object = attemptFields(record.attempt, "claim");
     object["digest"] = record.digest;
-    object["at"] = record.at.time_since_epoch().count();
     object["until"] = record.until.time_since_epoch().count();
     return object;
 }
@@ -86,6 +84,11 @@
     return { { "version", keyRecordVersion + 1 }, { "key", record.key } };
 }
 
+json::object toJson(const MarkRecord&)
+{
+    return { { "kind", "mark" } };
+}
+
 std::string textOf(const json::object& object, std::string_view name)
 {
     return std::string(object.at(name).as_string());
@@ -115,32 +118,63 @@
     };
 }
 
-Result<KeyRecord> recordOf(const json::object& object)
+Result<KeyRecordBody> bodyOf(const json::object& object)
 {
     if (object.at("version").to_number<std::int64_t>() != keyRecordVersion) {
         const json::value* key = object.if_contains("key");
         if (!key || !key->is_string())
             return ErrorCode::UnsupportedVersion;
-        return KeyRecord(UnsupportedRecord { textOf(object, "key") });
+        return KeyRecordBody(UnsupportedRecord { textOf(object, "key") });
     }
     const std::string kind = textOf(object, "kind");
+    if (kind == "mark")
+        return KeyRecordBody(MarkRecord {});
     const KeyAttempt attempt = attemptOf(object);
     if (kind == "claim")
-        return KeyRecord(ClaimRecord { attempt, textOf(object, "digest"), timeOf(object, "at"), timeOf(object, "until") });
+        return KeyRecordBody(ClaimRecord { attempt, textOf(object, "digest"), timeOf(object, "until") });
     if (kind == "release")
-        return KeyRecord(ReleaseRecord { attempt });
+        return KeyRecordBody(ReleaseRecord { attempt });
     if (kind == "outcome")
-        return KeyRecord(OutcomeRecord { attempt, outcomeOf(object) });
+        return KeyRecordBody(OutcomeRecord { attempt, outcomeOf(object) });
     if (kind == "unknown")
-        return KeyRecord(UnknownRecord { attempt });
+        return KeyRecordBody(UnknownRecord { attempt });
     return ErrorCode::MalformedRecord;
 }
 
+Result<KeyRecord> recordOf(const json::object& object)
+{
+    const Result<KeyRecordBody> body = bodyOf(object);
+    if (!body)
+        return body.error();
+    const bool readable = !std::holds_alternative<UnsupportedRecord>(*body);
+    return KeyRecord { readable ? timeOf(object, "at") : WallTime(), *body };
+}
+
+}
+
+StoredOutcome boundedOutcome(StoredOutcome outcome, std::size_t maximumBody)
+{
+    if (outcome.body.size() + outcome.contentType.size() <= maximumBody)
+        return outcome;
+    return { outcome.status, "", "", true };
+}
+
+const std::string* keyOf(const KeyRecord& record)
+{
+    return std::visit(Overloaded {
+                          [](const UnsupportedRecord& body) { return &body.key; },
+                          [](const MarkRecord&) -> const std::string* { return nullptr; },
+                          [](const auto& body) { return &body.attempt.key; },
+                      },
+        record.body);
 }
 
 std::string encodeKeyRecord(const KeyRecord& record)
 {
-    const auto object = std::visit([](const auto& alternative) { return internal::toJson(alternative); }, record);
+    auto object = std::visit([](const auto& body) { return internal::toJson(body); }, record.body);
+    if (!object.contains("version"))
+        object["version"] = internal::keyRecordVersion;
+    object["at"] = record.at.time_since_epoch().count();
     return boost::json::serialize(object);
 }
 
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.h
@@ -4,6 +4,7 @@
 #include <filbertspoke/Core>
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -37,11 +38,13 @@
     auto operator<=>(const StoredOutcome&) const = default;
 };
 
+/** \returns the outcome, without its body when that is larger than \a maximumBody bytes */
+StoredOutcome boundedOutcome(StoredOutcome outcome, std::size_t maximumBody);
+
 /** \brief Asks for the right to run an attempt; the first claim in log order has it. */
 struct ClaimRecord {
     KeyAttempt attempt;
     std::string digest; ///< \sa requestDigest
-    WallTime at; ///< when the record was written, by the holder's clock
     WallTime until; ///< the holder starts nothing after this
 
     auto operator<=>(const ClaimRecord&) const = default;
@@ -76,8 +79,23 @@
     auto operator<=>(const UnsupportedRecord&) const = default;
 };
 
+/** \brief Says nothing of a key: a quiet log needs records whose time shows how far back it reaches. */
+struct MarkRecord {
+    auto operator<=>(const MarkRecord&) const = default;
+};
+
+using KeyRecordBody = std::variant<ClaimRecord, ReleaseRecord, OutcomeRecord, UnknownRecord, UnsupportedRecord, MarkRecord>;
+
 /** \brief A record of the log's stream "actions". */
-using KeyRecord = std::variant<ClaimRecord, ReleaseRecord, OutcomeRecord, UnknownRecord, UnsupportedRecord>;
+struct KeyRecord {
+    WallTime at; ///< when the record was handed to the log, by its writer's clock
+    KeyRecordBody body;
+
+    auto operator<=>(const KeyRecord&) const = default;
+};
+
+/** \returns the text of the key that the record is about, or null */
+const std::string* keyOf(const KeyRecord&);
 
 /** \returns the record as JSON text for the log */
 std::string encodeKeyRecord(const KeyRecord&);
--- /dev/null
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
@@ -0,0 +1,52 @@
+#include <filbertspoke/Idempotency>
+
+namespace filbertspoke {
+
+std::optional<ReadKeyRecords> LogCursor::issue(TimePoint now)
+{
+    if (this->readTimeout || (!this->requested && now < this->nextRead))
+        return std::nullopt;
+    this->requested = false;
+    this->readTimeout = now + this->limits.answerTimeout;
+    ++this->issuedCount;
+    return ReadKeyRecords { this->nextOffset };
+}
+
+LogIntake LogCursor::take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now, Duration poll)
+{
+    if (this->readTimeout) {
+        this->readTimeout.reset();
+        this->completedNumber = this->issuedCount;
+        this->nextRead = now + poll;
+    }
+    LogIntake intake;
+    if (oldest > this->nextOffset) {
+        intake.truncated = true;
+        this->nextOffset = oldest;
+    }
+    for (const LogRecord& record : records) {
+        if (record.offset != this->nextOffset)
+            continue;
+        intake.records.push_back(record);
+        ++this->nextOffset;
+    }
+    if (this->nextOffset < next)
+        this->requested = true;
+    return intake;
+}
+
+void LogCursor::failed(TimePoint now)
+{
+    this->readTimeout.reset();
+    this->requested = false;
+    this->nextRead = now + this->limits.platformRetry;
+}
+
+TimePoint LogCursor::nextWake(TimePoint now) const
+{
+    if (this->readTimeout)
+        return *this->readTimeout;
+    return this->requested ? now : this->nextRead;
+}
+
+}
--- /dev/null
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.h
@@ -0,0 +1,65 @@
+#ifndef FILBERTSPOKE_LOG_CURSOR_H
+#define FILBERTSPOKE_LOG_CURSOR_H
+
+#include "LedgerLimits.h"
+#include "LedgerOutput.h"
+
+#include <filbertspoke/Core>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief What an answer of the log brought. */
+struct LogIntake {
+    std::vector<LogRecord> records; ///< the next records, in order
+    bool truncated = false; ///< the log dropped records before these unread
+};
+
+/** \brief Reads a stream of the log from front to back, one read at a time. */
+class LogCursor {
+public:
+    explicit LogCursor(const LedgerLimits& limits)
+        : limits(limits)
+    {
+    }
+
+    /** \brief Wants a read that begins after this call. */
+    void request() { this->requested = true; }
+
+    /** \returns the next read, when one is due */
+    std::optional<ReadKeyRecords> issue(TimePoint now);
+    /** \brief Takes the answer to a read, or records that came unasked.
+     *
+     * \param oldest the oldest offset that the log still keeps
+     * \param next the offset that the log's next record will get
+     * \param poll how long to wait before the next read, unless one is requested
+     */
+    LogIntake take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now, Duration poll);
+    /** \brief The read failed. */
+    void failed(TimePoint now);
+
+    /** \returns how many reads began */
+    std::uint64_t issued() const { return this->issuedCount; }
+    /** \returns the number of the latest read that was answered */
+    std::uint64_t completed() const { return this->completedNumber; }
+    /** \returns the offset that is read next */
+    LogOffset position() const { return this->nextOffset; }
+    bool isOverdue(TimePoint now) const { return this->readTimeout && now >= *this->readTimeout; }
+    TimePoint nextWake(TimePoint now) const;
+
+private:
+    LedgerLimits limits;
+    LogOffset nextOffset = 0;
+    bool requested = true;
+    TimePoint nextRead {};
+    std::optional<TimePoint> readTimeout; ///< set while a read is in flight
+    std::uint64_t issuedCount = 0;
+    std::uint64_t completedNumber = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/RecordQueue.cpp
@@ -0,0 +1,127 @@
+#include <filbertspoke/Idempotency>
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertspoke {
+
+void RecordQueue::put(const std::string& key, KeyRecordBody record, TimePoint now)
+{
+    this->records[key] = Entry { std::move(record), RecordProgress::Queued, false, 0, 0 };
+    this->enqueue(key, now);
+}
+
+bool RecordQueue::mayBeStored(const std::string& key) const
+{
+    const auto entry = this->records.find(key);
+    if (entry == this->records.end())
+        return false;
+    return entry->second.mayBeStored || entry->second.progress != RecordProgress::Queued;
+}
+
+std::optional<AppendKeyRecords> RecordQueue::flush(const Now& now)
+{
+    if (this->appendTimeout || !this->flushTime || now.monotonic() < *this->flushTime)
+        return std::nullopt;
+    AppendKeyRecords append;
+    while (!this->order.empty() && append.payloads.size() < this->limits.maximumBatch) {
+        const std::string key = std::move(this->order.front());
+        this->order.pop_front();
+        const auto entry = this->records.find(key);
+        if (entry == this->records.end() || entry->second.progress != RecordProgress::Queued)
+            continue;
+        entry->second.progress = RecordProgress::InFlight;
+        ++entry->second.tries;
+        append.payloads.push_back(encodeKeyRecord({ now.wall(), entry->second.record }));
+        this->inFlight.push_back(key);
+    }
+    this->flushTime.reset();
+    if (append.payloads.empty())
+        return std::nullopt;
+    if (!this->order.empty())
+        this->flushTime = now.monotonic() + this->limits.appendDelay;
+    append.append = ++this->lastAppend;
+    this->appendTimeout = now.monotonic() + this->limits.answerTimeout;
+    return append;
+}
+
+void RecordQueue::appended(std::uint64_t append)
+{
+    for (const std::string& key : this->finishAppend(append))
+        this->records.at(key).progress = RecordProgress::Appended;
+}
+
+std::vector<std::string> RecordQueue::appendFailed(std::uint64_t append, bool mayBeStored, std::uint64_t readsIssued)
+{
+    std::vector<std::string> absent;
+    for (const std::string& key : this->finishAppend(append)) {
+        Entry& entry = this->records.at(key);
+        entry.progress = RecordProgress::Unsettled;
+        entry.mayBeStored = entry.mayBeStored || mayBeStored;
+        entry.readsIssued = readsIssued;
+        if (!entry.mayBeStored)
+            absent.push_back(key);
+    }
+    for (const std::string& key : absent)
+        this->records.erase(key);
+    return absent;
+}
+
+void RecordQueue::requeue(const std::string& key, TimePoint now)
+{
+    const auto entry = this->records.find(key);
+    if (entry == this->records.end() || entry->second.progress != RecordProgress::Unsettled)
+        return;
+    entry->second.progress = RecordProgress::Queued;
+    this->enqueue(key, now);
+}
+
+unsigned RecordQueue::tries(const std::string& key) const
+{
+    const auto entry = this->records.find(key);
+    return entry == this->records.end() ? 0 : entry->second.tries;
+}
+
+std::vector<std::string> RecordQueue::unsettledBefore(std::uint64_t read) const
+{
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : this->records) {
+        if (entry.progress == RecordProgress::Unsettled && entry.readsIssued < read)
+            keys.push_back(key);
+    }
+    return keys;
+}
+
+std::optional<std::uint64_t> RecordQueue::overdue(TimePoint now) const
+{
+    if (!this->appendTimeout || now < *this->appendTimeout)
+        return std::nullopt;
+    return this->lastAppend;
+}
+
+std::optional<TimePoint> RecordQueue::nextWake() const
+{
+    return this->appendTimeout ? this->appendTimeout : this->flushTime;
+}
+
+std::vector<std::string> RecordQueue::finishAppend(std::uint64_t append)
+{
+    if (!this->appendTimeout || append != this->lastAppend)
+        return {};
+    this->appendTimeout.reset();
+    std::vector<std::string> keys = std::exchange(this->inFlight, {});
+    std::erase_if(keys, [this](const std::string& key) {
+        const auto entry = this->records.find(key);
+        return entry == this->records.end() || entry->second.progress != RecordProgress::InFlight;
+    });
+    return keys;
+}
+
+void RecordQueue::enqueue(const std::string& key, TimePoint now)
+{
+    this->order.push_back(key);
+    if (!this->flushTime)
+        this->flushTime = now + this->limits.appendDelay;
+}
+
+}
--- a/packages/Idempotency/tests/Fold.cpp
+++ b/packages/Idempotency/tests/Fold.cpp
@@ -13,9 +13,14 @@
     return { key, number, { DaemonId(daemon), incarnation } };
 }
 
+std::string encode(const KeyRecordBody& body)
+{
+    return encodeKeyRecord({ WallTime(Duration(5)), body });
+}
+
 std::string claim(const KeyAttempt& attempt)
 {
-    return encodeKeyRecord(ClaimRecord { attempt, "digest", WallTime(Duration(5)), WallTime(Duration(9)) });
+    return encode(ClaimRecord { attempt, "digest", WallTime(Duration(9)) });
 }
 
 KeyFold foldOf(std::initializer_list<std::string> payloads)
@@ -31,14 +36,16 @@
 BOOST_AUTO_TEST_CASE(recordsRoundTrip)
 {
     const KeyAttempt first = attempt(1, "d1", 18446744073709551615u);
-    for (const KeyRecord& record : {
-             KeyRecord(ClaimRecord { first, "digest", WallTime(Duration(-5)), WallTime(Duration(9)) }),
-             KeyRecord(ReleaseRecord { first }),
-             KeyRecord(OutcomeRecord { first, { 201, "text/plain", "a \"hub\"", true } }),
-             KeyRecord(OutcomeRecord { first, { 200, "", std::string("\0\xff", 2), false } }),
-             KeyRecord(UnknownRecord { first }),
-             KeyRecord(UnsupportedRecord { key }) })
+    for (const KeyRecordBody& body : {
+             KeyRecordBody(ClaimRecord { first, "digest", WallTime(Duration(-9)) }),
+             KeyRecordBody(ReleaseRecord { first }),
+             KeyRecordBody(OutcomeRecord { first, { 201, "text/plain", "a \"hub\"", true } }),
+             KeyRecordBody(OutcomeRecord { first, { 200, "", std::string("\0\xff", 2), false } }),
+             KeyRecordBody(UnknownRecord { first }),
+             KeyRecordBody(MarkRecord {}) }) {
+        const KeyRecord record { WallTime(Duration(5)), body };
         BOOST_TEST((decodeKeyRecord(encodeKeyRecord(record)).value() == record));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(firstClaimInLogOrderWins)
@@ -51,16 +58,16 @@
 {
     const KeyFold fold = foldOf({
         claim(attempt(1, "d1")),
-        encodeKeyRecord(ReleaseRecord { attempt(1, "d2") }),
-        encodeKeyRecord(ReleaseRecord { attempt(1, "d1", 2) }),
-        encodeKeyRecord(OutcomeRecord { attempt(2, "d1"), {} }),
+        encode(ReleaseRecord { attempt(1, "d2") }),
+        encode(ReleaseRecord { attempt(1, "d1", 2) }),
+        encode(OutcomeRecord { attempt(2, "d1"), {} }),
     });
     BOOST_TEST((fold.find(key)->status == KeyStatus::Claimed));
 }
 
 BOOST_AUTO_TEST_CASE(releaseAllowsTheNextAttemptOnly)
 {
-    const std::string release = encodeKeyRecord(ReleaseRecord { attempt(1, "d1") });
+    const std::string release = encode(ReleaseRecord { attempt(1, "d1") });
     const KeyFold repeated = foldOf({ claim(attempt(1, "d1")), release, claim(attempt(1, "d1")), claim(attempt(3, "d2")) });
     BOOST_TEST((repeated.find(key)->status == KeyStatus::Released));
     const KeyFold next = foldOf({ claim(attempt(1, "d1")), release, claim(attempt(2, "d2")), release });
@@ -72,9 +79,9 @@
 {
     const KeyFold fold = foldOf({
         claim(attempt(1, "d1")),
-        encodeKeyRecord(OutcomeRecord { attempt(1, "d1"), { 201, "text/plain", "first", false } }),
-        encodeKeyRecord(OutcomeRecord { attempt(1, "d1"), { 500, "text/plain", "second", false } }),
-        encodeKeyRecord(ReleaseRecord { attempt(1, "d1") }),
+        encode(OutcomeRecord { attempt(1, "d1"), { 201, "text/plain", "first", false } }),
+        encode(OutcomeRecord { attempt(1, "d1"), { 500, "text/plain", "second", false } }),
+        encode(ReleaseRecord { attempt(1, "d1") }),
     });
     BOOST_TEST(fold.find(key)->outcome->body == "first");
 }
@@ -93,6 +100,14 @@
     BOOST_TEST(fold.skipped() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(aYoungerProcessShowsThatTheHolderIsGone)
+{
+    const KeyFold fold = foldOf({ claim(attempt(1, "d1", 7)), claim(attempt(1, "d1", 9)) });
+    BOOST_TEST(fold.isReplaced({ DaemonId("d1"), 7 }));
+    BOOST_TEST(!fold.isReplaced({ DaemonId("d1"), 9 }));
+    BOOST_TEST(!fold.isReplaced({ DaemonId("d2"), 1 }));
+}
+
 BOOST_AUTO_TEST_CASE(oldKeysAreForgotten)
 {
     KeyFold fold = foldOf({ claim(attempt(1, "d1")) });
