KeyLedger: a gap in the log is closed by what a writer had read, not by a record's time

Cause: a fresh reader of a truncated log took the oldest kept record's time as the time of what was dropped. A writer that pauses between making a record and sending it delivers an old time late, and a key that ran would have been covered. Ruled out: the newest time read (refuses every key on a busy log).

Change: records carry how far their writer had read; the first that reached past the gap closes it. Nothing is claimed or sent while the gap is open.

--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyCoverage.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyCoverage.h
@@ -2,6 +2,7 @@
 #define FILBERTSPOKE_KEY_COVERAGE_H
 
 #include "CallerKey.h"
+#include "KeyRecord.h"
 
 #include <filbertspoke/Core>
 
@@ -12,10 +13,10 @@
 
 /** \brief Which keys a reader of the log may judge: those of which it can't have missed a record.
  *
- * A record that the log dropped unread was written before any record that the log still keeps,
- * and a claim is written at most the tolerance before its key's time by another clock. So only
- * keys made well after the oldest record that was read are covered. It rests on the times in
- * the keys and records, not on the reader's own clock.
+ * A reader that finds records dropped looks for a record whose writer had read past the dropped
+ * ones: the time in that record is later than theirs. A claim is made at most the tolerance
+ * before its key's time by another clock, so keys made well after that time are covered.
+ * A record's own time alone proves nothing, since a paused writer's record comes late.
  */
 class KeyCoverage {
 public:
@@ -24,17 +25,31 @@
     {
     }
 
-    /** \brief Records written before \a time were dropped unread. */
-    void missedBefore(WallTime time) { this->raise(time + 2 * this->tolerance); }
+    /** \brief The records before \a end were dropped unread. Nothing is covered until the gap is closed. */
+    void openGap(LogOffset end) { this->gapEnd = end; }
+    bool hasGap() const { return this->gapEnd.has_value(); }
+    /** \brief Closes the gap where the record's writer had read past it. */
+    void closeGap(const KeyRecord& record)
+    {
+        if (this->gapEnd && record.readUpTo >= *this->gapEnd)
+            this->closeGap(record.at);
+    }
+    /** \brief Closes the gap: what was dropped had been written before \a time. */
+    void closeGap(WallTime time)
+    {
+        this->gapEnd.reset();
+        this->raise(time + 2 * this->tolerance);
+    }
     /** \brief The reader has forgotten the keys made before \a time. */
     void forgotBefore(WallTime time) { this->raise(time); }
 
-    bool covers(const CallerKey& key) const { return !this->since || key.time() > *this->since; }
+    bool covers(const CallerKey& key) const { return !this->gapEnd && (!this->since || key.time() > *this->since); }
 
 private:
     void raise(WallTime time) { this->since = std::max(this->since.value_or(time), time); }
 
     Duration tolerance;
+    std::optional<LogOffset> gapEnd;
     std::optional<WallTime> since;
 };
 
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.cpp
@@ -191,7 +191,7 @@
         this->platformFailed();
     }
     if (time >= this->nextAppend) {
-        if (auto append = this->queue.flush(this->now))
+        if (auto append = this->queue.flush(this->now, this->cursor.position()))
             this->outputs.emplace_back(std::move(*append));
     }
     if (const auto read = this->cursor.issue(time))
@@ -202,24 +202,23 @@
 void KeyLedger::applyRecords(const LogIntake& intake)
 {
     std::set<std::string> touched;
-    bool missed = intake.truncated;
+    if (intake.truncated) {
+        this->coverage.openGap(this->cursor.position() - intake.records.size());
+        for (auto& [key, entry] : this->entries)
+            touched.insert(key);
+    }
     for (const LogRecord& record : intake.records) {
         const Result<KeyRecord> read = this->fold.apply(record.payload);
         if (!read)
             continue;
-        if (std::exchange(missed, false))
-            this->coverage.missedBefore(read->at);
+        this->coverage.closeGap(*read);
         this->lastRecord = read->at;
         this->queue.erase(internal::markName);
         if (const std::string* key = keyOf(*read))
             touched.insert(*key);
     }
-    if (missed)
-        this->coverage.missedBefore(this->now.wall());
-    if (intake.truncated) {
-        for (auto& [key, entry] : this->entries)
-            touched.insert(key);
-    }
+    if (this->coverage.hasGap() && this->cursor.caughtUp())
+        this->coverage.closeGap(this->now.wall());
     for (const std::string& key : touched)
         this->advance(key);
 }
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedgerSteps.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedgerSteps.cpp
@@ -112,7 +112,7 @@
 {
     const KeyState* state = this->fold.find(entry.key.str());
     if (!state || (state->attempt.number < entry.attempt.number && state->status == KeyStatus::Released)) {
-        if (this->coverage.covers(entry.key))
+        if (this->coverage.hasGap() || this->coverage.covers(entry.key))
             return false;
         // The claim, or another's before it, may be among the records that were missed.
         this->refuseAll(entry, ErrorCode::LogTruncated);
@@ -128,7 +128,7 @@
 bool KeyLedger::stepHeld(Entry& entry)
 {
     this->expireWaiters(entry);
-    if (this->cursor.completed() <= this->staleReads)
+    if (this->coverage.hasGap() || this->cursor.completed() <= this->staleReads)
         return false;
     if (!this->coverage.covers(entry.key))
         this->refuseAll(entry, ErrorCode::LogTruncated);
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.cpp
@@ -147,7 +147,9 @@
     if (!body)
         return body.error();
     const bool readable = !std::holds_alternative<UnsupportedRecord>(*body);
-    return KeyRecord { readable ? timeOf(object, "at") : WallTime(), *body };
+    if (!readable)
+        return KeyRecord { WallTime(), 0, *body };
+    return KeyRecord { timeOf(object, "at"), object.at("readUpTo").to_number<LogOffset>(), *body };
 }
 
 }
@@ -175,6 +177,7 @@
     if (!object.contains("version"))
         object["version"] = internal::keyRecordVersion;
     object["at"] = record.at.time_since_epoch().count();
+    object["readUpTo"] = record.readUpTo;
     return boost::json::serialize(object);
 }
 
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyRecord.h
@@ -79,7 +79,7 @@
     auto operator<=>(const UnsupportedRecord&) const = default;
 };
 
-/** \brief Says nothing of a key: a quiet log needs records whose time shows how far back it reaches. */
+/** \brief Says nothing of a key: a quiet log needs records that show how far back it reaches. */
 struct MarkRecord {
     auto operator<=>(const MarkRecord&) const = default;
 };
@@ -88,7 +88,8 @@
 
 /** \brief A record of the log's stream "actions". */
 struct KeyRecord {
-    WallTime at; ///< when the record was handed to the log, by its writer's clock
+    WallTime at; ///< when the record was made, by its writer's clock; the log may get it much later
+    LogOffset readUpTo = 0; ///< the writer had read all records before this offset by then
     KeyRecordBody body;
 
     auto operator<=>(const KeyRecord&) const = default;
--- a/packages/Idempotency/filbertspoke/src/Idempotency/LedgerLimits.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LedgerLimits.h
@@ -25,7 +25,7 @@
     std::size_t maximumBody = 16 * 1024; ///< bytes of a service's answer that are stored
 
     /** \returns the least retention of the log with which every key within the window is accepted */
-    Duration neededRetention() const { return this->window + 2 * this->clockTolerance + this->markInterval; }
+    Duration neededRetention() const { return this->window + 2 * this->clockTolerance + 2 * this->markInterval; }
 
     auto operator<=>(const LedgerLimits&) const = default;
 };
--- a/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
@@ -1,5 +1,7 @@
 #include <filbertspoke/Idempotency>
 
+#include <algorithm>
+
 namespace filbertspoke {
 
 std::optional<ReadKeyRecords> LogCursor::issue(TimePoint now)
@@ -30,7 +32,8 @@
         intake.records.push_back(record);
         ++this->nextOffset;
     }
-    if (this->nextOffset < next)
+    this->endOffset = std::max(this->endOffset, next);
+    if (!this->caughtUp())
         this->requested = true;
     return intake;
 }
--- a/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.h
@@ -45,6 +45,8 @@
     std::uint64_t issued() const { return this->issuedCount; }
     /** \returns the number of the latest read that was answered */
     std::uint64_t completed() const { return this->completedNumber; }
+    /** \returns whether every record was read that the log had at its latest answer */
+    bool caughtUp() const { return this->nextOffset >= this->endOffset; }
     /** \returns the offset that is read next */
     LogOffset position() const { return this->nextOffset; }
     bool isOverdue(TimePoint now) const { return this->readTimeout && now >= *this->readTimeout; }
@@ -53,6 +55,7 @@
 private:
     LedgerLimits limits;
     LogOffset nextOffset = 0;
+    LogOffset endOffset = 0; ///< of the log, by its latest answer
     bool requested = true;
     TimePoint nextRead {};
     std::optional<TimePoint> readTimeout; ///< set while a read is in flight
--- a/packages/Idempotency/filbertspoke/src/Idempotency/RecordQueue.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/RecordQueue.cpp
@@ -19,7 +19,7 @@
     return entry->second.mayBeStored || entry->second.progress != RecordProgress::Queued;
 }
 
-std::optional<AppendKeyRecords> RecordQueue::flush(const Now& now)
+std::optional<AppendKeyRecords> RecordQueue::flush(const Now& now, LogOffset readUpTo)
 {
     if (this->appendTimeout || !this->flushTime || now.monotonic() < *this->flushTime)
         return std::nullopt;
@@ -32,7 +32,7 @@
             continue;
         entry->second.progress = RecordProgress::InFlight;
         ++entry->second.tries;
-        append.payloads.push_back(encodeKeyRecord({ now.wall(), entry->second.record }));
+        append.payloads.push_back(encodeKeyRecord({ now.wall(), readUpTo, entry->second.record }));
         this->inFlight.push_back(key);
     }
     this->flushTime.reset();
--- a/packages/Idempotency/filbertspoke/src/Idempotency/RecordQueue.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/RecordQueue.h
@@ -45,8 +45,10 @@
     /** \returns whether the log may hold the record */
     bool mayBeStored(const std::string& key) const;
 
-    /** \returns the next append, when one is due */
-    std::optional<AppendKeyRecords> flush(const Now&);
+    /** \param readUpTo all records of the log before this offset were read
+     * \returns the next append, when one is due
+     */
+    std::optional<AppendKeyRecords> flush(const Now&, LogOffset readUpTo);
     /** \brief The log took the records of an append. */
     void appended(std::uint64_t append);
     /** \brief An append failed.
--- a/packages/Idempotency/tests/Fold.cpp
+++ b/packages/Idempotency/tests/Fold.cpp
@@ -15,7 +15,7 @@
 
 std::string encode(const KeyRecordBody& body)
 {
-    return encodeKeyRecord({ WallTime(Duration(5)), body });
+    return encodeKeyRecord({ WallTime(Duration(5)), 3, body });
 }
 
 std::string claim(const KeyAttempt& attempt)
@@ -43,7 +43,7 @@
              KeyRecordBody(OutcomeRecord { first, { 200, "", std::string("\0\xff", 2), false } }),
              KeyRecordBody(UnknownRecord { first }),
              KeyRecordBody(MarkRecord {}) }) {
-        const KeyRecord record { WallTime(Duration(5)), body };
+        const KeyRecord record { WallTime(Duration(5)), 3, body };
         BOOST_TEST((decodeKeyRecord(encodeKeyRecord(record)).value() == record));
     }
 }
--- a/packages/Idempotency/tests/Ledger.cpp
+++ b/packages/Idempotency/tests/Ledger.cpp
@@ -211,7 +211,7 @@
     Daemon first(log, "d1");
     first.ask("r1", 1s);
     first.pass(20ms);
-    log.append({ encodeKeyRecord({ first.now.wall(), MarkRecord {} }) });
+    log.append({ encodeKeyRecord({ first.now.wall(), 1, MarkRecord {} }) });
     log.oldest = 1;
     Daemon fresh(log, "d2");
     fresh.ask("r2");
@@ -222,6 +222,31 @@
     BOOST_TEST((refused->refusal.ran() == Ran::Unknown));
 }
 
+BOOST_AUTO_TEST_CASE(aLateRecordDoesNotShowHowFarTheLogReaches)
+{
+    FakeLog log;
+    Daemon first(log, "d1");
+    first.ask("r1", 1s);
+    first.pass(20ms);
+    log.append({ encodeKeyRecord({ start.wall() - 1h, 0, MarkRecord {} }) });
+    log.oldest = 1;
+    Daemon fresh(log, "d2");
+    fresh.ask("r2");
+    fresh.pass(5s);
+    BOOST_TEST((find<RefuseAction>(fresh.takeSeen())->refusal.code() == ErrorCode::LogTruncated));
+}
+
+BOOST_AUTO_TEST_CASE(aNewKeyRunsOnATruncatedLog)
+{
+    FakeLog log;
+    log.append({ "dropped", encodeKeyRecord({ start.wall() - 1h, 1, MarkRecord {} }) });
+    log.oldest = 1;
+    Daemon fresh(log, "d1");
+    fresh.ask("r1");
+    fresh.pass(1s);
+    BOOST_TEST(find<RunAction>(fresh.takeSeen()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(oldAndFutureKeysAreRefused)
 {
     FakeLog log;
