--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.cpp
@@ -33,7 +33,7 @@
     Entry& entry = this->entries.try_emplace(key->str(), *key, request.digest).first->second;
     if (entry.digest != request.digest) {
         const KeyState* state = this->fold.find(key->str());
-        const bool claimedByOther = state && state->digest == entry.digest;
+        const bool claimedByOther = state && state->digest == entry.digest && this->coverage.covers(*key);
         this->refuse(request.request, Refusal(ErrorCode::KeyReused, claimedByOther ? Ran::No : Ran::Unknown));
         return this->takeOutputs();
     }
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedgerSteps.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedgerSteps.cpp
@@ -49,7 +49,7 @@
     if (!state)
         return this->claim(entry, 1);
     if (!state->digest.empty() && state->digest != entry.digest) {
-        this->refuseAll(entry, Refusal(ErrorCode::KeyReused, Ran::No));
+        this->refuseAll(entry, Refusal(ErrorCode::KeyReused, this->coverage.covers(entry.key) ? Ran::No : Ran::Unknown));
         return false;
     }
     switch (state->status) {
@@ -120,7 +120,9 @@
         return false;
     }
     this->queue.erase(entry.key.str());
-    if (state->attempt == entry.attempt && state->status == KeyStatus::Claimed)
+    // An earlier claim of this process, which it gave up on, may have been for another request.
+    const bool own = state->attempt == entry.attempt && state->digest == entry.digest;
+    if (own && state->status == KeyStatus::Claimed)
         return entry.machine.win();
     return entry.machine.lose();
 }
@@ -230,8 +232,7 @@
         return waiter.firstUse ? Ran::No : Ran::Unknown;
     case AttemptPhase::Held:
         return this->coverage.covers(entry.key) ? Ran::No : Ran::Unknown;
-    case AttemptPhase::Released:
-        return Ran::No;
+    case AttemptPhase::Released: // others may have read the release and run the next attempt
     case AttemptPhase::Sent:
     case AttemptPhase::Finished:
     case AttemptPhase::Lost:
--- a/packages/Idempotency/tests/Ledger.cpp
+++ b/packages/Idempotency/tests/Ledger.cpp
@@ -146,6 +146,20 @@
     BOOST_TEST((second.takeSeen() == LedgerOutputs { RunAction { key, RequestId("r2") } }));
 }
 
+BOOST_AUTO_TEST_CASE(aRequestAfterTheReleaseMayBeServedElsewhere)
+{
+    FakeLog log;
+    Daemon first(log, "d1");
+    first.ask("r1");
+    first.pass(20ms);
+    first.takeSeen();
+    first.ledger.release(key, Refusal(ErrorCode::EndpointUnreachable, Ran::No), first.now);
+    first.ledger.begin({ RequestId("r2"), key, "digest", first.now.monotonic() + 1s, false }, first.now);
+    const auto late = find<RefuseAction>(first.ledger.wake(first.now.after(1s)));
+    BOOST_REQUIRE(late.has_value());
+    BOOST_TEST((late->refusal.ran() == Ran::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(sameKeyWithAnotherBodyIsRefused)
 {
     FakeLog log;
@@ -222,6 +236,49 @@
     BOOST_TEST((refused->refusal.ran() == Ran::Unknown));
 }
 
+// A daemon whose claim is the first that the truncated log shows, though another's came before.
+BOOST_AUTO_TEST_CASE(aClaimOnATruncatedLogDoesNotSayThatNothingRan)
+{
+    FakeLog log;
+    Daemon first(log, "d1");
+    first.ask("r1", 60s);
+    first.pass(20ms);
+    KeyLedger ledger({ DaemonId("d2"), 1 });
+    ledger.begin({ RequestId("r2"), key, "digest", start.monotonic() + 60s, false }, start);
+    const Now claimed = start.after(20ms);
+    log.append(find<AppendKeyRecords>(ledger.wake(claimed))->payloads);
+    ledger.readFailed(claimed);
+    ledger.wake(claimed.after(1s));
+    log.oldest = 1;
+    ledger.recordsRead(log.from(0), 1, 2, claimed.after(1s));
+    const TimePoint deadline = claimed.monotonic() + 2s;
+    ledger.begin({ RequestId("r3"), key, "digest", deadline, false }, claimed.after(1s));
+    const auto late = find<RefuseAction>(ledger.wake(claimed.after(2s)));
+    BOOST_REQUIRE(late.has_value());
+    BOOST_TEST((late->refusal.ran() == Ran::Unknown));
+    const auto reused = find<RefuseAction>(ledger.begin({ RequestId("r4"), key, "other", deadline + 5s, false }, claimed.after(2s)));
+    BOOST_REQUIRE(reused.has_value());
+    BOOST_TEST((reused->refusal == Refusal(ErrorCode::KeyReused, Ran::Unknown)));
+}
+
+BOOST_AUTO_TEST_CASE(aClaimThatWasGivenUpDoesNotServeAnotherBody)
+{
+    FakeLog log;
+    KeyLedger ledger({ DaemonId("d1"), 1 });
+    ledger.wake(start);
+    ledger.begin({ RequestId("r1"), key, "digest", start.monotonic() + 1s, false }, start);
+    log.append(find<AppendKeyRecords>(ledger.wake(start.after(20ms)))->payloads);
+    const Now later = start.after(2min);
+    ledger.wake(later);
+    ledger.wake(later.after(2min));
+    const Now again = later.after(2min);
+    ledger.recordsRead({}, 0, 0, again);
+    ledger.begin({ RequestId("r2"), key, "other", again.monotonic() + 60s, false }, again);
+    const LedgerOutputs outputs = ledger.recordsRead(log.from(0), 0, 1, again);
+    BOOST_TEST(!find<RunAction>(outputs).has_value());
+    BOOST_TEST((find<RefuseAction>(outputs)->refusal == Refusal(ErrorCode::KeyReused, Ran::No)));
+}
+
 BOOST_AUTO_TEST_CASE(aLateRecordDoesNotShowHowFarTheLogReaches)
 {
     FakeLog log;
