--- a/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
@@ -55,6 +55,8 @@
         return "deadline-exceeded";
     case ErrorCode::OutcomeUnknown:
         return "outcome-unknown";
+    case ErrorCode::OutcomeNotKept:
+        return "outcome-not-kept";
     case ErrorCode::PlatformUnavailable:
         return "platform-unavailable";
     case ErrorCode::PeerUnreachable:
@@ -73,6 +75,12 @@
         return "hash-mismatch";
     case ErrorCode::StaleBase:
         return "stale-base";
+    case ErrorCode::ApprovalMissing:
+        return "approval-missing";
+    case ErrorCode::ChangeRepeated:
+        return "change-repeated";
+    case ErrorCode::NameTaken:
+        return "name-taken";
     case ErrorCode::MalformedMessage:
         return "malformed-message";
     case ErrorCode::LogTruncated:
--- /dev/null
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyFold.cpp
@@ -0,0 +1,91 @@
+#include <filbertspoke/Idempotency>
+
+#include <algorithm>
+
+namespace filbertspoke {
+
+Result<KeyRecord> KeyFold::apply(const std::string& payload)
+{
+    Result<KeyRecord> record = decodeKeyRecord(payload);
+    if (record)
+        std::visit([this](const auto& body) { this->apply(body); }, record->body);
+    else
+        ++this->skippedCount;
+    return record;
+}
+
+bool KeyFold::isReplaced(const KeyHolder& holder) const
+{
+    const auto newest = this->newestIncarnations.find(holder.daemon);
+    return newest != this->newestIncarnations.end() && newest->second > holder.incarnation;
+}
+
+void KeyFold::noteHolder(const KeyHolder& holder)
+{
+    std::uint64_t& newest = this->newestIncarnations[holder.daemon];
+    newest = std::max(newest, holder.incarnation);
+}
+
+const KeyState* KeyFold::find(const std::string& key) const
+{
+    const auto state = this->states.find(key);
+    return state == this->states.end() ? nullptr : &state->second;
+}
+
+void KeyFold::forgetBefore(const std::string& key)
+{
+    this->states.erase(this->states.begin(), this->states.lower_bound(key));
+}
+
+void KeyFold::apply(const ClaimRecord& record)
+{
+    this->noteHolder(record.attempt.holder);
+    const KeyState* current = this->find(record.attempt.key);
+    const bool next = current
+        ? current->status == KeyStatus::Released && record.attempt.number == current->attempt.number + 1
+        : record.attempt.number == 1;
+    if (next)
+        this->states[record.attempt.key] = KeyState { record.attempt, record.digest, record.until, KeyStatus::Claimed, std::nullopt };
+}
+
+void KeyFold::apply(const ReleaseRecord& record)
+{
+    if (KeyState* state = this->findClaimed(record.attempt))
+        state->status = KeyStatus::Released;
+}
+
+void KeyFold::apply(const OutcomeRecord& record)
+{
+    if (KeyState* state = this->findClaimed(record.attempt)) {
+        state->status = KeyStatus::Done;
+        state->outcome = record.outcome;
+    }
+}
+
+void KeyFold::apply(const UnknownRecord& record)
+{
+    if (KeyState* state = this->findClaimed(record.attempt))
+        state->status = KeyStatus::Unknown;
+}
+
+void KeyFold::apply(const UnsupportedRecord& record)
+{
+    // The record may be a claim that another daemon has acted on: nobody here may run the key.
+    ++this->skippedCount;
+    KeyState& state = this->states[record.key];
+    if (state.status != KeyStatus::Done)
+        state.status = KeyStatus::Unknown;
+}
+
+void KeyFold::apply(const MarkRecord&)
+{
+}
+
+KeyState* KeyFold::findClaimed(const KeyAttempt& attempt)
+{
+    const auto state = this->states.find(attempt.key);
+    const bool claimed = state != this->states.end() && state->second.status == KeyStatus::Claimed && state->second.attempt == attempt;
+    return claimed ? &state->second : nullptr;
+}
+
+}
