Router: a request from end to end, in virtual time

Cause: a refusal on a chain that can't be planned crashed: refuse() took the request's id by reference from the completion that end() erases. Change: refuse() and end() take the id by value; the configuration in force comes from the fold; nine tests drive the decision object through answers, losses, time limits, cancel and stop. Before: Router.Completions.noPipelineIsRefusedAtOnceWithWhenToComeBack ended by SIGSEGV. After: 9 of 9 pass. Conclusion: ids that outlive their owner are copied.

--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -287,7 +287,8 @@
     this->end(request, now, actions);
 }
 
-void CompletionHandler::refuse(const RequestId& request, const Refusal& refusal, const Now& now, Actions& actions)
+// By value: the id may stand in the completion that end() erases.
+void CompletionHandler::refuse(RequestId request, const Refusal& refusal, const Now& now, Actions& actions)
 {
     actions.push_back(RefuseRequest { request, refusal });
     actions.push_back(count("completions_refused_total", std::string(name(refusal.code()))));
@@ -295,7 +296,7 @@
     this->end(request, now, actions);
 }
 
-void CompletionHandler::end(const RequestId& request, const Now& now, Actions& actions)
+void CompletionHandler::end(RequestId request, const Now& now, Actions& actions)
 {
     auto entry = this->completions.find(request);
     if (entry == this->completions.end())
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.h
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.h
@@ -58,8 +58,8 @@
     void finish(const Completion&, const Now&, Actions&);
     void stepLost(Completion&, const Now&, Actions&);
     void timeOutSteps(const Now&, Actions&);
-    void refuse(const RequestId&, const Refusal&, const Now&, Actions&);
-    void end(const RequestId&, const Now&, Actions&);
+    void refuse(RequestId, const Refusal&, const Now&, Actions&);
+    void end(RequestId, const Now&, Actions&);
     Completion* find(const RequestId&);
 
     RouterContext& context;
--- a/packages/Router/filbertspoke/src/Router/ConfigurationHandler.h
+++ b/packages/Router/filbertspoke/src/Router/ConfigurationHandler.h
@@ -23,6 +23,7 @@
 
 private:
     RouterContext& context;
+    ConfigurationFold fold;
 };
 
 }
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -10,21 +10,13 @@
 #include <filbertspoke/Routing>
 
 #include <cstdint>
-#include <optional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace filbertspoke::internal {
 
-/** \brief The configuration that the daemon follows, with the log offset that put it into force. */
-struct ConfigurationInForce {
-    LogOffset revision = 0;
-    Configuration configuration;
-
-    bool operator==(const ConfigurationInForce&) const = default;
-};
-
 /** \brief What the handlers of one Router share. Each field names the handler that writes it. */
 struct RouterContext {
     RouterContext(DaemonIdentity own, Random::result_type seed)
@@ -37,7 +29,7 @@
     DaemonIdentity identity;
     EndpointView endpoints; ///< MembershipHandler; work in progress by whoever sends it
     Random random;
-    std::optional<ConfigurationInForce> configuration; ///< ConfigurationHandler
+    std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -150,7 +150,7 @@
     RouterStatus status;
     status.identity = this->context.identity;
     status.draining = this->context.draining;
-    status.ready = this->context.configuration.has_value() && !this->context.draining;
+    status.ready = this->context.configuration != nullptr && !this->context.draining;
     if (this->context.configuration)
         status.configurationRevision = this->context.configuration->revision;
     status.requestsInProgress = static_cast<std::uint32_t>(this->inProgress());
--- /dev/null
+++ b/packages/Router/tests/Completions.cpp
@@ -0,0 +1,222 @@
+#include <filbertspoke/Router>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string questionnaireText = R"(organisation: Test
+team: bench
+weighsMore: throughput
+failureDomains: [a]
+models:
+    - name: m
+      version: v1
+      layers: 8
+      longestAnswerTokens: 16
+      answerWithinMs: 10000
+accounts:
+    - name: acme
+)";
+
+std::string changeRecord()
+{
+    const auto parsed = parseQuestionnaire(questionnaireText);
+    const Questionnaire& questionnaire = std::get<Questionnaire>(parsed);
+    Approval approval;
+    approval.change = "0190f7c0-0000-7000-8000-000000000001";
+    approval.scope = "bench";
+    approval.author = "author";
+    approval.approver = "approver";
+    approval.answers = questionnaireText;
+    return configurationRecordJson(makeChange(questionnaire, approval, std::nullopt));
+}
+
+ListedHost engine(const std::string& id, LayerRange layers)
+{
+    return { Endpoint::Builder(EndpointId(id)).host(HostId(id)).address("127.0.0.1", 1).failureDomain(FailureDomainId("a")).role(EngineRole { ModelId("m"), "v1", layers }).build(), false };
+}
+
+/** \brief A Router in virtual time, with engines that answer on demand. */
+struct Fixture {
+    Fixture()
+        : router({ DaemonId("d"), FailureDomainId("a"), 1 }, 7)
+    {
+        this->router.start(this->now);
+        this->handle(RecordsRead { "configuration", { { "configuration", 0, changeRecord() } }, 0, 1 });
+        this->list({ engine("e1", { 0, 4 }), engine("e2", { 4, 8 }), engine("e3", { 4, 8 }) });
+        for (const char* id : { "e1", "e2", "e3" })
+            this->handle(EndpointReported { EndpointId(id), LoadReport { 0, 0, 100, false }, std::nullopt });
+    }
+
+    Actions handle(const Event& event)
+    {
+        this->now = this->now.after(1ms);
+        return this->router.handle(event, this->now);
+    }
+
+    void list(std::vector<ListedHost> hosts) { this->handle(HostsListed { std::move(hosts) }); }
+
+    Actions ask(std::uint32_t tokens, std::optional<Duration> deadline = std::nullopt)
+    {
+        CompletionReceived event;
+        event.request = RequestId("r");
+        event.account = AccountId("acme");
+        event.model = ModelId("m");
+        event.prompt = "true the wheel";
+        event.maximumTokens = tokens;
+        event.stream = true;
+        event.deadline = deadline;
+        return this->handle(event);
+    }
+
+    Actions answer(const SendStep& step, const std::string& output)
+    {
+        return this->handle(StepAnswered { step.endpoint, StepReceipt(step.step, StepStatus::Ok, output) });
+    }
+
+    Router router;
+    Now now { TimePoint {}, WallTime {} };
+};
+
+template <typename Kind>
+std::vector<Kind> collect(const Actions& actions)
+{
+    std::vector<Kind> found;
+    for (const Action& action : actions) {
+        if (const auto* match = std::get_if<Kind>(&action))
+            found.push_back(*match);
+    }
+    return found;
+}
+
+SendStep onlyStep(const Actions& actions)
+{
+    const auto steps = collect<SendStep>(actions);
+    BOOST_REQUIRE(steps.size() == 1);
+    return steps.front();
+}
+
+ErrorCode refusalCode(const Actions& actions)
+{
+    const auto refusals = collect<RefuseRequest>(actions);
+    BOOST_REQUIRE(refusals.size() == 1);
+    return refusals.front().refusal.code();
+}
+
+}
+
+BOOST_FIXTURE_TEST_CASE(requestRunsFromEndToEnd, Fixture)
+{
+    const SendStep first = onlyStep(this->ask(2));
+    BOOST_TEST((first.step.layers() == LayerRange(0, 4)));
+    const SendStep second = onlyStep(this->answer(first, "x"));
+    BOOST_TEST((second.step.layers() == LayerRange(4, 8)));
+
+    const Actions afterToken = this->answer(second, "hub");
+    BOOST_TEST((collect<EmitToken>(afterToken) == std::vector<EmitToken> { { RequestId("r"), 0, "hub" } }));
+    const SendStep third = onlyStep(afterToken);
+    const SendStep fourth = onlyStep(this->answer(third, "y"));
+    const Actions last = this->answer(fourth, "rim");
+    BOOST_TEST((collect<EmitToken>(last) == std::vector<EmitToken> { { RequestId("r"), 1, "rim" } }));
+    BOOST_TEST((collect<CompleteRequest>(last) == std::vector<CompleteRequest> { { RequestId("r"), "length" } }));
+    BOOST_TEST(this->router.status().requestsInProgress == 0u);
+    BOOST_TEST(this->router.explain(RequestId("r"))->entries.back().decision == "complete");
+}
+
+BOOST_FIXTURE_TEST_CASE(failedStageIsReplacedAndTheStreamGoesOn, Fixture)
+{
+    const SendStep first = onlyStep(this->ask(2));
+    const SendStep second = onlyStep(this->answer(first, "x"));
+    const SendStep third = onlyStep(this->answer(second, "hub"));
+    const SendStep lost = onlyStep(this->answer(third, "y"));
+
+    const SendStep again = onlyStep(this->handle(StepFailed { lost.endpoint, RequestId("r"), lost.step.generation(), lost.step.sequence(), true }));
+    BOOST_TEST(again.step.generation() == 1u);
+    BOOST_TEST(again.step.count() == 4u);
+    const SendStep replacement = onlyStep(this->answer(again, "z"));
+    BOOST_TEST(replacement.endpoint != lost.endpoint);
+    const Actions last = this->answer(replacement, "rim");
+    BOOST_TEST((collect<EmitToken>(last) == std::vector<EmitToken> { { RequestId("r"), 1, "rim" } }));
+    BOOST_TEST(collect<CompleteRequest>(last).size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(silentEngineTimesOutAndIsReplaced, Fixture)
+{
+    const SendStep first = onlyStep(this->ask(1));
+    const SendStep silent = onlyStep(this->answer(first, "x"));
+    Actions actions;
+    while (collect<SendStep>(actions).empty()) {
+        BOOST_REQUIRE(this->router.nextWake().has_value());
+        this->now = this->now.after(*this->router.nextWake() - this->now.monotonic());
+        actions = this->router.handle(Tick {}, this->now);
+    }
+    const SendStep again = onlyStep(actions);
+    const SendStep replacement = onlyStep(this->answer(again, "z"));
+    BOOST_TEST(replacement.endpoint != silent.endpoint);
+    // The first engine's answer comes at last, and counts for nothing.
+    BOOST_TEST(collect<EmitToken>(this->answer(silent, "late")).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(callerThatIsGoneCancelsEveryStage, Fixture)
+{
+    const SendStep first = onlyStep(this->ask(4));
+    const SendStep second = onlyStep(this->answer(first, "x"));
+    const Actions actions = this->handle(CallerGone { RequestId("r") });
+    std::vector<EndpointId> cancelled;
+    for (const CancelSteps& cancel : collect<CancelSteps>(actions))
+        cancelled.push_back(cancel.endpoint);
+    BOOST_TEST((cancelled == std::vector<EndpointId> { first.endpoint, second.endpoint }));
+    BOOST_TEST(this->router.status().requestsInProgress == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(unknownModelAndAccountAreRefusedAsNotRun, Fixture)
+{
+    CompletionReceived event { RequestId("r"), AccountId("acme"), ModelId("other"), "hub", 1, false, 0, std::nullopt, {} };
+    const Actions actions = this->handle(event);
+    BOOST_TEST((refusalCode(actions) == ErrorCode::UnknownModel));
+    BOOST_TEST((collect<RefuseRequest>(actions).front().refusal.ran() == Ran::No));
+    event.model = ModelId("m");
+    event.account = AccountId("nobody");
+    BOOST_TEST((refusalCode(this->handle(event)) == ErrorCode::UnknownAccount));
+}
+
+BOOST_FIXTURE_TEST_CASE(noPipelineIsRefusedAtOnceWithWhenToComeBack, Fixture)
+{
+    this->list({ { engine("e1", { 0, 4 }).member, true }, engine("e2", { 4, 8 }), engine("e3", { 4, 8 }) });
+    const Actions actions = this->ask(1);
+    BOOST_TEST((refusalCode(actions) == ErrorCode::NoPipeline));
+    BOOST_TEST(collect<RefuseRequest>(actions).front().refusal.retryAfter().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(deadlineEndsARequestWithItsFinalAnswer, Fixture)
+{
+    this->ask(1, 50ms);
+    this->now = this->now.after(60ms);
+    const Actions actions = this->router.handle(Tick {}, this->now);
+    BOOST_TEST((refusalCode(actions) == ErrorCode::DeadlineExceeded));
+    BOOST_TEST((collect<RefuseRequest>(actions).front().refusal.ran() == Ran::Yes));
+}
+
+BOOST_FIXTURE_TEST_CASE(gracefulStopWaitsForRequestsInProgress, Fixture)
+{
+    const SendStep first = onlyStep(this->ask(1));
+    BOOST_TEST(collect<StopProcess>(this->handle(StopRequested {})).empty());
+    const SendStep second = onlyStep(this->answer(first, "x"));
+    const Actions last = this->answer(second, "hub");
+    BOOST_TEST(collect<CompleteRequest>(last).size() == 1u);
+    BOOST_TEST(collect<StopProcess>(last).size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(secondStopAnswersWhatIsLeft, Fixture)
+{
+    this->ask(1);
+    this->handle(StopRequested {});
+    const Actions actions = this->handle(StopRequested {});
+    BOOST_TEST((refusalCode(actions) == ErrorCode::Draining));
+    BOOST_TEST(collect<StopProcess>(actions).size() == 1u);
+}
--- a/packages/StandIns/tests/EngineStandIn.cpp
+++ b/packages/StandIns/tests/EngineStandIn.cpp
@@ -1,5 +1,5 @@
 #include <filbertspoke/StandIns>
-#include <filbertspoke/TestSupport>
+#include <filbertspoke/ProcessTesting>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
