Membership: directories of endpoints and of peer daemons

Cause: three sources speak of an endpoint (a host list that lags, the endpoint, peers) and none of them is ordered against the others; daemons had no view of each other. Ruled out: trusting the latest arrival (a lagging list brings a leaving endpoint back), and comparing clocks of hosts.

Change: EndpointDirectory merges the three. Only an endpoint's own word makes it alive; every sign of leaving stands until it is contradicted later than the source's longest delay, and twice. PeerDirectory keeps heartbeats with incarnations, indirect probes and piggy-backed words; gone peers are probed now and then, so that a healed partition is found without the host list.

--- /dev/null
+++ b/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.cpp
@@ -0,0 +1,211 @@
+#include "EndpointDirectory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace filbertspoke {
+
+namespace {
+
+constexpr std::size_t maxMembers = 100'000;
+
+bool namesAnEndpoint(const ListedHost& host) { return std::holds_alternative<Endpoint>(host.member); }
+
+}
+
+EndpointDirectory::EndpointDirectory(EndpointDirectorySettings settings)
+    : settings(settings)
+{
+}
+
+EndpointChanges EndpointDirectory::listed(const std::vector<ListedHost>& hosts, TimePoint now)
+{
+    EndpointChanges changes;
+    if (std::none_of(hosts.begin(), hosts.end(), namesAnEndpoint))
+        return changes;
+    for (const ListedHost& host : hosts) {
+        if (const auto* endpoint = std::get_if<Endpoint>(&host.member))
+            this->takeEntry(*endpoint, host.leaving, now, changes);
+    }
+    this->takeAbsence(hosts, now, changes);
+    this->forgetOld(now, changes);
+    return changes;
+}
+
+void EndpointDirectory::takeEntry(const Endpoint& endpoint, bool leaving, TimePoint now, EndpointChanges& changes)
+{
+    Member& member = this->members[endpoint.id()];
+    if (member.listed != endpoint) {
+        member.listed = endpoint;
+        member.evidence.restarted();
+        this->describe(member, endpoint, changes);
+    }
+    if (leaving) {
+        member.evidence.listedAsLeaving(now);
+        this->spread(endpoint.id(), member, EndpointSign::ListedLeaving, now);
+    } else {
+        member.evidence.listedAsStaying(now, this->settings);
+    }
+    this->update(endpoint.id(), member, changes);
+}
+
+void EndpointDirectory::takeAbsence(const std::vector<ListedHost>& hosts, TimePoint now, EndpointChanges& changes)
+{
+    std::set<EndpointId> present;
+    for (const ListedHost& host : hosts) {
+        if (const auto* endpoint = std::get_if<Endpoint>(&host.member))
+            present.insert(endpoint->id());
+    }
+    for (auto& [id, member] : this->members) {
+        if (!member.listed || present.contains(id))
+            continue;
+        member.evidence.absentFromList(now, this->settings);
+        this->update(id, member, changes);
+    }
+}
+
+/** Tells peers of a sign, and again while it lasts, unless another daemon has just done so. */
+void EndpointDirectory::spread(const EndpointId& id, Member& member, EndpointSign sign, TimePoint now)
+{
+    const auto last = member.lastSpread.find(sign);
+    if (last != member.lastSpread.end() && now < last->second + this->settings.repeatInterval)
+        return;
+    member.lastSpread[sign] = now;
+    this->words.add({ id, sign });
+}
+
+void EndpointDirectory::forgetOld(TimePoint now, EndpointChanges& changes)
+{
+    for (auto entry = this->members.begin(); entry != this->members.end();) {
+        const auto& [id, member] = *entry;
+        const bool spokenOf = member.listed && (member.evidence.listed() || member.state != EndpointState::Gone);
+        if (spokenOf || now <= member.evidence.lastEvidence() + this->settings.retention) {
+            ++entry;
+            continue;
+        }
+        if (member.listed)
+            changes.push_back(EndpointForgotten { id });
+        entry = this->members.erase(entry);
+    }
+}
+
+EndpointChanges EndpointDirectory::reported(const EndpointId& id, bool draining,
+    const std::optional<EngineRole>& engine, TimePoint now)
+{
+    EndpointChanges changes;
+    const auto entry = this->members.find(id);
+    if (entry == this->members.end() || !entry->second.listed)
+        return changes;
+    Member& member = entry->second;
+    if (engine && member.described->role() != EndpointRole(*engine)) {
+        const Endpoint& listed = *member.listed;
+        this->describe(member,
+            Endpoint::Builder(id)
+                .host(listed.host())
+                .address(listed.address(), listed.port())
+                .failureDomain(listed.failureDomain())
+                .accelerator(listed.accelerator())
+                .role(*engine)
+                .checksFencing(listed.checksFencing())
+                .build(),
+            changes);
+    }
+    member.evidence.reported(draining, now, this->settings);
+    if (draining)
+        this->spread(id, member, EndpointSign::Draining, now);
+    this->update(id, member, changes);
+    return changes;
+}
+
+EndpointChanges EndpointDirectory::silent(const EndpointId& id, TimePoint now)
+{
+    EndpointChanges changes;
+    const auto entry = this->members.find(id);
+    if (entry == this->members.end() || !entry->second.listed)
+        return changes;
+    Member& member = entry->second;
+    member.evidence.missed(now, this->settings);
+    this->update(id, member, changes);
+    if (member.state == EndpointState::Gone)
+        this->spread(id, member, EndpointSign::Silent, now);
+    return changes;
+}
+
+EndpointChanges EndpointDirectory::heard(const std::vector<EndpointWord>& heardWords, TimePoint now)
+{
+    EndpointChanges changes;
+    for (const EndpointWord& word : heardWords) {
+        if (word.age > this->settings.retention)
+            continue;
+        const bool known = this->members.contains(word.endpoint);
+        if (!known && this->members.size() >= maxMembers)
+            continue;
+        Member& member = this->members[word.endpoint];
+        if (member.evidence.heardFromPeer(word.sign, now - word.age, now, this->settings))
+            this->words.add({ word.endpoint, word.sign });
+        if (word.age < this->settings.repeatInterval / 2)
+            member.lastSpread[word.sign] = now;
+        if (member.listed)
+            this->update(word.endpoint, member, changes);
+    }
+    return changes;
+}
+
+void EndpointDirectory::describe(Member& member, const Endpoint& endpoint, EndpointChanges& changes)
+{
+    member.described = endpoint;
+    changes.push_back(EndpointDescribed { endpoint });
+}
+
+void EndpointDirectory::update(const EndpointId& id, Member& member, EndpointChanges& changes)
+{
+    const EndpointState next = member.evidence.state(this->settings);
+    if (next == member.state)
+        return;
+    changes.push_back(EndpointStateChanged { id, member.state, next });
+    member.state = next;
+}
+
+std::optional<EndpointState> EndpointDirectory::state(const EndpointId& id) const
+{
+    const auto entry = this->members.find(id);
+    if (entry == this->members.end() || !entry->second.listed)
+        return std::nullopt;
+    return entry->second.state;
+}
+
+bool EndpointDirectory::takesNewWork(const EndpointId& id) const
+{
+    return this->state(id) == EndpointState::Alive;
+}
+
+const Endpoint* EndpointDirectory::find(const EndpointId& id) const
+{
+    const auto entry = this->members.find(id);
+    return entry != this->members.end() && entry->second.described ? &*entry->second.described : nullptr;
+}
+
+std::map<FailureDomainId, std::map<EndpointState, std::size_t>> EndpointDirectory::countByFailureDomain() const
+{
+    std::map<FailureDomainId, std::map<EndpointState, std::size_t>> counts;
+    for (const auto& [id, member] : this->members) {
+        if (member.described)
+            ++counts[member.described->failureDomain()][member.state];
+    }
+    return counts;
+}
+
+std::vector<EndpointWord> EndpointDirectory::takeWords(std::size_t limit, unsigned maximumSends, TimePoint now)
+{
+    std::vector<EndpointWord> taken;
+    for (const auto& [id, sign] : this->words.take(limit, maximumSends)) {
+        const auto entry = this->members.find(id);
+        if (entry == this->members.end())
+            continue;
+        if (const auto observed = entry->second.evidence.observed(sign))
+            taken.push_back({ id, sign, std::max(now - *observed, Duration::zero()) });
+    }
+    return taken;
+}
+
+}
--- /dev/null
+++ b/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.cpp
@@ -0,0 +1,118 @@
+#include "EndpointEvidence.h"
+
+#include <algorithm>
+
+namespace filbertspoke::internal {
+
+namespace {
+
+bool newerThan(std::optional<TimePoint> known, TimePoint observed, Duration tolerance)
+{
+    return !known || observed > *known + tolerance;
+}
+
+}
+
+void EndpointEvidence::reported(bool isDraining, TimePoint now, const EndpointDirectorySettings& settings)
+{
+    this->note(now);
+    this->heard = true;
+    this->misses = 0;
+    this->silentAt.reset();
+    if (isDraining)
+        this->draining.observe(now);
+    else
+        this->draining.contradict(now, settings.answerDelay, settings.confirmation);
+}
+
+void EndpointEvidence::missed(TimePoint now, const EndpointDirectorySettings& settings)
+{
+    ++this->misses;
+    const bool peerMissedIt = this->silentAt && now <= *this->silentAt + settings.silenceLifetime;
+    if (peerMissedIt)
+        this->misses = std::max(this->misses, settings.missesUntilGone);
+    if (this->misses >= settings.missesUntilGone)
+        this->silentAt = now;
+}
+
+void EndpointEvidence::restarted()
+{
+    this->heard = false;
+    this->misses = 0;
+}
+
+void EndpointEvidence::listedAsStaying(TimePoint now, const EndpointDirectorySettings& settings)
+{
+    this->note(now);
+    this->absentSince.reset();
+    this->listShowsLeaving = false;
+    this->leaving.contradict(now, settings.listLag, settings.confirmation);
+}
+
+void EndpointEvidence::listedAsLeaving(TimePoint now)
+{
+    this->note(now);
+    this->absentSince.reset();
+    this->listShowsLeaving = true;
+    this->leaving.observe(now);
+}
+
+void EndpointEvidence::absentFromList(TimePoint now, const EndpointDirectorySettings& settings)
+{
+    if (!this->absentSince)
+        this->absentSince = now;
+    if (now > *this->absentSince + settings.listLag)
+        this->leaving.observe(now);
+}
+
+bool EndpointEvidence::heardFromPeer(EndpointSign sign, TimePoint observed, TimePoint now,
+    const EndpointDirectorySettings& settings)
+{
+    this->note(observed);
+    const bool news = newerThan(this->observed(sign), observed, settings.repeatInterval / 2);
+    switch (sign) {
+    case EndpointSign::Draining:
+        this->draining.observe(observed);
+        break;
+    case EndpointSign::ListedLeaving:
+        this->leaving.observe(observed);
+        break;
+    case EndpointSign::Silent:
+        this->silentAt = std::max(this->silentAt.value_or(observed), observed);
+        if (this->misses > 0 && now <= observed + settings.silenceLifetime)
+            this->misses = std::max(this->misses, settings.missesUntilGone);
+        break;
+    }
+    return news;
+}
+
+void EndpointEvidence::note(TimePoint now)
+{
+    this->latest = std::max(this->latest, now);
+}
+
+EndpointState EndpointEvidence::state(const EndpointDirectorySettings& settings) const
+{
+    if (this->misses >= settings.missesUntilGone)
+        return EndpointState::Gone;
+    if (this->draining.stands() || this->leaving.stands())
+        return EndpointState::Leaving;
+    if (!this->heard || this->misses > 0)
+        return EndpointState::Suspect;
+    return EndpointState::Alive;
+}
+
+std::optional<TimePoint> EndpointEvidence::observed(EndpointSign sign) const
+{
+    switch (sign) {
+    case EndpointSign::Draining:
+        return this->draining.observed();
+    case EndpointSign::ListedLeaving:
+        return this->leaving.observed();
+    case EndpointSign::Silent:
+        return this->silentAt;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.h
@@ -0,0 +1,59 @@
+#ifndef FILBERTSPOKE_ENDPOINT_EVIDENCE_H
+#define FILBERTSPOKE_ENDPOINT_EVIDENCE_H
+
+#include "../EndpointChange.h"
+#include "../EndpointDirectorySettings.h"
+#include "../EndpointWord.h"
+#include "HeldSign.h"
+
+#include <optional>
+
+namespace filbertspoke::internal {
+
+/** \brief Everything that was learnt of one endpoint, and the state that follows from it.
+ *
+ * Times are those of the observation, not of its arrival, as far as that is known.
+ */
+class EndpointEvidence {
+public:
+    /** \name The endpoint's own word
+     * @{ */
+    void reported(bool isDraining, TimePoint, const EndpointDirectorySettings&);
+    void missed(TimePoint, const EndpointDirectorySettings&);
+    /** \brief Another process may answer now: its word is waited for. */
+    void restarted();
+    /** @}
+     * \name The host list
+     * @{ */
+    void listedAsStaying(TimePoint, const EndpointDirectorySettings&);
+    void listedAsLeaving(TimePoint);
+    void absentFromList(TimePoint, const EndpointDirectorySettings&);
+    /** @} */
+
+    /** \returns whether the word was news that is worth passing on */
+    bool heardFromPeer(EndpointSign, TimePoint observed, TimePoint now, const EndpointDirectorySettings&);
+
+    EndpointState state(const EndpointDirectorySettings&) const;
+    /** \returns when the sign was last observed by any daemon */
+    std::optional<TimePoint> observed(EndpointSign) const;
+    bool listed() const { return !this->absentSince; }
+    bool shownAsLeaving() const { return this->listShowsLeaving; }
+    /** \returns the time of the last evidence of any kind */
+    TimePoint lastEvidence() const { return this->latest; }
+
+private:
+    void note(TimePoint);
+
+    bool heard = false;
+    unsigned misses = 0;
+    bool listShowsLeaving = false;
+    HeldSign draining;
+    HeldSign leaving;
+    std::optional<TimePoint> silentAt; ///< when a daemon last found it silent
+    std::optional<TimePoint> absentSince;
+    TimePoint latest {};
+};
+
+}
+
+#endif
--- a/packages/Peer/filbertspoke/src/Peer/internal/FromWire.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/internal/FromWire.cpp
@@ -27,6 +27,13 @@
     return std::move(text);
 }
 
+/** \brief Leaves room for refutations, which raise an incarnation by one each. */
+std::uint64_t incarnation(std::int64_t wireNumber)
+{
+    require(wireNumber >= 0 && wireNumber <= std::numeric_limits<std::int64_t>::max() / 2);
+    return number(wireNumber);
+}
+
 Duration age(std::int64_t microseconds)
 {
     require(microseconds >= 0);
@@ -49,7 +56,7 @@
 DaemonWord convert(wire::DaemonWord&& word)
 {
     require(word.state >= wire::DaemonState::ALIVE && word.state <= wire::DaemonState::GONE);
-    return { convert(std::move(word.daemon)), number(word.incarnation), static_cast<DaemonState>(word.state) };
+    return { convert(std::move(word.daemon)), incarnation(word.incarnation), static_cast<DaemonState>(word.state) };
 }
 
 EndpointWord convert(wire::EndpointWord&& word)
@@ -89,7 +96,7 @@
 
 PeerStatus convert(wire::PeerStatus&& status)
 {
-    return { DaemonId(name(std::move(status.daemon))), number(status.incarnation),
+    return { DaemonId(name(std::move(status.daemon))), incarnation(status.incarnation),
         number(status.configurationRevision), number(status.requestsInProgress), status.draining };
 }
 
