--- a/packages/Core/filbertspoke/src/Core/ErrorCode.h
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.h
@@ -38,6 +38,7 @@
     EndpointRejected,
     DeadlineExceeded,
     OutcomeUnknown,
+    OutcomeNotKept,
     PlatformUnavailable,
     PeerUnreachable,
     CallerGone,
@@ -48,6 +49,9 @@
     UnsupportedVersion,
     HashMismatch,
     StaleBase,
+    ApprovalMissing,
+    ChangeRepeated,
+    NameTaken,
     MalformedMessage,
     LogTruncated,
 };
