Router: membership from three sources, and a graceful stop as a state machine

Cause: the thin handler believed every reading of the host list, so a stale one brought a leaving endpoint back, and peers played no part.

Change: MembershipHandler runs both directories, keeps the endpoint view in step with them, answers heartbeats and passes a first sign of leaving to peers at once (at most every 500 ms). Endpoints that are gone stand in lostEndpoints, so that their streams move in the same event. DrainHandler holds the stop as MSM states: serving, draining, abandoning, stopped; what is abandoned is logged, one line for each request with whether it ran. One enumeration MemberState serves endpoints and daemons, since the name EndpointState is Routing's. DaemonIdentity gains the address of the peer link (change in the Daemon's identityOf()).

--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
@@ -27,7 +27,7 @@
 DaemonIdentity identityOf(const Settings& settings)
 {
     const auto started = static_cast<std::uint64_t>(readClocks().wall().time_since_epoch().count());
-    return { settings.daemon(), settings.failureDomain(), started };
+    return { settings.daemon(), settings.failureDomain(), started, settings.peers().address, settings.peers().port };
 }
 
 CallerServerLimits limitsOf(const Settings& settings)
--- a/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.cpp
@@ -70,6 +70,7 @@
     const auto last = member.lastSpread.find(sign);
     if (last != member.lastSpread.end() && now < last->second + this->settings.repeatInterval)
         return;
+    this->urgent = this->urgent || (last == member.lastSpread.end() && sign != EndpointSign::Silent);
     member.lastSpread[sign] = now;
     this->words.add({ id, sign });
 }
@@ -78,7 +79,7 @@
 {
     for (auto entry = this->members.begin(); entry != this->members.end();) {
         const auto& [id, member] = *entry;
-        const bool spokenOf = member.listed && (member.evidence.listed() || member.state != EndpointState::Gone);
+        const bool spokenOf = member.listed && (member.evidence.listed() || member.state != MemberState::Gone);
         if (spokenOf || now <= member.evidence.lastEvidence() + this->settings.retention) {
             ++entry;
             continue;
@@ -126,7 +127,7 @@
     Member& member = entry->second;
     member.evidence.missed(now, this->settings);
     this->update(id, member, changes);
-    if (member.state == EndpointState::Gone)
+    if (member.state == MemberState::Gone)
         this->spread(id, member, EndpointSign::Silent, now);
     return changes;
 }
@@ -159,14 +160,14 @@
 
 void EndpointDirectory::update(const EndpointId& id, Member& member, EndpointChanges& changes)
 {
-    const EndpointState next = member.evidence.state(this->settings);
+    const MemberState next = member.evidence.state(this->settings);
     if (next == member.state)
         return;
     changes.push_back(EndpointStateChanged { id, member.state, next });
     member.state = next;
 }
 
-std::optional<EndpointState> EndpointDirectory::state(const EndpointId& id) const
+std::optional<MemberState> EndpointDirectory::state(const EndpointId& id) const
 {
     const auto entry = this->members.find(id);
     if (entry == this->members.end() || !entry->second.listed)
@@ -176,7 +177,7 @@
 
 bool EndpointDirectory::takesNewWork(const EndpointId& id) const
 {
-    return this->state(id) == EndpointState::Alive;
+    return this->state(id) == MemberState::Alive;
 }
 
 const Endpoint* EndpointDirectory::find(const EndpointId& id) const
@@ -185,9 +186,9 @@
     return entry != this->members.end() && entry->second.described ? &*entry->second.described : nullptr;
 }
 
-std::map<FailureDomainId, std::map<EndpointState, std::size_t>> EndpointDirectory::countByFailureDomain() const
+std::map<FailureDomainId, std::map<MemberState, std::size_t>> EndpointDirectory::countByFailureDomain() const
 {
-    std::map<FailureDomainId, std::map<EndpointState, std::size_t>> counts;
+    std::map<FailureDomainId, std::map<MemberState, std::size_t>> counts;
     for (const auto& [id, member] : this->members) {
         if (member.described)
             ++counts[member.described->failureDomain()][member.state];
--- a/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.h
+++ b/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.h
@@ -47,24 +47,26 @@
     EndpointChanges heard(const std::vector<EndpointWord>&, TimePoint);
 
     /** \returns the state, or nothing for an endpoint that is not known */
-    std::optional<EndpointState> state(const EndpointId&) const;
+    std::optional<MemberState> state(const EndpointId&) const;
     bool takesNewWork(const EndpointId&) const;
     /** \returns the endpoint as it describes itself, or null when it is not known */
     const Endpoint* find(const EndpointId&) const;
     /** \returns how many known endpoints of a failure domain are in each state */
-    std::map<FailureDomainId, std::map<EndpointState, std::size_t>> countByFailureDomain() const;
+    std::map<FailureDomainId, std::map<MemberState, std::size_t>> countByFailureDomain() const;
 
     /** \returns up to \a limit words for a peer, the least sent first
      * \param maximumSends after which a word is no longer sent */
     std::vector<EndpointWord> takeWords(std::size_t limit, unsigned maximumSends, TimePoint);
-    bool hasWords() const { return !this->words.empty(); }
+    /** \returns whether this daemon saw a new sign of leaving since the last call, which peers should
+     * hear at once */
+    bool takeUrgency() { return std::exchange(this->urgent, false); }
 
 private:
     struct Member {
         std::optional<Endpoint> listed; ///< empty while only peers speak of it
         std::optional<Endpoint> described; ///< with the layers that the engine itself reports
         internal::EndpointEvidence evidence;
-        EndpointState state = EndpointState::Suspect;
+        MemberState state = MemberState::Suspect;
         std::map<EndpointSign, TimePoint> lastSpread; ///< by this daemon or as heard from another
     };
     using Members = std::map<EndpointId, Member>;
@@ -80,6 +82,7 @@
     EndpointDirectorySettings settings;
     Members members;
     internal::SpreadQueue<WordName> words;
+    bool urgent = false;
 };
 
 }
--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t maxRelays = 1024;
 
 /** \returns whether a word is newer than what is held */
-bool overrides(std::uint64_t incarnation, DaemonState state, std::uint64_t heldIncarnation, DaemonState heldState)
+bool overrides(std::uint64_t incarnation, MemberState state, std::uint64_t heldIncarnation, MemberState heldState)
 {
     if (incarnation != heldIncarnation)
         return incarnation > heldIncarnation;
@@ -45,7 +45,7 @@
             member.changed = now;
             this->changes.push_back({ daemon->id, std::nullopt, member.state });
         }
-        const bool ownAddressKnown = member.status && member.state != DaemonState::Gone;
+        const bool ownAddressKnown = member.status && member.state != MemberState::Gone;
         if (!ownAddressKnown)
             member.daemon = *daemon;
     }
@@ -108,7 +108,7 @@
 void PeerDirectory::takeFailure(const Probe& failed, TimePoint now, PeerEnvelopes& messages)
 {
     const auto entry = this->members.find(failed.target);
-    if (entry == this->members.end() || entry->second.state == DaemonState::Gone)
+    if (entry == this->members.end() || entry->second.state == MemberState::Gone)
         return;
     this->suspect(entry->second, now);
     this->probe(entry->second, false, now, messages);
@@ -130,7 +130,7 @@
 {
     for (auto& [id, member] : this->members) {
         if (member.goneAt && now >= *member.goneAt)
-            this->setState(member, DaemonState::Gone, now);
+            this->setState(member, MemberState::Gone, now);
     }
 }
 
@@ -139,7 +139,7 @@
     for (auto entry = this->members.begin(); entry != this->members.end();) {
         const Member& member = entry->second;
         const bool old = now >= member.changed + this->settings.goneRetention;
-        if (member.state == DaemonState::Gone && !member.listed && old) {
+        if (member.state == MemberState::Gone && !member.listed && old) {
             this->words.remove(entry->first);
             this->changes.push_back({ entry->first, member.state, std::nullopt });
             entry = this->members.erase(entry);
@@ -156,7 +156,7 @@
     if (this->probeOrder.empty()) {
         this->forgetOld(now);
         for (const auto& [id, member] : this->members) {
-            if (member.state != DaemonState::Gone)
+            if (member.state != MemberState::Gone)
                 this->probeOrder.push_back(id);
         }
         std::shuffle(this->probeOrder.begin(), this->probeOrder.end(), random);
@@ -165,7 +165,7 @@
         const DaemonId next = std::move(this->probeOrder.back());
         this->probeOrder.pop_back();
         const auto entry = this->members.find(next);
-        if (entry != this->members.end() && entry->second.state != DaemonState::Gone)
+        if (entry != this->members.end() && entry->second.state != MemberState::Gone)
             return this->probe(entry->second, true, now, messages);
     }
 }
@@ -176,7 +176,7 @@
     this->nextGoneProbe = now + this->settings.goneProbeInterval;
     if (this->goneOrder.empty()) {
         for (const auto& [id, member] : this->members) {
-            if (member.state == DaemonState::Gone)
+            if (member.state == MemberState::Gone)
                 this->goneOrder.push_back(id);
         }
         std::shuffle(this->goneOrder.begin(), this->goneOrder.end(), random);
@@ -185,7 +185,7 @@
         return;
     const auto entry = this->members.find(this->goneOrder.back());
     this->goneOrder.pop_back();
-    if (entry != this->members.end() && entry->second.state == DaemonState::Gone)
+    if (entry != this->members.end() && entry->second.state == MemberState::Gone)
         this->probe(entry->second, false, now, messages);
 }
 
@@ -205,7 +205,7 @@
 {
     PeerEnvelopes messages;
     for (const ListedDaemon& peer : this->sample(this->settings.announcementFanout, this->self.id, random))
-        this->probe(this->members.at(peer.id), false, now, messages);
+        this->probe(this->members.at(peer.id), true, now, messages);
     return messages;
 }
 
@@ -215,7 +215,7 @@
     // Only the peer itself can refute that it is suspect or gone, or learn that its clock went back.
     const auto receiver = this->members.find(to);
     if (receiver != this->members.end() && receiver->second.incarnation > 0
-        && (receiver->second.state != DaemonState::Alive || receiver->second.behind))
+        && (receiver->second.state != MemberState::Alive || receiver->second.behind))
         gossip.daemons.push_back({ receiver->second.daemon, receiver->second.incarnation, receiver->second.state });
     for (const DaemonId& id : this->words.take(this->settings.wordsPerMessage, this->sendsPerWord())) {
         const auto entry = this->members.find(id);
@@ -232,7 +232,7 @@
     std::vector<const Member*> candidates;
     candidates.reserve(this->members.size());
     for (const auto& [id, member] : this->members) {
-        const bool answers = member.state == DaemonState::Alive || member.state == DaemonState::Leaving;
+        const bool answers = member.state == MemberState::Alive || member.state == MemberState::Leaving;
         if (answers && id != except)
             candidates.push_back(&member);
     }
@@ -297,14 +297,14 @@
 {
     if (status.from != sender.id || sender.id == this->self.id)
         return;
-    const DaemonState state = status.draining ? DaemonState::Leaving : DaemonState::Alive;
+    const MemberState state = status.draining ? MemberState::Leaving : MemberState::Alive;
     this->hear(DaemonWord { sender, status.incarnation, state }, now);
     Member& member = this->members.at(sender.id);
     member.behind = status.incarnation < member.incarnation;
     if (member.behind)
         return;
     member.status = status;
-    if (member.state == DaemonState::Leaving)
+    if (member.state == MemberState::Leaving)
         member.goneAt.reset();
 }
 
@@ -347,20 +347,20 @@
 
 void PeerDirectory::suspect(Member& member, TimePoint now)
 {
-    if (member.state == DaemonState::Gone || member.goneAt)
+    if (member.state == MemberState::Gone || member.goneAt)
         return;
-    if (member.state == DaemonState::Alive)
-        this->setState(member, DaemonState::Suspect, now);
+    if (member.state == MemberState::Alive)
+        this->setState(member, MemberState::Suspect, now);
     member.goneAt = now + this->suspicionTime();
 }
 
-void PeerDirectory::setState(Member& member, DaemonState state, TimePoint now)
+void PeerDirectory::setState(Member& member, MemberState state, TimePoint now)
 {
-    const DaemonState before = member.state;
+    const MemberState before = member.state;
     member.state = state;
     member.changed = now;
     member.goneAt.reset();
-    if (state == DaemonState::Suspect)
+    if (state == MemberState::Suspect)
         member.goneAt = now + this->suspicionTime();
     if (member.incarnation > 0)
         this->words.add(member.daemon.id);
@@ -389,19 +389,19 @@
 
 void PeerDirectory::startLeaving()
 {
-    if (this->ownState == DaemonState::Leaving)
+    if (this->ownState == MemberState::Leaving)
         return;
-    this->ownState = DaemonState::Leaving;
+    this->ownState = MemberState::Leaving;
     this->words.add(this->self.id);
 }
 
 PeerStatus PeerDirectory::ownStatus() const
 {
     return { this->self.id, this->incarnation, this->configurationRevision, this->requestsInProgress,
-        this->ownState == DaemonState::Leaving };
+        this->ownState == MemberState::Leaving };
 }
 
-std::optional<DaemonState> PeerDirectory::state(const DaemonId& id) const
+std::optional<MemberState> PeerDirectory::state(const DaemonId& id) const
 {
     const auto entry = this->members.find(id);
     return entry == this->members.end() ? std::nullopt : std::optional(entry->second.state);
@@ -419,7 +419,7 @@
     return entry != this->members.end() && entry->second.status ? &*entry->second.status : nullptr;
 }
 
-std::vector<ListedDaemon> PeerDirectory::peersIn(DaemonState state) const
+std::vector<ListedDaemon> PeerDirectory::peersIn(MemberState state) const
 {
     std::vector<ListedDaemon> result;
     for (const auto& [id, member] : this->members) {
@@ -429,9 +429,9 @@
     return result;
 }
 
-std::map<FailureDomainId, std::map<DaemonState, std::size_t>> PeerDirectory::countByFailureDomain() const
+std::map<FailureDomainId, std::map<MemberState, std::size_t>> PeerDirectory::countByFailureDomain() const
 {
-    std::map<FailureDomainId, std::map<DaemonState, std::size_t>> counts;
+    std::map<FailureDomainId, std::map<MemberState, std::size_t>> counts;
     for (const auto& [id, member] : this->members)
         ++counts[member.daemon.failureDomain][member.state];
     return counts;
--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
@@ -30,8 +30,8 @@
 /** \brief A peer daemon's state changed. */
 struct PeerStateChanged {
     DaemonId peer;
-    std::optional<DaemonState> from; ///< nothing for a peer that was not known
-    std::optional<DaemonState> to; ///< nothing for a peer that was forgotten
+    std::optional<MemberState> from; ///< nothing for a peer that was not known
+    std::optional<MemberState> to; ///< nothing for a peer that was forgotten
 
     bool operator==(const PeerStateChanged&) const = default;
 };
@@ -43,7 +43,7 @@
  * Words on daemons travel on these messages. The cost for one daemon doesn't grow with their number.
  *
  * Which word is newer is decided by the incarnation that the daemon itself chose, then by the order
- * of DaemonState; no two clocks are compared, and words may be lost, repeated or reordered. The host
+ * of MemberState; no two clocks are compared, and words may be lost, repeated or reordered. The host
  * list only names peers to be probed.
  * \sa docs/design/membership.md
  */
@@ -77,14 +77,14 @@
     PeerEnvelopes announce(TimePoint, Random&);
 
     PeerStatus ownStatus() const;
-    std::optional<DaemonState> state(const DaemonId&) const;
+    std::optional<MemberState> state(const DaemonId&) const;
     /** \returns where the peer is reached, or null when it isn't known */
     const ListedDaemon* find(const DaemonId&) const;
     /** \returns the peer's last word on itself, or null when it has not been heard */
     const PeerStatus* status(const DaemonId&) const;
     /** \returns the peers in a state, ordered by their id */
-    std::vector<ListedDaemon> peersIn(DaemonState) const;
-    std::map<FailureDomainId, std::map<DaemonState, std::size_t>> countByFailureDomain() const;
+    std::vector<ListedDaemon> peersIn(MemberState) const;
+    std::map<FailureDomainId, std::map<MemberState, std::size_t>> countByFailureDomain() const;
     std::size_t size() const { return this->members.size(); }
     /** \returns how often a word is sent at the present number of peers */
     unsigned sendsPerWord() const;
@@ -96,7 +96,7 @@
     struct Member {
         ListedDaemon daemon;
         std::uint64_t incarnation = 0; ///< 0 until the peer is heard, or heard of
-        DaemonState state = DaemonState::Suspect;
+        MemberState state = MemberState::Suspect;
         std::optional<TimePoint> goneAt; ///< when a suspicion ends, unless it is refuted
         TimePoint changed {};
         bool listed = false;
@@ -134,13 +134,13 @@
     void hearSender(const PeerStatus&, const ListedDaemon&, TimePoint);
     void refute(std::uint64_t incarnation);
     void suspect(Member&, TimePoint);
-    void setState(Member&, DaemonState, TimePoint);
+    void setState(Member&, MemberState, TimePoint);
     Duration suspicionTime() const;
 
     ListedDaemon self;
     std::uint64_t incarnation;
     PeerDirectorySettings settings;
-    DaemonState ownState = DaemonState::Alive;
+    MemberState ownState = MemberState::Alive;
     LogOffset configurationRevision = 0;
     std::uint32_t requestsInProgress = 0;
 
--- a/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.cpp
@@ -91,15 +91,15 @@
     this->latest = std::max(this->latest, now);
 }
 
-EndpointState EndpointEvidence::state(const EndpointDirectorySettings& settings) const
+MemberState EndpointEvidence::state(const EndpointDirectorySettings& settings) const
 {
     if (this->misses >= settings.missesUntilGone)
-        return EndpointState::Gone;
+        return MemberState::Gone;
     if (this->draining.stands() || this->leaving.stands())
-        return EndpointState::Leaving;
+        return MemberState::Leaving;
     if (!this->heard || this->misses > 0)
-        return EndpointState::Suspect;
-    return EndpointState::Alive;
+        return MemberState::Suspect;
+    return MemberState::Alive;
 }
 
 std::optional<TimePoint> EndpointEvidence::observed(EndpointSign sign) const
--- a/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.h
+++ b/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.h
@@ -33,7 +33,7 @@
     /** \returns whether the word was news that is worth passing on */
     bool heardFromPeer(EndpointSign, TimePoint observed, TimePoint now, const EndpointDirectorySettings&);
 
-    EndpointState state(const EndpointDirectorySettings&) const;
+    MemberState state(const EndpointDirectorySettings&) const;
     /** \returns when the sign was last observed by any daemon */
     std::optional<TimePoint> observed(EndpointSign) const;
     bool listed() const { return !this->absentSince; }
--- a/packages/Membership/tests/EndpointDirectory.cpp
+++ b/packages/Membership/tests/EndpointDirectory.cpp
@@ -61,7 +61,7 @@
     BOOST_TEST(!directory.takesNewWork(engineId));
 
     const EndpointChanges reported = directory.reported(engineId, false, engineRole, TimePoint(2s));
-    BOOST_TEST((reported == EndpointChanges { EndpointStateChanged { engineId, EndpointState::Suspect, EndpointState::Alive } }));
+    BOOST_TEST((reported == EndpointChanges { EndpointStateChanged { engineId, MemberState::Suspect, MemberState::Alive } }));
     BOOST_TEST(directory.takesNewWork(engineId));
 }
 
@@ -78,7 +78,7 @@
         OneEngine heard;
         heard.directory.heard({ { engineId, sign, 100ms } }, heard.now);
         BOOST_TEST(!heard.takesWork());
-        BOOST_TEST((heard.directory.state(engineId) == EndpointState::Leaving));
+        BOOST_TEST((heard.directory.state(engineId) == MemberState::Leaving));
     }
 }
 
@@ -111,9 +111,9 @@
 BOOST_FIXTURE_TEST_CASE(goneEndpointComesBackByItsOwnWordOnly, OneEngine)
 {
     this->miss(1);
-    BOOST_TEST((this->directory.state(engineId) == EndpointState::Suspect));
+    BOOST_TEST((this->directory.state(engineId) == MemberState::Suspect));
     this->miss(2);
-    BOOST_TEST((this->directory.state(engineId) == EndpointState::Gone));
+    BOOST_TEST((this->directory.state(engineId) == MemberState::Gone));
     this->wait(1h);
     this->list(false);
     BOOST_TEST(!this->takesWork());
@@ -138,7 +138,7 @@
     this->directory.heard({ { engineId, EndpointSign::Silent, 0s } }, this->now);
     BOOST_TEST(this->takesWork());
     this->miss(1);
-    BOOST_TEST((this->directory.state(engineId) == EndpointState::Gone));
+    BOOST_TEST((this->directory.state(engineId) == MemberState::Gone));
 }
 
 BOOST_FIXTURE_TEST_CASE(emptyListIsTakenForAFailure, OneEngine)
@@ -157,7 +157,7 @@
     BOOST_TEST(this->takesWork());
     this->wait(settings.listLag + 1s);
     read();
-    BOOST_TEST((this->directory.state(engineId) == EndpointState::Leaving));
+    BOOST_TEST((this->directory.state(engineId) == MemberState::Leaving));
     this->miss(3);
     this->wait(settings.retention + 1s);
     BOOST_TEST((read().back() == EndpointChange(EndpointForgotten { engineId })));
--- a/packages/Membership/tests/PeerDirectory.cpp
+++ b/packages/Membership/tests/PeerDirectory.cpp
@@ -63,9 +63,9 @@
         }
         if (!this->runs(number))
             return;
-        const auto gone = this->directory(number).peersIn(DaemonState::Gone);
+        const auto gone = this->directory(number).peersIn(MemberState::Gone);
         this->directory(number).listed(hosts, this->now);
-        RC_ASSERT(this->directory(number).peersIn(DaemonState::Gone) == gone);
+        RC_ASSERT(this->directory(number).peersIn(MemberState::Gone) == gone);
     }
     void setLoss(unsigned percent) { this->lossPercent = percent; }
 
@@ -80,11 +80,11 @@
     unsigned size() const { return static_cast<unsigned>(this->nodes.size()); }
     std::size_t messages() const { return this->sentMessages; }
 
-    DaemonState truth(unsigned number) const
+    MemberState truth(unsigned number) const
     {
         if (!this->runs(number))
-            return DaemonState::Gone;
-        return this->nodes[number].leaving ? DaemonState::Leaving : DaemonState::Alive;
+            return MemberState::Gone;
+        return this->nodes[number].leaving ? MemberState::Leaving : MemberState::Alive;
     }
     bool everyoneSeesTheTruth()
     {
@@ -262,7 +262,7 @@
     now += 100ms;
     answerFrom(2, 1, std::get<PeerProbe>(sent.message).sequence);
     prober.tick(now += 600ms, random);
-    BOOST_TEST((prober.state(daemonNumber(1).id) == DaemonState::Alive));
+    BOOST_TEST((prober.state(daemonNumber(1).id) == MemberState::Alive));
 }
 
 BOOST_AUTO_TEST_CASE(stateIsCountedInFailureDomains)
@@ -272,9 +272,9 @@
     cluster.kill(1);
     cluster.run(12s);
     const auto counts = cluster.directory(0).countByFailureDomain();
-    BOOST_TEST(counts.at(FailureDomainId("riga-a")).at(DaemonState::Gone) == 1U);
-    BOOST_TEST(counts.at(FailureDomainId("riga-a")).at(DaemonState::Alive) == 1U);
-    BOOST_TEST(counts.at(FailureDomainId("riga-b")).at(DaemonState::Alive) == 2U);
+    BOOST_TEST(counts.at(FailureDomainId("riga-a")).at(MemberState::Gone) == 1U);
+    BOOST_TEST(counts.at(FailureDomainId("riga-a")).at(MemberState::Alive) == 1U);
+    BOOST_TEST(counts.at(FailureDomainId("riga-b")).at(MemberState::Alive) == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(daemonThatRestartsWithAnEarlierClockIsHeard)
@@ -316,14 +316,14 @@
         for (const PeerEnvelope& envelope : directory.tick(now += 1s, random))
             directory.received(PeerProbeAnswer { leaving, leaving.from, std::get<PeerProbe>(envelope.message).sequence, {} }, now, random);
     }
-    BOOST_TEST((directory.takeChanges().back().to == DaemonState::Leaving));
+    BOOST_TEST((directory.takeChanges().back().to == MemberState::Leaving));
 }
 
 BOOST_AUTO_TEST_CASE(wordsThatArriveInAnyOrderGiveOneState)
 {
     std::vector<DaemonWord> words;
     for (const std::uint64_t incarnation : { 5, 6 }) {
-        for (const DaemonState state : { DaemonState::Alive, DaemonState::Suspect, DaemonState::Leaving })
+        for (const MemberState state : { MemberState::Alive, MemberState::Suspect, MemberState::Leaving })
             words.push_back({ daemonNumber(1), incarnation, state });
     }
     Random random(1);
@@ -332,7 +332,7 @@
         PeerDirectory directory(daemonNumber(0), 1);
         for (const DaemonWord& word : words)
             directory.received(PeerProbeAnswer { { daemonNumber(2).id, 1, 0, 0, false }, daemonNumber(2).id, 0, { { word }, {} } }, TimePoint(1s), random);
-        BOOST_REQUIRE((directory.state(daemonNumber(1).id) == DaemonState::Leaving));
+        BOOST_REQUIRE((directory.state(daemonNumber(1).id) == MemberState::Leaving));
     }
 }
 
--- a/packages/Peer/filbertspoke/src/Peer/internal/FromWire.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/internal/FromWire.cpp
@@ -56,7 +56,7 @@
 DaemonWord convert(wire::DaemonWord&& word)
 {
     require(word.state >= wire::DaemonState::ALIVE && word.state <= wire::DaemonState::GONE);
-    return { convert(std::move(word.daemon)), incarnation(word.incarnation), static_cast<DaemonState>(word.state) };
+    return { convert(std::move(word.daemon)), incarnation(word.incarnation), static_cast<MemberState>(word.state) };
 }
 
 EndpointWord convert(wire::EndpointWord&& word)
--- a/packages/Peer/tests/PeerFrame.cpp
+++ b/packages/Peer/tests/PeerFrame.cpp
@@ -10,7 +10,7 @@
 const ListedDaemon daemonB { DaemonId("daemon-b"), FailureDomainId("riga-b"), "127.0.0.2", 7000 };
 const PeerStatus status { daemonA.id, 1'700'000'000'000'000, 42, 3, true };
 const Gossip gossip {
-    { { daemonB, 9, DaemonState::Suspect } },
+    { { daemonB, 9, MemberState::Suspect } },
     { { EndpointId("engine-1"), EndpointSign::ListedLeaving, 250ms } },
 };
 
--- a/packages/Peer/tests/PeerLink.cpp
+++ b/packages/Peer/tests/PeerLink.cpp
@@ -75,7 +75,7 @@
     PeerProbe probe { this->statusOfA(), this->daemonA(), 1, {} };
     this->linkA.send({ this->daemonB(), probe });
     for (int index = 0; index < 100; ++index)
-        probe.gossip.daemons.push_back({ this->daemonA(), 1, DaemonState::Alive });
+        probe.gossip.daemons.push_back({ this->daemonA(), 1, MemberState::Alive });
     this->linkA.send({ this->daemonB(), probe });
     BOOST_REQUIRE(this->runUntil([this] { return this->atB.size() == 2; }));
     BOOST_TEST(this->linkB.counters().malformedFrames == 0U);
--- a/packages/Router/filbertspoke/src/Router/DaemonIdentity.h
+++ b/packages/Router/filbertspoke/src/Router/DaemonIdentity.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace filbertspoke {
 
@@ -13,6 +14,8 @@
     DaemonId id;
     FailureDomainId failureDomain;
     std::uint64_t incarnation = 0; ///< start time of the process in microseconds since 1970
+    std::string peerAddress = {}; ///< where peers reach it: the IP number in text
+    std::uint16_t peerPort = 0;
 
     auto operator<=>(const DaemonIdentity&) const = default;
 };
--- a/packages/Router/filbertspoke/src/Router/MembershipHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/MembershipHandler.cpp
@@ -1,39 +1,174 @@
 #include "MembershipHandler.h"
 
+#include <chrono>
+#include <string>
+#include <utility>
+
 namespace filbertspoke::internal {
 
-void MembershipHandler::handle(const HostsListed& event, const Now&, Actions& actions)
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t endpointWordsPerMessage = 8;
+constexpr Duration announcementInterval = 500ms; // bounds what many signs at once cost
+
+ListedDaemon ownEntry(const DaemonIdentity& identity)
 {
-    for (const ListedHost& host : event.hosts) {
-        const Endpoint* endpoint = std::get_if<Endpoint>(&host.member);
-        if (!endpoint)
-            continue;
-        if (this->known.insert(endpoint->id()).second)
-            actions.push_back(WatchEndpoint { *endpoint });
-        this->context.endpoints.put(*endpoint);
-        this->context.endpoints.setTakesNewWork(endpoint->id(), !host.leaving);
-    }
+    return { identity.id, identity.failureDomain, identity.peerAddress, identity.peerPort };
 }
 
-void MembershipHandler::handle(const EndpointReported& event, const Now& now, Actions&)
+void setEndpointWords(PeerMessage& message, std::vector<EndpointWord> words)
 {
+    std::visit(Overloaded {
+                   [&](PeerProbe& probe) { probe.gossip.endpoints = std::move(words); },
+                   [&](PeerProbeRequest& request) { request.gossip.endpoints = std::move(words); },
+                   [&](PeerProbeAnswer& answer) { answer.gossip.endpoints = std::move(words); },
+                   [](auto&) {} },
+        message);
+}
+
+}
+
+MembershipHandler::MembershipHandler(RouterContext& context)
+    : context(context)
+    , peerDirectory(ownEntry(context.identity), context.identity.incarnation)
+{
+}
+
+void MembershipHandler::handle(const HostsListed& event, const Now& now, Actions& actions)
+{
+    this->peerDirectory.listed(event.hosts, now.monotonic());
+    this->take(this->endpointDirectory.listed(event.hosts, now.monotonic()), actions);
+    this->reportPeers(actions);
+    this->announceUrgent(now, actions);
+}
+
+void MembershipHandler::handle(const EndpointReported& event, const Now& now, Actions& actions)
+{
+    this->take(this->endpointDirectory.reported(event.endpoint, event.load.draining, event.engine, now.monotonic()), actions);
     this->context.endpoints.report(event.endpoint, event.load, now.monotonic());
+    this->announceUrgent(now, actions);
+}
+
+void MembershipHandler::handle(const EndpointSilent& event, const Now& now, Actions& actions)
+{
+    this->take(this->endpointDirectory.silent(event.endpoint, now.monotonic()), actions);
+}
+
+void MembershipHandler::handle(const PeerReceived& event, const Now& now, Actions& actions)
+{
+    std::visit(Overloaded {
+                   [&](const PeerStatus& status) { this->peerDirectory.received(status, now.monotonic()); },
+                   [&](const PeerProbe& probe) { this->receive(probe, now, actions); },
+                   [&](const PeerProbeRequest& request) { this->receive(request, now, actions); },
+                   [&](const PeerProbeAnswer& answer) { this->receive(answer, now, actions); },
+                   [](const auto&) {} },
+        event.message);
+    this->reportPeers(actions);
 }
 
-void MembershipHandler::handle(const EndpointSilent&, const Now&, Actions&) { }
-void MembershipHandler::handle(const PeerReceived&, const Now&, Actions&) { }
-void MembershipHandler::handle(const PeerUnreached&, const Now&, Actions&) { }
-void MembershipHandler::handle(const StopRequested&, const Now&, Actions&) { }
-void MembershipHandler::handle(const Tick&, const Now&, Actions&) { }
+template <typename Heartbeat>
+void MembershipHandler::receive(const Heartbeat& heartbeat, const Now& now, Actions& actions)
+{
+    this->take(this->endpointDirectory.heard(heartbeat.gossip.endpoints, now.monotonic()), actions);
+    this->send(this->peerDirectory.received(heartbeat, now.monotonic(), this->context.random), now, actions);
+}
 
-std::optional<TimePoint> MembershipHandler::nextWake() const
+void MembershipHandler::handle(const PeerUnreached& event, const Now& now, Actions& actions)
 {
-    return std::nullopt;
+    this->peerDirectory.unreached(event.peer, now.monotonic());
+    this->reportPeers(actions);
+}
+
+void MembershipHandler::handle(const StopRequested&, const Now& now, Actions& actions)
+{
+    this->peerDirectory.startLeaving();
+    this->send(this->peerDirectory.announce(now.monotonic(), this->context.random), now, actions);
+}
+
+void MembershipHandler::handle(const Tick&, const Now& now, Actions& actions)
+{
+    this->send(this->peerDirectory.tick(now.monotonic(), this->context.random), now, actions);
+    this->reportPeers(actions);
+    this->announceUrgent(now, actions);
+}
+
+/** What this daemon saw first goes to a few peers at once, since their own signs may lag. */
+void MembershipHandler::announceUrgent(const Now& now, Actions& actions)
+{
+    if (this->lastAnnouncement && now.monotonic() < *this->lastAnnouncement + announcementInterval)
+        return;
+    if (!this->endpointDirectory.takeUrgency())
+        return;
+    this->lastAnnouncement = now.monotonic();
+    this->send(this->peerDirectory.announce(now.monotonic(), this->context.random), now, actions);
+}
+
+void MembershipHandler::send(PeerEnvelopes envelopes, const Now& now, Actions& actions)
+{
+    for (PeerEnvelope& envelope : envelopes) {
+        setEndpointWords(envelope.message,
+            this->endpointDirectory.takeWords(endpointWordsPerMessage, this->peerDirectory.sendsPerWord(), now.monotonic()));
+        actions.push_back(SendToPeer { std::move(envelope.peer), std::move(envelope.message) });
+    }
+}
+
+void MembershipHandler::setRequestsInProgress(std::size_t count)
+{
+    const LogOffset revision = this->context.configuration ? this->context.configuration->revision : 0;
+    this->peerDirectory.setLoad(revision, static_cast<std::uint32_t>(count));
+}
+
+void MembershipHandler::take(const EndpointChanges& changes, Actions& actions)
+{
+    for (const EndpointChange& change : changes)
+        std::visit([&](const auto& alternative) { this->take(alternative, actions); }, change);
+}
+
+void MembershipHandler::take(const EndpointDescribed& change, Actions& actions)
+{
+    const EndpointId& id = change.endpoint.id();
+    actions.push_back(WatchEndpoint { change.endpoint });
+    this->context.endpoints.put(change.endpoint);
+    this->context.endpoints.setTakesNewWork(id, this->endpointDirectory.takesNewWork(id));
+}
+
+void MembershipHandler::take(const EndpointStateChanged& change, Actions& actions)
+{
+    this->context.endpoints.setTakesNewWork(change.endpoint, change.to == MemberState::Alive);
+    if (change.to == MemberState::Gone)
+        this->context.lostEndpoints.push_back(change.endpoint);
+    actions.push_back(count("endpoint_state_changes_total", std::string(name(change.to))));
+    const bool ordinary = change.to == MemberState::Alive || change.to == MemberState::Suspect;
+    actions.push_back(WriteLog { ordinary ? WriteLog::Level::Info : WriteLog::Level::Warning, "endpoint-state",
+        { { "endpoint", change.endpoint.str() }, { "from", std::string(name(change.from)) }, { "to", std::string(name(change.to)) } } });
+}
+
+void MembershipHandler::take(const EndpointForgotten& change, Actions& actions)
+{
+    this->context.lostEndpoints.push_back(change.endpoint);
+    this->context.endpoints.remove(change.endpoint);
+    actions.push_back(ForgetEndpoint { change.endpoint });
+}
+
+void MembershipHandler::reportPeers(Actions& actions)
+{
+    for (const PeerStateChanged& change : this->peerDirectory.takeChanges()) {
+        const std::string state(change.to ? name(*change.to) : "forgotten");
+        actions.push_back(count("peer_state_changes_total", state));
+        actions.push_back(WriteLog { WriteLog::Level::Info, "peer-state", { { "peer", change.peer.str() }, { "to", state } } });
+    }
 }
 
 std::vector<PeerView> MembershipHandler::peers() const
 {
-    return {};
+    std::vector<PeerView> result;
+    for (const MemberState state : { MemberState::Alive, MemberState::Suspect, MemberState::Leaving, MemberState::Gone }) {
+        for (const ListedDaemon& peer : this->peerDirectory.peersIn(state))
+            result.push_back({ peer.id, std::string(name(state)) });
+    }
+    return result;
 }
 
 }
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -11,6 +11,7 @@
     , membership(this->context)
     , completions(this->context)
     , calls(this->context)
+    , drain(this->context)
 {
 }
 
@@ -119,12 +120,13 @@
 
 void RouterParts::handle(const StopRequested& event, const Now& now, Actions& actions)
 {
-    if (this->context.draining) {
-        this->completions.abandon(now, actions);
-        this->calls.abandon(now, actions);
-        return;
+    if (this->drain.handle(event, this->inProgress(), actions) == DrainHandler::Step::Abandon) {
+        Actions refusals;
+        this->completions.abandon(now, refusals);
+        this->calls.abandon(now, refusals);
+        this->drain.logAbandoned(refusals, actions);
+        actions.insert(actions.end(), refusals.begin(), refusals.end());
     }
-    this->context.draining = true;
     this->membership.handle(event, now, actions);
 }
 
@@ -133,10 +135,8 @@
     const std::vector<EndpointId> lost = std::exchange(this->context.lostEndpoints, {});
     for (const EndpointId& endpoint : lost)
         this->completions.endpointLost(endpoint, now, actions);
-    if (this->context.draining && !this->stopped && this->inProgress() == 0) {
-        this->stopped = true;
-        actions.push_back(StopProcess {});
-    }
+    this->membership.setRequestsInProgress(this->inProgress());
+    this->drain.settle(this->inProgress(), actions);
 }
 
 std::optional<TimePoint> RouterParts::nextWake() const
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
@@ -4,6 +4,7 @@
 #include "../CallHandler.h"
 #include "../CompletionHandler.h"
 #include "../ConfigurationHandler.h"
+#include "../DrainHandler.h"
 #include "../MembershipHandler.h"
 #include "../RouterContext.h"
 
@@ -55,7 +56,7 @@
     MembershipHandler membership;
     CompletionHandler completions;
     CallHandler calls;
-    bool stopped = false;
+    DrainHandler drain;
 };
 
 }
