--- a/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.cpp
@@ -60,7 +60,8 @@
 {
     if (record.offset < this->next())
         return {};
-    this->truncate(record.offset);
+    if (this->next() > 0)
+        this->truncate(record.offset);
     if (this->gap)
         return this->applyWaiting(record);
     return { this->applyInOrder(record) };
@@ -82,6 +83,17 @@
     return entries;
 }
 
+std::vector<AuditEntry> ConfigurationFold::waiting() const
+{
+    std::vector<AuditEntry> entries;
+    if (!this->gap)
+        return entries;
+    entries.reserve(this->gap->waiting.size());
+    for (const LogRecord& record : this->gap->waiting)
+        entries.push_back(undecided(record));
+    return entries;
+}
+
 // Starts from a known state and takes the records into account that had waited for it.
 std::vector<AuditEntry> ConfigurationFold::restore(LogOffset next, Scopes restored)
 {
@@ -100,6 +112,7 @@
 std::vector<AuditEntry> ConfigurationFold::replay(const std::vector<LogRecord>& waiting)
 {
     std::vector<AuditEntry> entries;
+    entries.reserve(waiting.size());
     for (const LogRecord& record : waiting)
         entries.push_back(record.offset < this->applied ? undecided(record) : this->applyInOrder(record));
     return entries;
--- a/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.h
@@ -38,7 +38,8 @@
 public:
     /** \brief Takes one record into account.
      *
-     * Records before next() are ignored; a record after it means that those between can't be read.
+     * Records before next() are ignored; a record after it means that those between can't be read,
+     * but for the first of all records, since a log may start at any offset.
      * \returns what the record did, and what those did that had waited for it
      */
     std::vector<AuditEntry> apply(const LogRecord&);
@@ -63,6 +64,9 @@
     /** \returns whether every record before next() is taken into account */
     bool current() const { return !this->gap; }
 
+    /** \returns the records that wait for a checkpoint, none of them decided */
+    std::vector<AuditEntry> waiting() const;
+
     /** \returns the state, or none when a record of a newer version may have changed it */
     std::optional<ConfigurationSnapshot> snapshot() const;
 
--- a/packages/Configuration/tests/ConfigurationFold.cpp
+++ b/packages/Configuration/tests/ConfigurationFold.cpp
@@ -249,6 +249,16 @@
     BOOST_TEST(shareIn(fold) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(logMayStartAtAnyOffset)
+{
+    ConfigurationFold fold;
+    fold.truncate(0);
+    fold.apply(recordAt(1, changeOf("first", answersOf("bench", 1), std::nullopt)));
+
+    BOOST_TEST(fold.current());
+    BOOST_TEST(fold.inForce()->revision == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(checkpointThatDisagreesIsIgnoredAndAudited)
 {
     const ThreeChanges log;
--- /dev/null
+++ b/packages/Control/filbertspoke/src/Control/internal/AuditReport.h
@@ -0,0 +1,15 @@
+#ifndef FILBERTSPOKE_INTERNAL_AUDIT_REPORT_H
+#define FILBERTSPOKE_INTERNAL_AUDIT_REPORT_H
+
+#include "../Command.h"
+#include "../CommandOutcome.h"
+#include "../RunCommand.h"
+
+namespace filbertspoke::internal {
+
+/** \brief Carries out AuditCommand. */
+CommandOutcome showAudit(const AuditCommand&, OutputFormat, const CommandContext&);
+
+}
+
+#endif
