--- a/packages/Endpoint/tests/Pooling.cpp
+++ b/packages/Endpoint/tests/Pooling.cpp
@@ -1,6 +1,6 @@
 #include <filbertspoke/Endpoint>
+#include <filbertspoke/ProcessTesting>
 #include <filbertspoke/StandIns>
-#include <filbertspoke/TestSupport>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
--- a/packages/StandIns/tests/EngineStandIn.cpp
+++ b/packages/StandIns/tests/EngineStandIn.cpp
@@ -1,5 +1,5 @@
+#include <filbertspoke/ProcessTesting>
 #include <filbertspoke/StandIns>
-#include <filbertspoke/TestSupport>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
--- /dev/null
+++ b/testing/filbertspoke/src/ProcessTesting/Process.h
@@ -0,0 +1,65 @@
+#ifndef FILBERTSPOKE_PROCESS_H
+#define FILBERTSPOKE_PROCESS_H
+
+#include <filbertspoke/Http>
+
+#include <boost/json/object.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace filbertspoke {
+
+/** \brief A program that a test started; its end is the end of the program. */
+class Process {
+public:
+    /** \param program name of a program of the build
+     * \throws std::runtime_error when it can't be started
+     */
+    Process(const std::string& program, const std::vector<std::string>& arguments);
+    ~Process();
+    Process(Process&&) noexcept;
+    Process& operator=(Process&&) noexcept;
+
+    /** \returns the next line of the program's standard output, or nothing at its end */
+    std::optional<std::string> readLine();
+
+    /** \brief Sends a signal. */
+    void signal(int number) const;
+
+    /** \brief Sends SIGKILL and waits for the end. */
+    void kill();
+
+    /** \brief Waits for the end.
+     * \returns the exit code, or 128 and the signal's number
+     */
+    int wait();
+
+    pid_t id() const { return this->pid; }
+
+private:
+    pid_t pid = -1;
+    int output = -1;
+    std::string buffer;
+    std::optional<int> status;
+};
+
+/** \brief A stand-in process that is ready. */
+struct StandInProcess {
+    Process process;
+    HttpAddress address;
+    HttpAddress control; ///< where a relay takes orders
+
+    /** \brief Starts filbertspoke-standin with the arguments and waits until it listens. */
+    static StandInProcess start(const std::vector<std::string>& arguments);
+};
+
+/** \returns a port on the address that nothing listens on at present */
+std::uint16_t freePort(const std::string& address);
+
+}
+
+#endif
