--- a/packages/StandIns/tests/EngineStandIn.cpp
+++ b/packages/StandIns/tests/EngineStandIn.cpp
@@ -1,5 +1,5 @@
-#include <filbertspoke/StandIns>
 #include <filbertspoke/ProcessTesting>
+#include <filbertspoke/StandIns>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
