--- a/packages/Idempotency/tests/LedgerProperty.cpp
+++ b/packages/Idempotency/tests/LedgerProperty.cpp
@@ -66,9 +66,9 @@
 {
     // What is needed for progress comes more often than faults.
     static const std::vector<Kind> kinds = [] {
-        std::vector<Kind> all;
-        for (int kind = 0; kind < static_cast<int>(Kind::Last); ++kind)
-            all.push_back(static_cast<Kind>(kind));
+        std::vector<Kind> all(static_cast<std::size_t>(Kind::Last));
+        for (std::size_t kind = 0; kind < all.size(); ++kind)
+            all[kind] = static_cast<Kind>(kind);
         for (Kind frequent : { Kind::Ask, Kind::Pass, Kind::LogAnswers, Kind::LogAnswers, Kind::LogAnswers, Kind::ServiceRuns })
             all.insert(all.end(), 4, frequent);
         return all;
