--- a/packages/Core/filbertspoke/src/Core/ErrorCode.h
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.h
@@ -49,6 +49,9 @@
     UnsupportedVersion,
     HashMismatch,
     StaleBase,
+    ApprovalMissing,
+    ChangeRepeated,
+    NameTaken,
     MalformedMessage,
     LogTruncated,
 };
