--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -119,13 +119,15 @@
     for (const EndpointId& endpoint : completion.excluded)
         builder.exclude(endpoint);
 
-    const Result<Chain> chain = Planner().plan(builder.build(), this->context.endpoints, this->context.random, now.monotonic());
+    const Result<Chain> chain = this->context.planner.plan(builder.build(), this->context.endpoints, this->context.random, now.monotonic());
     if (!chain) {
         const Refusal refusal(ErrorCode::NoPipeline, ranState(completion.run));
         this->refuse(spec.request(), refusal.retryAfter(planningRetryDelay), now, actions);
         return;
     }
     this->context.traces.add(spec.request(), now, "planned", describe(*chain));
+    this->context.endpoints.chainClosed(completion.run.chain());
+    this->context.endpoints.chainOpened(*chain);
     this->carryOut(completion, completion.run.assign(*chain), now, actions);
 }
 
@@ -302,6 +304,7 @@
     if (entry == this->completions.end())
         return;
     PipelineRun& run = entry->second.run;
+    this->context.endpoints.chainClosed(run.chain());
     if (run.outstanding())
         this->context.endpoints.workFinished(run.outstanding()->endpoint, now.monotonic() - entry->second.stepSent, now.monotonic());
     for (const RunOutput& output : run.cancel()) {
--- a/packages/Router/filbertspoke/src/Router/Router.cpp
+++ b/packages/Router/filbertspoke/src/Router/Router.cpp
@@ -6,8 +6,8 @@
 
 namespace filbertspoke {
 
-Router::Router(DaemonIdentity identity, Random::result_type seed)
-    : parts(std::make_unique<internal::RouterParts>(std::move(identity), seed))
+Router::Router(DaemonIdentity identity, Random::result_type seed, Planner planner)
+    : parts(std::make_unique<internal::RouterParts>(std::move(identity), seed, std::move(planner)))
 {
 }
 
--- a/packages/Router/filbertspoke/src/Router/Router.h
+++ b/packages/Router/filbertspoke/src/Router/Router.h
@@ -8,6 +8,7 @@
 #include "RouterStatus.h"
 
 #include <filbertspoke/Core>
+#include <filbertspoke/Routing>
 
 #include <memory>
 #include <optional>
@@ -29,8 +30,9 @@
  */
 class Router {
 public:
-    /** \param seed starts the source of every random choice */
-    Router(DaemonIdentity, Random::result_type seed);
+    /** \param seed starts the source of every random choice
+     * \param planner chooses the chains */
+    Router(DaemonIdentity, Random::result_type seed, Planner planner = Planner());
     ~Router();
     Router(Router&&) noexcept;
 
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -19,14 +19,16 @@
 
 /** \brief What the handlers of one Router share. Each field names the handler that writes it. */
 struct RouterContext {
-    RouterContext(DaemonIdentity own, Random::result_type seed)
+    RouterContext(DaemonIdentity own, Random::result_type seed, Planner choice = Planner())
         : identity(std::move(own))
+        , planner(std::move(choice))
         , endpoints(this->identity.failureDomain)
         , random(seed)
     {
     }
 
     DaemonIdentity identity;
+    Planner planner;
     EndpointView endpoints; ///< MembershipHandler; work in progress by whoever sends it
     Random random;
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -5,8 +5,8 @@
 
 namespace filbertspoke::internal {
 
-RouterParts::RouterParts(DaemonIdentity identity, Random::result_type seed)
-    : context(std::move(identity), seed)
+RouterParts::RouterParts(DaemonIdentity identity, Random::result_type seed, Planner planner)
+    : context(std::move(identity), seed, std::move(planner))
     , configuration(this->context)
     , membership(this->context)
     , completions(this->context)
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
@@ -17,7 +17,7 @@
 /** \brief The handlers of one Router, and which of them gets which event. */
 class RouterParts {
 public:
-    RouterParts(DaemonIdentity, Random::result_type seed);
+    RouterParts(DaemonIdentity, Random::result_type seed, Planner);
 
     void start(const Now&, Actions&);
 
--- a/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
@@ -55,7 +55,7 @@
         const bool limited = account.configuration.requestsPerSecond > 0 || account.configuration.maximumConcurrent > 0;
         const double rate = this->decayedRate(account, now);
         if (limited && (rate > 0 || account.waiting + account.inProgress > 0))
-            demands.push_back({ id, rate, static_cast<double>(account.waiting + account.inProgress) });
+            demands.push_back({ id, rate, account.waiting + account.inProgress });
     }
     return demands;
 }
--- a/packages/Routing/filbertspoke/src/Routing/EndpointState.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.h
@@ -40,6 +40,8 @@
     std::uint32_t ownInFlight() const { return this->ownWork; }
     /** \returns chains of this daemon that have a stage at the endpoint */
     std::uint32_t ownChains() const { return this->openChains; }
+    /** \returns chains that this daemon has ever given a stage at the endpoint */
+    std::uint64_t chainsPlaced() const { return this->placedChains; }
 
     /** \returns steps and calls that others have at the endpoint, as of the latest report */
     std::uint32_t othersLoad() const
@@ -78,6 +80,7 @@
     std::uint32_t ownWork = 0;
     std::uint32_t ownWorkAtReport = 0;
     std::uint32_t openChains = 0;
+    std::uint64_t placedChains = 0;
     internal::LatencyHistory latency; ///< of work on one token position, and of calls
     double prefillTime = 0;
     Breaker breaker;
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
@@ -92,8 +92,11 @@
 void EndpointView::chainOpened(const Chain& chain)
 {
     for (const ChainStage& stage : chain) {
-        if (EndpointState* state = this->findMutable(stage.endpoint))
-            ++state->openChains;
+        EndpointState* state = this->findMutable(stage.endpoint);
+        if (!state)
+            continue;
+        ++state->openChains;
+        ++state->placedChains;
     }
 }
 
