--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -93,8 +93,10 @@
 void CompletionHandler::admit(const CompletionReceived& event, TimePoint deadline, const Now& now, Actions& actions)
 {
     const double cost = event.maximumTokens - event.received.size();
-    const AdmissionRequest request { event.request, event.account, event.priority, deadline, cost };
-    const AdmissionDecision decision = this->currentAdmission().offer(request, now.monotonic());
+    const AdmissionRequest request { event.request, event.account, event.priority, deadline, cost, event.model };
+    Admission& admission = this->currentAdmission();
+    this->limitConcurrency(event.model);
+    const AdmissionDecision decision = admission.offer(request, now.monotonic());
     std::visit(Overloaded {
                    [&](const Admitted&) { this->plan(*this->find(event.request), now, actions); },
                    [&](const Queued&) { this->context.traces.add(event.request, now, "queued", event.account.str()); },
@@ -102,6 +104,15 @@
         decision);
 }
 
+void CompletionHandler::limitConcurrency(const ModelId& id)
+{
+    const ModelConfiguration* model = this->context.configuration->configuration.findModel(id);
+    if (!model)
+        return;
+    if (const std::optional<std::uint32_t> limit = this->concurrency.limit(*model, this->context.endpoints, this->context.daemons))
+        this->admission->setConcurrency(id, *limit);
+}
+
 void CompletionHandler::startAll(const std::vector<RequestId>& requests, const Now& now, Actions& actions)
 {
     for (const RequestId& request : requests) {
@@ -142,6 +153,8 @@
     const TimePoint sent = completion->stepSent;
     const RunOutputs outputs = completion->run.answered(event.endpoint, event.receipt);
     const bool dropped = std::holds_alternative<AnswerDropped>(outputs.front());
+    if (event.receipt.status() == StepStatus::Draining)
+        this->context.endpoints.saidDraining(event.endpoint);
     if (wasOutstanding && !dropped)
         this->context.endpoints.workFinished(event.endpoint, now.monotonic() - sent, now.monotonic());
     this->carryOut(*completion, outputs, now, actions);
@@ -311,11 +324,15 @@
         if (const auto* release = std::get_if<CacheReleased>(&output))
             actions.push_back(CancelSteps { release->endpoint, request });
     }
+    const bool whole = run.tokenCount() >= run.spec().maximumTokens();
+    const ModelId model = run.spec().model();
     this->completions.erase(entry);
     this->deadlines.erase(request);
     this->stepTimeouts.erase(request);
-    if (this->admission)
-        this->startAll(this->admission->cancel(request, now.monotonic()), now, actions);
+    if (!this->admission)
+        return;
+    this->limitConcurrency(model);
+    this->startAll(whole ? this->admission->finished(request, now.monotonic()) : this->admission->cancel(request, now.monotonic()), now, actions);
 }
 
 CompletionHandler::Completion* CompletionHandler::find(const RequestId& request)
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.h
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.h
@@ -49,6 +49,8 @@
 
     std::optional<Refusal> check(const CompletionReceived&) const;
     Admission& currentAdmission();
+    /** \brief Holds the requests in progress to what the model's engines can carry. */
+    void limitConcurrency(const ModelId&);
     void admit(const CompletionReceived&, TimePoint deadline, const Now&, Actions&);
     void startAll(const std::vector<RequestId>&, const Now&, Actions&);
     void plan(Completion&, const Now&, Actions&);
@@ -65,6 +67,7 @@
     RouterContext& context;
     std::optional<Admission> admission; ///< from the first configuration on
     LogOffset admissionRevision = 0;
+    ModelConcurrency concurrency;
     std::unordered_map<RequestId, Completion> completions;
     DeadlineQueue<RequestId> deadlines; ///< of whole requests
     DeadlineQueue<RequestId> stepTimeouts; ///< of the outstanding step of each request
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -33,6 +33,7 @@
     Random random;
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
+    std::uint32_t daemons = 1; ///< RouterParts: those that are not gone, with this one
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
     TraceJournal traces;
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -91,6 +91,7 @@
 void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
 {
     this->membership.handle(event, now, actions);
+    this->countDaemons();
 }
 
 void RouterParts::handle(const HostListFailed&, const Now&, Actions& actions)
@@ -101,12 +102,14 @@
 void RouterParts::handle(const PeerReceived& event, const Now& now, Actions& actions)
 {
     this->membership.handle(event, now, actions);
+    this->countDaemons();
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
 {
     this->membership.handle(event, now, actions);
+    this->countDaemons();
     this->calls.handle(event, now, actions);
 }
 
@@ -139,6 +142,13 @@
     this->drain.settle(this->inProgress(), actions);
 }
 
+void RouterParts::countDaemons()
+{
+    const PeerDirectory& directory = this->membership.directory();
+    const std::size_t peers = directory.peersIn(MemberState::Alive).size() + directory.peersIn(MemberState::Suspect).size();
+    this->context.daemons = static_cast<std::uint32_t>(peers + 1);
+}
+
 std::optional<TimePoint> RouterParts::nextWake() const
 {
     const std::optional<TimePoint> control = earlier(this->configuration.nextWake(), this->membership.nextWake());
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
@@ -50,6 +50,7 @@
 
 private:
     std::size_t inProgress() const;
+    void countDaemons();
 
     RouterContext context;
     ConfigurationHandler configuration;
--- a/packages/Routing/filbertspoke/src/Routing/Admission.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/Admission.cpp
@@ -7,9 +7,17 @@
 
 namespace internal {
 
-constexpr int serviceTimeSmoothing = 16; ///< one request moves the smoothed time by a sixteenth
+constexpr double serviceGain = 1.0 / 16; ///< part by which one request moves the smoothed times
 constexpr Duration shortestRetryDelay = std::chrono::milliseconds(100);
 constexpr double fewestSlots = 1e-3; ///< keeps divisions by slots finite
+constexpr double leastCost = 1e-6; ///< keeps divisions by costs finite
+
+void smooth(double& mean, double sample)
+{
+    mean += (sample - mean) * (mean == 0 ? 1.0 : serviceGain);
+}
+
+Duration microseconds(double value) { return Duration(static_cast<Duration::rep>(value)); }
 
 }
 
@@ -59,13 +67,14 @@
     const Duration wait = this->expectedWait(request, pool, now);
     if (ahead >= this->limits.queuedPerAccount)
         return this->refusal(ErrorCode::QueueFull, wait);
-    if (now + wait > request.deadline)
-        return this->refusal(ErrorCode::DeadlineUnreachable, now + wait - request.deadline);
+    const TimePoint expectedEnd = now + wait + this->expectedService(request, pool);
+    if (expectedEnd > request.deadline)
+        return this->refusal(ErrorCode::DeadlineUnreachable, expectedEnd - request.deadline);
 
     pool.queue.push(request);
     this->accountLimiter.queued(request.account);
     this->waiting.emplace(request.request, request);
-    this->deadlines.emplace(request.deadline, request.request);
+    pool.deadlines.emplace(request.deadline, request.request);
     return Queued { wait };
 }
 
@@ -76,9 +85,9 @@
         return {};
     const AdmissionRequest& request = place->second.request;
     Pool& pool = this->pool(request.pool);
-    const Duration taken = now - place->second.startedAt;
-    const bool first = pool.serviceTime == Duration::zero();
-    pool.serviceTime = first ? taken : pool.serviceTime + (taken - pool.serviceTime) / internal::serviceTimeSmoothing;
+    const auto taken = static_cast<double>((now - place->second.startedAt).count());
+    internal::smooth(pool.serviceTime, taken);
+    internal::smooth(pool.timePerCost, taken / std::max(usedCost.value_or(request.cost), internal::leastCost));
     if (usedCost)
         pool.queue.correct(request.account, *usedCost - request.cost);
     return this->endRunning(place, now);
@@ -104,20 +113,22 @@
 std::vector<RefusedRequest> Admission::expire(TimePoint now)
 {
     std::vector<RefusedRequest> refused;
-    while (!this->deadlines.empty() && this->deadlines.begin()->first < now) {
-        const AdmissionRequest request = this->waiting.at(this->deadlines.begin()->second);
-        this->removeWaiting(request);
-        const Duration wait = this->expectedWait(request, this->pool(request.pool), now);
-        refused.push_back({ request.request, this->refusal(ErrorCode::DeadlineExceeded, wait) });
-    }
+    for (auto& [id, pool] : this->pools)
+        this->expireFrom(pool, now, refused);
     return refused;
 }
 
 std::optional<TimePoint> Admission::nextWake() const
 {
-    if (this->deadlines.empty())
-        return std::nullopt;
-    return this->deadlines.begin()->first + Duration(1);
+    std::optional<TimePoint> earliest;
+    for (const auto& [id, pool] : this->pools) {
+        if (pool.deadlines.empty())
+            continue;
+        const auto& [deadline, request] = *pool.deadlines.begin();
+        const TimePoint latestStart = deadline - this->expectedService(this->waiting.at(request), pool) + Duration(1);
+        earliest = earliest ? std::min(*earliest, latestStart) : latestStart;
+    }
+    return earliest;
 }
 
 Admission::Pool& Admission::pool(const AdmissionPool& id)
@@ -146,7 +157,7 @@
 {
     this->pool(request.pool).queue.erase(request);
     this->accountLimiter.unqueued(request.account);
-    this->deadlines.erase({ request.deadline, request.request });
+    this->pool(request.pool).deadlines.erase({ request.deadline, request.request });
     this->waiting.erase(request.request);
 }
 
@@ -179,13 +190,31 @@
     }
 }
 
+void Admission::expireFrom(Pool& pool, TimePoint now, std::vector<RefusedRequest>& refused)
+{
+    while (!pool.deadlines.empty()) {
+        const auto& [deadline, id] = *pool.deadlines.begin();
+        const AdmissionRequest request = this->waiting.at(id);
+        const Duration service = this->expectedService(request, pool);
+        if (now + service <= deadline)
+            return;
+        this->removeWaiting(request);
+        refused.push_back({ request.request, this->refusal(ErrorCode::DeadlineUnreachable, this->expectedWait(request, pool, now) + service) });
+    }
+}
+
+Duration Admission::expectedService(const AdmissionRequest& request, const Pool& pool) const
+{
+    return internal::microseconds(pool.timePerCost * request.cost);
+}
+
 Duration Admission::expectedWait(const AdmissionRequest& request, const Pool& pool, TimePoint now) const
 {
     double slots = pool.queue.share(request.account) * pool.concurrency.value_or(this->limits.concurrent);
     if (const std::optional<std::uint32_t> limit = this->accountLimiter.concurrency(request.account, now))
         slots = std::min<double>(slots, *limit);
     const double rounds = static_cast<double>(pool.queue.queued(request.account) + 1) / std::max(slots, internal::fewestSlots);
-    return Duration(static_cast<Duration::rep>(rounds * static_cast<double>(pool.serviceTime.count())));
+    return internal::microseconds(rounds * pool.serviceTime);
 }
 
 Refusal Admission::refusal(ErrorCode code, Duration delay) const
--- a/packages/Routing/filbertspoke/src/Routing/Admission.h
+++ b/packages/Routing/filbertspoke/src/Routing/Admission.h
@@ -33,7 +33,8 @@
 /** \brief Decides which request starts, waits or is refused, fairly among client accounts.
  *
  * Each pool is shared by weighted fair queueing over the cost of requests; priorities order requests
- * within an account. A request that can't be started by its deadline is refused at once.
+ * within an account. A request that can't be answered by its deadline, as far as the pool's past tells,
+ * is refused at once, and so is one that waits as soon as that shows.
  */
 class Admission {
 public:
@@ -55,7 +56,8 @@
     std::vector<RequestId> cancel(const RequestId&, TimePoint);
     /** \returns the requests that start now because limits or shares have grown */
     std::vector<RequestId> startWaiting(TimePoint);
-    /** \returns the waiting requests whose deadline has passed, each with its final answer */
+    /** \returns the waiting requests that can't be answered by their deadline any more, each with its
+     * final answer */
     std::vector<RefusedRequest> expire(TimePoint);
     /** \returns when expire() has something to do at the earliest */
     std::optional<TimePoint> nextWake() const;
@@ -72,7 +74,9 @@
         FairQueue queue;
         std::optional<std::uint32_t> concurrency;
         std::uint32_t inProgress = 0;
-        Duration serviceTime {}; ///< smoothed time that a request is in progress
+        std::set<std::pair<TimePoint, RequestId>> deadlines; ///< of waiting requests
+        double serviceTime = 0; ///< smoothed microseconds that a request is in progress
+        double timePerCost = 0; ///< smoothed microseconds in progress for each unit of cost
     };
 
     struct Running {
@@ -86,6 +90,9 @@
     void removeWaiting(const AdmissionRequest&);
     std::vector<RequestId> endRunning(std::unordered_map<RequestId, Running>::iterator, TimePoint);
     void startFrom(Pool&, TimePoint, std::vector<RequestId>& started);
+    void expireFrom(Pool&, TimePoint, std::vector<RefusedRequest>&);
+    /** \returns the time from the start of a request to its end */
+    Duration expectedService(const AdmissionRequest&, const Pool&) const;
     Duration expectedWait(const AdmissionRequest&, const Pool&, TimePoint) const;
     Refusal refusal(ErrorCode, Duration delay) const;
 
@@ -95,7 +102,6 @@
     AccountLimiter accountLimiter;
     std::map<AdmissionPool, Pool> pools;
     std::unordered_map<RequestId, AdmissionRequest> waiting;
-    std::set<std::pair<TimePoint, RequestId>> deadlines;
     std::unordered_map<RequestId, Running> running;
 };
 
--- a/packages/Routing/filbertspoke/src/Routing/AdmissionRequest.h
+++ b/packages/Routing/filbertspoke/src/Routing/AdmissionRequest.h
@@ -17,7 +17,7 @@
     RequestId request;
     AccountId account;
     std::int32_t priority = 0; ///< higher goes first within the account
-    TimePoint deadline; ///< the request is worth nothing when it starts later
+    TimePoint deadline; ///< the answer is worth nothing when it is whole later
     double cost = 1; ///< work that it takes, in tokens for completions
     AdmissionPool pool {};
 
--- a/packages/Routing/filbertspoke/src/Routing/EndpointState.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.h
@@ -85,6 +85,7 @@
     double prefillTime = 0;
     Breaker breaker;
     std::size_t groupPosition = 0;
+    double countedCapacity = 0; ///< the part of its group's capacity
 };
 
 }
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
@@ -38,8 +38,11 @@
 
 void EndpointView::setTakesNewWork(const EndpointId& id, bool takes)
 {
-    if (EndpointState* state = this->findMutable(id))
-        state->newWorkAllowed = takes;
+    EndpointState* state = this->findMutable(id);
+    if (!state)
+        return;
+    state->newWorkAllowed = takes;
+    this->countCapacity(*state);
 }
 
 void EndpointView::report(const EndpointId& id, const LoadReport& load, TimePoint now)
@@ -52,6 +55,16 @@
         state->rampStart = now;
     state->reportTime = now;
     state->ownWorkAtReport = state->ownWork;
+    this->countCapacity(*state);
+}
+
+void EndpointView::saidDraining(const EndpointId& id)
+{
+    EndpointState* state = this->findMutable(id);
+    if (!state)
+        return;
+    state->latestLoad.draining = true;
+    this->countCapacity(*state);
 }
 
 void EndpointView::workStarted(const EndpointId& id, TimePoint now)
@@ -138,33 +151,54 @@
     return place == this->states.end() ? nullptr : &place->second;
 }
 
-void EndpointView::insertIntoIndex(EndpointState& state)
+internal::EndpointGroup& EndpointView::group(const EndpointState& state)
 {
-    std::visit(Overloaded {
-                   [&](const EngineRole& role) { this->enginesByModel[{ role.model, role.version }][role.layers].insert(state, this->isLocal(state)); },
-                   [&](const ServiceRole& role) { this->replicasByService[role.service].insert(state, this->isLocal(state)); } },
+    return std::visit(Overloaded {
+                          [&](const EngineRole& role) -> internal::EndpointGroup& {
+                              return this->enginesByModel[{ role.model, role.version }][role.layers];
+                          },
+                          [&](const ServiceRole& role) -> internal::EndpointGroup& { return this->replicasByService[role.service]; } },
         state.endpoint().role());
 }
 
+void EndpointView::countCapacity(EndpointState& state)
+{
+    const double capacity = state.takesNewWork() ? state.load().tokensPerSecond : 0;
+    if (capacity == state.countedCapacity)
+        return;
+    this->group(state).addCapacity(capacity - state.countedCapacity);
+    state.countedCapacity = capacity;
+    ++this->capacityChanges;
+}
+
+void EndpointView::insertIntoIndex(EndpointState& state)
+{
+    this->group(state).insert(state, this->isLocal(state));
+    this->countCapacity(state);
+}
+
 void EndpointView::eraseFromIndex(EndpointState& state)
+{
+    internal::EndpointGroup& group = this->group(state);
+    group.erase(state, this->isLocal(state));
+    group.addCapacity(-state.countedCapacity);
+    state.countedCapacity = 0;
+    ++this->capacityChanges;
+    if (group.empty())
+        this->eraseGroup(state.endpoint().role());
+}
+
+void EndpointView::eraseGroup(const EndpointRole& endpointRole)
 {
     std::visit(Overloaded {
                    [&](const EngineRole& role) {
                        auto model = this->enginesByModel.find({ role.model, role.version });
-                       auto group = model->second.find(role.layers);
-                       group->second.erase(state, this->isLocal(state));
-                       if (group->second.empty())
-                           model->second.erase(group);
+                       model->second.erase(role.layers);
                        if (model->second.empty())
                            this->enginesByModel.erase(model);
                    },
-                   [&](const ServiceRole& role) {
-                       auto group = this->replicasByService.find(role.service);
-                       group->second.erase(state, this->isLocal(state));
-                       if (group->second.empty())
-                           this->replicasByService.erase(group);
-                   } },
-        state.endpoint().role());
+                   [&](const ServiceRole& role) { this->replicasByService.erase(role.service); } },
+        endpointRole);
 }
 
 }
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.h
@@ -40,6 +40,8 @@
     void setTakesNewWork(const EndpointId&, bool);
 
     void report(const EndpointId&, const LoadReport&, TimePoint);
+    /** \brief Takes an endpoint's own word that it takes no new work, before its next report says so. */
+    void saidDraining(const EndpointId&);
     /** \brief Notes that a step or call was sent. Each is ended by workFinished() or workFailed(). */
     void workStarted(const EndpointId&, TimePoint);
     /** \param latency from sending the work to its answer
@@ -62,6 +64,9 @@
     /** \returns the replicas of a plain service, or null when none is known */
     const internal::EndpointGroup* replicas(const ServiceId&) const;
 
+    /** \returns a number that grows whenever the capacity of a group has changed */
+    std::uint64_t capacityRevision() const { return this->capacityChanges; }
+
     /** \brief Calls \a visit with every EndpointState, in no particular order. */
     template <typename Visitor>
     void forEach(Visitor&& visit) const
@@ -73,13 +78,17 @@
 private:
     bool isLocal(const EndpointState&) const;
     EndpointState* findMutable(const EndpointId&);
+    internal::EndpointGroup& group(const EndpointState&);
+    void countCapacity(EndpointState&);
     void insertIntoIndex(EndpointState&);
     void eraseFromIndex(EndpointState&);
+    void eraseGroup(const EndpointRole&);
 
     FailureDomainId ownDomain;
     std::unordered_map<EndpointId, EndpointState> states;
     std::map<std::pair<ModelId, std::string>, EngineGroups> enginesByModel;
     std::map<ServiceId, internal::EndpointGroup> replicasByService;
+    std::uint64_t capacityChanges = 0;
 };
 
 }
--- a/packages/Routing/filbertspoke/src/Routing/internal/EndpointGroup.h
+++ b/packages/Routing/filbertspoke/src/Routing/internal/EndpointGroup.h
@@ -39,6 +39,9 @@
     const Members& remote() const { return this->membersByPlace[1]; }
     std::size_t size() const { return this->local().size() + this->remote().size(); }
     bool empty() const { return this->size() == 0; }
+    /** \returns the rate at full load of the endpoints that take new work and report one */
+    double capacity() const { return this->summedCapacity; }
+    void addCapacity(double difference) { this->summedCapacity += difference; }
 
     /** \brief Calls \a visit with every EndpointState of the group. */
     template <typename Visitor>
@@ -52,6 +55,7 @@
 
 private:
     std::array<Members, 2> membersByPlace;
+    double summedCapacity = 0;
 };
 
 }
