--- a/packages/Control/tests/Arguments.cpp
+++ b/packages/Control/tests/Arguments.cpp
@@ -1,5 +1,5 @@
 #include <filbertspoke/Control>
-#include <filbertspoke/TestSupport>
+#include <filbertspoke/ProcessTesting>
 
 #include <string>
 #include <vector>
--- a/packages/Control/tests/LogTransport.h
+++ b/packages/Control/tests/LogTransport.h
@@ -3,7 +3,7 @@
 
 #include <filbertspoke/Control>
 #include <filbertspoke/StandIns>
-#include <filbertspoke/TestSupport>
+#include <filbertspoke/ProcessTesting>
 
 #include <functional>
 #include <string>
