Caller: a stream's header no longer ends the stream

Cause: the header was written as a whole message of an empty body, which ends with the last chunk, so callers saw an empty stream. Ruled out: router and engines, whose log showed the tokens. Change: only the header part is written.

--- a/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
@@ -240,7 +240,8 @@
     head.set("Filbertspoke-Request", this->request.str());
     head.chunked(true);
     head.keep_alive(this->keepAlive);
-    this->queue(serialized(head));
+    // Only the header: a whole message would end with the last chunk.
+    this->queue(serialized(head.base()));
 }
 
 void CallerSession::sendWhole(unsigned status, std::string contentType, std::string body, std::optional<Duration> retryAfter)
