--- a/packages/Control/tests/LogTransport.h
+++ b/packages/Control/tests/LogTransport.h
@@ -2,8 +2,8 @@
 #define FILBERTSPOKE_TESTS_LOG_TRANSPORT_H
 
 #include <filbertspoke/Control>
-#include <filbertspoke/StandIns>
 #include <filbertspoke/ProcessTesting>
+#include <filbertspoke/StandIns>
 
 #include <functional>
 #include <string>
