Caller: the stream's test sees a last chunk that comes too early

Change: the last chunk may stand only at the end. Before (fault put back): passes. After (fault put back): fails, 133 != 280; without the fault 8 of 8 pass.

--- a/packages/Caller/tests/Answers.cpp
+++ b/packages/Caller/tests/Answers.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 const std::string streamed = R"({"model":"m","prompt":"true the wheel","max_tokens":2,"stream":true})";
+const std::string lastChunk = "\r\n0\r\n\r\n";
 const std::string whole = R"({"model":"m","prompt":"true the wheel","max_tokens":2})";
 
 }
@@ -24,7 +25,8 @@
     this->server.carryOut(CompleteRequest { event.request, "length" });
     caller.expect("id: 1\ndata: {\"token\":\"rim\"}\n\n");
     caller.expect("event: done");
-    caller.expect("\r\n0\r\n\r\n");
+    caller.expect(lastChunk);
+    BOOST_TEST(caller.received.find(lastChunk) == caller.received.size() - lastChunk.size());
 }
 
 BOOST_FIXTURE_TEST_CASE(wholeAnswerComesInOnePiece, ServerFixture)
