--- a/packages/Router/tests/Completions.cpp
+++ b/packages/Router/tests/Completions.cpp
@@ -1,54 +1,21 @@
-#include <filbertspoke/Router>
+#include "RouterScene.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-
 using namespace filbertspoke;
+using namespace filbertspoke::testing;
 using namespace std::chrono_literals;
 
 namespace {
 
-const std::string questionnaireText = R"(organisation: Test
-team: bench
-weighsMore: throughput
-failureDomains: [a]
-models:
-    - name: m
-      version: v1
-      layers: 8
-      longestAnswerTokens: 16
-      answerWithinMs: 10000
-accounts:
-    - name: acme
-)";
-
-std::string changeRecord()
-{
-    const auto parsed = parseQuestionnaire(questionnaireText);
-    const Questionnaire& questionnaire = std::get<Questionnaire>(parsed);
-    Approval approval;
-    approval.change = "0190f7c0-0000-7000-8000-000000000001";
-    approval.scope = "bench";
-    approval.author = "author";
-    approval.approver = "approver";
-    approval.answers = questionnaireText;
-    return configurationRecordJson(makeChange(questionnaire, approval, std::nullopt));
-}
-
-ListedHost engine(const std::string& id, LayerRange layers)
-{
-    return { Endpoint::Builder(EndpointId(id)).host(HostId(id)).address("127.0.0.1", 1).failureDomain(FailureDomainId("a")).role(EngineRole { ModelId("m"), "v1", layers }).build(), false };
-}
-
 /** \brief A Router in virtual time, with engines that answer on demand. */
 struct Fixture {
     Fixture()
         : router({ DaemonId("d"), FailureDomainId("a"), 1 }, 7)
     {
         this->router.start(this->now);
-        this->handle(RecordsRead { "configuration", { { "configuration", 0, changeRecord() } }, 0, 1 });
-        this->list({ engine("e1", { 0, 4 }), engine("e2", { 4, 8 }), engine("e3", { 4, 8 }) });
+        this->handle(RecordsRead { "configuration", { { "configuration", 0, firstChange() } }, 0, 1 });
+        this->list({ engineLine("e1", { 0, 4 }), engineLine("e2", { 4, 8 }), engineLine("e3", { 4, 8 }) });
         for (const char* id : { "e1", "e2", "e3" })
             this->handle(EndpointReported { EndpointId(id), LoadReport { 0, 0, 100, false }, std::nullopt });
     }
@@ -83,17 +50,6 @@
     Now now { TimePoint {}, WallTime {} };
 };
 
-template <typename Kind>
-std::vector<Kind> collect(const Actions& actions)
-{
-    std::vector<Kind> found;
-    for (const Action& action : actions) {
-        if (const auto* match = std::get_if<Kind>(&action))
-            found.push_back(*match);
-    }
-    return found;
-}
-
 SendStep onlyStep(const Actions& actions)
 {
     const auto steps = collect<SendStep>(actions);
@@ -187,7 +143,7 @@
 
 BOOST_FIXTURE_TEST_CASE(noPipelineIsRefusedAtOnceWithWhenToComeBack, Fixture)
 {
-    this->list({ { engine("e1", { 0, 4 }).member, true }, engine("e2", { 4, 8 }), engine("e3", { 4, 8 }) });
+    this->list({ { engineLine("e1", { 0, 4 }).member, true }, engineLine("e2", { 4, 8 }), engineLine("e3", { 4, 8 }) });
     const Actions actions = this->ask(1);
     BOOST_TEST((refusalCode(actions) == ErrorCode::NoPipeline));
     BOOST_TEST(collect<RefuseRequest>(actions).front().refusal.retryAfter().has_value());
--- a/testing/filbertspoke/src/Testing/Property.h
+++ b/testing/filbertspoke/src/Testing/Property.h
@@ -42,7 +42,7 @@
     std::ostringstream report;
     rc::detail::printResultMessage(result, report);
     const bool passed = result.template is<rc::detail::SuccessResult>();
-    BOOST_TEST(passed, report.str() << "\nreplay: FILBERTSPOKE_SEED=" << parameters.seed << " FILBERTSPOKE_CASES=" << parameters.maxSuccess << ' ' << boost::unit_test::framework::master_test_suite().argv[0] << " --run_test=" << testCase.p_name);
+    BOOST_TEST(passed, report.str() << "\nreplay: FILBERTSPOKE_SEED=" << parameters.seed << " FILBERTSPOKE_CASES=" << parameters.maxSuccess << " " << boost::unit_test::framework::master_test_suite().argv[0] << " --run_test=" << testCase.p_name);
 }
 
 }
