--- a/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.cpp
@@ -253,6 +253,14 @@
     return snapshot;
 }
 
+std::map<std::string, LogOffset> ConfigurationFold::revisions() const
+{
+    std::map<std::string, LogOffset> revisions;
+    for (const auto& [scope, state] : this->scopes)
+        revisions.emplace(scope, state.revision.revision);
+    return revisions;
+}
+
 const ScopeRevision* ConfigurationFold::findScope(const std::string& scope) const
 {
     const auto state = this->scopes.find(scope);
--- a/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/ConfigurationFold.h
@@ -73,6 +73,8 @@
     /** \returns the configuration in force, or null as long as there is none */
     const std::shared_ptr<const ConfigurationInForce>& inForce() const { return this->merged; }
 
+    /** \returns the revision in force of each scope */
+    std::map<std::string, LogOffset> revisions() const;
     /** \returns the change in force in a scope, or null */
     const ScopeRevision* findScope(const std::string& scope) const;
     /** \returns the configuration in force of one scope alone, or null */
