--- /dev/null
+++ b/packages/Membership/filbertspoke/src/Membership/EndpointChange.h
@@ -0,0 +1,42 @@
+#ifndef FILBERTSPOKE_ENDPOINT_CHANGE_H
+#define FILBERTSPOKE_ENDPOINT_CHANGE_H
+
+#include "MemberState.h"
+
+#include <filbertspoke/Core>
+
+#include <variant>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief An endpoint is new, or its description changed. */
+struct EndpointDescribed {
+    Endpoint endpoint;
+
+    bool operator==(const EndpointDescribed&) const = default;
+};
+
+/** \brief An endpoint's state changed. */
+struct EndpointStateChanged {
+    EndpointId endpoint;
+    MemberState from = MemberState::Suspect;
+    MemberState to = MemberState::Suspect;
+
+    bool operator==(const EndpointStateChanged&) const = default;
+};
+
+/** \brief An endpoint is gone for good: neither the host list nor the endpoint speaks of it. */
+struct EndpointForgotten {
+    EndpointId endpoint;
+
+    bool operator==(const EndpointForgotten&) const = default;
+};
+
+using EndpointChange = std::variant<EndpointDescribed, EndpointStateChanged, EndpointForgotten>;
+
+using EndpointChanges = std::vector<EndpointChange>;
+
+}
+
+#endif
--- a/packages/Router/filbertspoke/src/Router/ConfigurationHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/ConfigurationHandler.cpp
@@ -113,7 +113,7 @@
         actions.push_back(WriteLog { WriteLog::Level::Info, "configuration-in-force", { { "revision", offsetText(revision) }, { "scope", scope }, { "hash", this->fold.findScope(scope)->approval.hash } } });
     }
     this->revisionsInForce = revisions;
-    this->context.configuration = *this->fold.inForce();
+    this->context.configuration = this->fold.inForce();
 }
 
 void ConfigurationHandler::handle(const ReadFailed& event, const Now&, Actions&)
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -11,6 +11,7 @@
     , membership(this->context)
     , completions(this->context)
     , calls(this->context)
+    , drain(this->context)
 {
 }
 
@@ -74,21 +75,25 @@
 
 void RouterParts::handle(const ReadFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const RecordsAppended& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const AppendFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->membership.handle(event, now, actions);
 }
 
@@ -101,6 +106,7 @@
 {
     this->membership.handle(event, now, actions);
     this->calls.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
 }
 
 void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
@@ -111,7 +117,7 @@
 
 void RouterParts::handle(const Tick& event, const Now& now, Actions& actions)
 {
-    this->configuration.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
     this->membership.handle(event, now, actions);
     this->completions.handle(event, now, actions);
     this->calls.handle(event, now, actions);
@@ -119,12 +125,13 @@
 
 void RouterParts::handle(const StopRequested& event, const Now& now, Actions& actions)
 {
-    if (this->context.draining) {
-        this->completions.abandon(now, actions);
-        this->calls.abandon(now, actions);
-        return;
+    if (this->drain.handle(event, this->inProgress(), actions) == DrainHandler::Step::Abandon) {
+        Actions refusals;
+        this->completions.abandon(now, refusals);
+        this->calls.abandon(now, refusals);
+        this->drain.logAbandoned(refusals, actions);
+        actions.insert(actions.end(), refusals.begin(), refusals.end());
     }
-    this->context.draining = true;
     this->membership.handle(event, now, actions);
 }
 
@@ -133,10 +140,8 @@
     const std::vector<EndpointId> lost = std::exchange(this->context.lostEndpoints, {});
     for (const EndpointId& endpoint : lost)
         this->completions.endpointLost(endpoint, now, actions);
-    if (this->context.draining && !this->stopped && this->inProgress() == 0) {
-        this->stopped = true;
-        actions.push_back(StopProcess {});
-    }
+    this->membership.setRequestsInProgress(this->inProgress());
+    this->drain.settle(this->inProgress(), actions);
 }
 
 std::optional<TimePoint> RouterParts::nextWake() const
@@ -150,7 +155,7 @@
     RouterStatus status;
     status.identity = this->context.identity;
     status.draining = this->context.draining;
-    status.ready = this->context.configuration.has_value() && !this->context.draining;
+    status.ready = this->context.configuration != nullptr && !this->context.draining;
     if (this->context.configuration)
         status.configurationRevision = this->context.configuration->revision;
     status.requestsInProgress = static_cast<std::uint32_t>(this->inProgress());
