--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -4,9 +4,15 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
+#include <condition_variable>
 #include <csignal>
+#include <deque>
+#include <mutex>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 #include <fcntl.h>
@@ -21,6 +27,7 @@
 namespace {
 
 constexpr int signalledExit = 128;
+constexpr std::chrono::seconds hangLimit { 30 };
 
 std::array<int, 2> openPipe()
 {
@@ -32,6 +39,64 @@
 
 }
 
+/** \brief The lines that a program has written. */
+class Process::Output {
+public:
+    explicit Output(int descriptor)
+        : descriptor(descriptor)
+        , thread([this] { this->collect(); })
+    {
+    }
+
+    // The program must have ended: the thread reads up to the end of its output.
+    ~Output()
+    {
+        this->thread.join();
+        ::close(this->descriptor);
+    }
+
+    std::optional<std::string> takeLine()
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait_for(lock, hangLimit, [this] { return this->ended || !this->lines.empty(); });
+        if (this->lines.empty())
+            return std::nullopt;
+        std::string line = std::move(this->lines.front());
+        this->lines.pop_front();
+        return line;
+    }
+
+private:
+    void collect()
+    {
+        std::string rest;
+        std::array<char, 4096> chunk {};
+        for (ssize_t bytes = 1; bytes > 0;) {
+            bytes = ::read(this->descriptor, chunk.data(), chunk.size());
+            rest.append(chunk.data(), static_cast<std::size_t>(std::max<ssize_t>(bytes, 0)));
+            this->addLines(rest, bytes <= 0);
+        }
+    }
+
+    void addLines(std::string& text, bool last)
+    {
+        const std::lock_guard lock(this->mutex);
+        for (auto end = text.find('\n'); end != std::string::npos; end = text.find('\n')) {
+            this->lines.push_back(text.substr(0, end));
+            text.erase(0, end + 1);
+        }
+        this->ended = last;
+        this->changed.notify_all();
+    }
+
+    int descriptor;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<std::string> lines;
+    bool ended = false;
+    std::thread thread; ///< last, so that it sees the other members whole
+};
+
 Process::Process(const std::string& program, const std::vector<std::string>& arguments)
 {
     const std::string path = std::string(FILBERTSPOKE_PROGRAMS) + "/" + program;
@@ -47,23 +112,22 @@
     const int error = ::posix_spawn(&this->pid, path.c_str(), &files, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&files);
     ::close(ends[1]);
-    this->output = ends[0];
-    if (error != 0)
+    if (error != 0) {
+        ::close(ends[0]);
         throw std::runtime_error("can't start " + path);
+    }
+    this->output = std::make_shared<Output>(ends[0]);
 }
 
 Process::~Process()
 {
     if (this->pid > 0 && !this->status)
         this->kill();
-    if (this->output >= 0)
-        ::close(this->output);
 }
 
 Process::Process(Process&& other) noexcept
     : pid(std::exchange(other.pid, -1))
-    , output(std::exchange(other.output, -1))
-    , buffer(std::move(other.buffer))
+    , output(std::move(other.output))
     , status(other.status)
 {
 }
@@ -72,26 +136,13 @@
 {
     std::swap(this->pid, other.pid);
     std::swap(this->output, other.output);
-    std::swap(this->buffer, other.buffer);
     std::swap(this->status, other.status);
     return *this;
 }
 
 std::optional<std::string> Process::readLine()
 {
-    for (;;) {
-        const auto end = this->buffer.find('\n');
-        if (end != std::string::npos) {
-            std::string line = this->buffer.substr(0, end);
-            this->buffer.erase(0, end + 1);
-            return line;
-        }
-        std::array<char, 4096> chunk {};
-        const ssize_t bytes = ::read(this->output, chunk.data(), chunk.size());
-        if (bytes <= 0)
-            return std::nullopt;
-        this->buffer.append(chunk.data(), static_cast<std::size_t>(bytes));
-    }
+    return this->output->takeLine();
 }
 
 void Process::signal(int number) const
--- a/testing/filbertspoke/src/ProcessTesting/Process.h
+++ b/testing/filbertspoke/src/ProcessTesting/Process.h
@@ -5,6 +5,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,7 +14,10 @@
 
 namespace filbertspoke {
 
-/** \brief A program that a test started; its end is the end of the program. */
+/** \brief A program that a test started; its end is the end of the program.
+ *
+ * A thread reads the program's standard output, so that the program never waits for the test.
+ */
 class Process {
 public:
     /** \param program name of a program of the build
@@ -24,7 +28,9 @@
     Process(Process&&) noexcept;
     Process& operator=(Process&&) noexcept;
 
-    /** \returns the next line of the program's standard output, or nothing at its end */
+    /** \brief Waits for the next line of the program's standard output.
+     * \returns nothing at its end, or after a generous time limit against hanging
+     */
     std::optional<std::string> readLine();
 
     /** \brief Sends a signal. */
@@ -41,9 +47,10 @@
     pid_t id() const { return this->pid; }
 
 private:
+    class Output;
+
     pid_t pid = -1;
-    int output = -1;
-    std::string buffer;
+    std::shared_ptr<Output> output;
     std::optional<int> status;
 };
 
