--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -75,21 +75,25 @@
 
 void RouterParts::handle(const ReadFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const RecordsAppended& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const AppendFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->membership.handle(event, now, actions);
 }
 
@@ -102,6 +106,7 @@
 {
     this->membership.handle(event, now, actions);
     this->calls.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
 }
 
 void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
@@ -112,7 +117,7 @@
 
 void RouterParts::handle(const Tick& event, const Now& now, Actions& actions)
 {
-    this->configuration.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
     this->membership.handle(event, now, actions);
     this->completions.handle(event, now, actions);
     this->calls.handle(event, now, actions);
