--- a/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.cpp
@@ -1,7 +1,6 @@
 #include "EndpointDirectory.h"
 
 #include <algorithm>
-#include <set>
 
 namespace filbertspoke {
 
@@ -23,11 +22,12 @@
     EndpointChanges changes;
     if (std::none_of(hosts.begin(), hosts.end(), namesAnEndpoint))
         return changes;
+    ++this->readings;
     for (const ListedHost& host : hosts) {
         if (const auto* endpoint = std::get_if<Endpoint>(&host.member))
             this->takeEntry(*endpoint, host.leaving, now, changes);
     }
-    this->takeAbsence(hosts, now, changes);
+    this->takeAbsence(now, changes);
     this->forgetOld(now, changes);
     return changes;
 }
@@ -35,6 +35,7 @@
 void EndpointDirectory::takeEntry(const Endpoint& endpoint, bool leaving, TimePoint now, EndpointChanges& changes)
 {
     Member& member = this->members[endpoint.id()];
+    member.lastReading = this->readings;
     if (member.listed != endpoint) {
         member.listed = endpoint;
         member.evidence.restarted();
@@ -49,15 +50,10 @@
     this->update(endpoint.id(), member, changes);
 }
 
-void EndpointDirectory::takeAbsence(const std::vector<ListedHost>& hosts, TimePoint now, EndpointChanges& changes)
+void EndpointDirectory::takeAbsence(TimePoint now, EndpointChanges& changes)
 {
-    std::set<EndpointId> present;
-    for (const ListedHost& host : hosts) {
-        if (const auto* endpoint = std::get_if<Endpoint>(&host.member))
-            present.insert(endpoint->id());
-    }
     for (auto& [id, member] : this->members) {
-        if (!member.listed || present.contains(id))
+        if (!member.listed || member.lastReading == this->readings)
             continue;
         member.evidence.absentFromList(now, this->settings);
         this->update(id, member, changes);
--- a/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.h
+++ b/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.h
@@ -11,6 +11,7 @@
 #include <filbertspoke/Core>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -67,6 +68,7 @@
         std::optional<Endpoint> described; ///< with the layers that the engine itself reports
         internal::EndpointEvidence evidence;
         MemberState state = MemberState::Suspect;
+        std::uint64_t lastReading = 0; ///< of the host list that named it
         std::map<EndpointSign, TimePoint> lastSpread; ///< by this daemon or as heard from another
     };
     using Members = std::map<EndpointId, Member>;
@@ -74,7 +76,7 @@
 
     void describe(Member&, const Endpoint&, EndpointChanges&);
     void takeEntry(const Endpoint&, bool leaving, TimePoint, EndpointChanges&);
-    void takeAbsence(const std::vector<ListedHost>&, TimePoint, EndpointChanges&);
+    void takeAbsence(TimePoint, EndpointChanges&);
     void forgetOld(TimePoint, EndpointChanges&);
     void update(const EndpointId&, Member&, EndpointChanges&);
     void spread(const EndpointId&, Member&, EndpointSign, TimePoint);
@@ -82,6 +84,7 @@
     EndpointDirectorySettings settings;
     Members members;
     internal::SpreadQueue<WordName> words;
+    std::uint64_t readings = 0; ///< of the host list
     bool urgent = false;
 };
 
--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
@@ -128,9 +128,16 @@
 
 void PeerDirectory::endSuspicions(TimePoint now)
 {
+    if (!this->nextGone || now < *this->nextGone)
+        return;
+    this->nextGone.reset();
     for (auto& [id, member] : this->members) {
-        if (member.goneAt && now >= *member.goneAt)
+        if (!member.goneAt)
+            continue;
+        if (now >= *member.goneAt)
             this->setState(member, MemberState::Gone, now);
+        else
+            this->nextGone = std::min(this->nextGone.value_or(*member.goneAt), *member.goneAt);
     }
 }
 
@@ -351,7 +358,13 @@
         return;
     if (member.state == MemberState::Alive)
         this->setState(member, MemberState::Suspect, now);
+    this->startSuspicion(member, now);
+}
+
+void PeerDirectory::startSuspicion(Member& member, TimePoint now)
+{
     member.goneAt = now + this->suspicionTime();
+    this->nextGone = std::min(this->nextGone.value_or(*member.goneAt), *member.goneAt);
 }
 
 void PeerDirectory::setState(Member& member, MemberState state, TimePoint now)
@@ -361,7 +374,7 @@
     member.changed = now;
     member.goneAt.reset();
     if (state == MemberState::Suspect)
-        member.goneAt = now + this->suspicionTime();
+        this->startSuspicion(member, now);
     if (member.incarnation > 0)
         this->words.add(member.daemon.id);
     if (before != state)
--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
@@ -134,6 +134,7 @@
     void hearSender(const PeerStatus&, const ListedDaemon&, TimePoint);
     void refute(std::uint64_t incarnation);
     void suspect(Member&, TimePoint);
+    void startSuspicion(Member&, TimePoint);
     void setState(Member&, MemberState, TimePoint);
     Duration suspicionTime() const;
 
@@ -152,6 +153,7 @@
     internal::SpreadQueue<DaemonId> words;
     std::uint64_t lastSequence = 0;
     std::optional<TimePoint> lastTick;
+    std::optional<TimePoint> nextGone; ///< not later than the end of any suspicion
     TimePoint nextProbe {};
     TimePoint nextGoneProbe {};
     std::vector<PeerStateChanged> changes;
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -7,16 +7,26 @@
 
 #include <filbertspoke/Configuration>
 #include <filbertspoke/Core>
+#include <filbertspoke/Membership>
 #include <filbertspoke/Routing>
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace filbertspoke::internal {
 
+/** \brief A peer that follows a newer configuration than any peer before it, as its heartbeat says. */
+struct PeerRevision {
+    ListedDaemon peer;
+    LogOffset revision = 0; ///< the offset of the configuration record that the peer follows
+
+    bool operator==(const PeerRevision&) const = default;
+};
+
 /** \brief What the handlers of one Router share. Each field names the handler that writes it. */
 struct RouterContext {
     RouterContext(DaemonIdentity own, Random::result_type seed)
@@ -32,6 +42,7 @@
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
+    std::optional<PeerRevision> newestPeer; ///< MembershipHandler: the first heard of the live ones with the highest revision
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
     TraceJournal traces;
 };
