ClusterTesting: daemons and stand-ins as real processes

Cause: failures of whole processes need a place that starts and ends them. Change: Cluster starts the log, engines, plain services and daemons on loopback addresses, approves a configuration by filbertspokectl and lists the hosts. Stand-ins end with the test that started them; the log can lose its streams alone.

--- a/packages/StandIns/filbertspoke/src/StandIns/LogStandIn.cpp
+++ b/packages/StandIns/filbertspoke/src/StandIns/LogStandIn.cpp
@@ -67,6 +67,8 @@
             co_return jsonResponse(json::object());
         }
         if (path.starts_with(streamsPrefix) && path.ends_with(recordsSuffix)) {
+            if (this->faults.streamsDown)
+                co_return std::nullopt;
             const std::string stream = path.substr(streamsPrefix.size(), path.size() - streamsPrefix.size() - recordsSuffix.size());
             if (request.method == "POST")
                 co_return co_await this->append(stream, std::move(request.body));
@@ -103,12 +105,12 @@
     const LogOffset from = numberOr(query, "from", 0);
     const std::uint64_t limit = numberOr(query, "limit", defaultReadLimit);
     asio::steady_timer wait(this->context, std::chrono::milliseconds(numberOr(query, "wait", 0)));
-    while (this->streams[name].next() <= from && wait.expiry() > std::chrono::steady_clock::now() && !this->faults.down) {
+    while (this->streams[name].next() <= from && wait.expiry() > std::chrono::steady_clock::now() && !this->faults.down && !this->faults.streamsDown) {
         this->waitingReaders.insert(&wait);
         co_await wait.async_wait(asTuple);
         this->waitingReaders.erase(&wait);
     }
-    if (this->faults.down)
+    if (this->faults.down || this->faults.streamsDown)
         co_return std::nullopt;
     const Stream& stream = this->streams[name];
     const LogOffset oldest = stream.truncated ? stream.first : 0;
@@ -124,6 +126,8 @@
 {
     if (const auto* value = order.if_contains("down"))
         this->faults.down = value->as_bool();
+    if (const auto* value = order.if_contains("streamsDown"))
+        this->faults.streamsDown = value->as_bool();
     if (const auto* value = order.if_contains("outageMs")) {
         this->faults.down = true;
         this->outageEnd.expires_after(std::chrono::milliseconds(value->to_number<std::int64_t>()));
--- a/packages/StandIns/filbertspoke/src/StandIns/LogStandIn.h
+++ b/packages/StandIns/filbertspoke/src/StandIns/LogStandIn.h
@@ -42,6 +42,7 @@
 
     struct Faults {
         bool down = false;
+        bool streamsDown = false; ///< the host list still answers
         std::chrono::milliseconds delay {};
         std::uint32_t lostAppendAnswers = 0;
         bool rejectAppends = false;
--- a/packages/StandIns/program/main.cpp
+++ b/packages/StandIns/program/main.cpp
@@ -3,14 +3,18 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <exception>
 #include <functional>
 #include <iostream>
 #include <string>
 
+#include <unistd.h>
+
 using namespace filbertspoke;
 
 namespace {
@@ -19,8 +23,24 @@
 struct Program {
     boost::asio::io_context context;
     HttpAddress address { "127.0.0.1", 0 };
+    bool endWithParent = false;
 };
 
+constexpr std::chrono::seconds parentCheckPeriod { 1 };
+
+// A test that is killed can't end the stand-ins that it started.
+void watchParent(boost::asio::steady_timer& timer, pid_t parent, boost::asio::io_context& context)
+{
+    timer.expires_after(parentCheckPeriod);
+    timer.async_wait([&timer, parent, &context](const boost::system::error_code& error) {
+        if (error)
+            return;
+        if (::getppid() != parent)
+            return context.stop();
+        watchParent(timer, parent, context);
+    });
+}
+
 void printReady(const std::string& kind, const HttpAddress& address, std::uint16_t controlPort = 0)
 {
     boost::json::object line { { "kind", kind }, { "address", address.address }, { "port", address.port } };
@@ -33,6 +53,9 @@
 {
     boost::asio::signal_set signals(program.context, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code&, int) { program.context.stop(); });
+    boost::asio::steady_timer parentTimer(program.context);
+    if (program.endWithParent)
+        watchParent(parentTimer, ::getppid(), program.context);
     program.context.run();
 }
 
@@ -47,6 +70,7 @@
 {
     CLI::App* subcommand = app.add_subcommand(name, description);
     subcommand->add_option("--address", program.address.address, "IP number to listen on")->capture_default_str();
+    subcommand->add_flag("--end-with-parent", program.endWithParent, "End when the process that started it has ended");
     subcommand->add_option("--port", program.address.port, "Port to listen on, 0 for any")->capture_default_str();
     return subcommand;
 }
--- a/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -22,11 +24,11 @@
 
 constexpr std::chrono::seconds requestLimit { 60 };
 const std::string loopback = "127.0.0.1";
-const std::string prompt = "the chain skips";
 const std::string account = "bole-workshops";
 const std::vector<std::string> failureDomains { "addis-bole", "addis-merkato", "addis-piassa" };
 
-std::string questionnaireText(std::uint32_t layers, std::uint32_t maximumTokens)
+// Each author has an account of its own, so that the questionnaires differ.
+std::string questionnaireText(const std::string& author, std::uint32_t layers, std::uint32_t maximumTokens)
 {
     std::ostringstream text;
     text << "organisation: Gearwell Systems\nteam: workshop-assistant\nweighsMore: throughput\nfailureDomains:\n";
@@ -49,7 +51,7 @@
             neededAtOnce: yes
 accounts:
     - name: )"
-         << account << "\n      share: 1\n";
+         << account << "\n    - name: bench-of-" << author << "\n";
     return text.str();
 }
 
@@ -83,6 +85,21 @@
 
 }
 
+const std::string Cluster::defaultPrompt = "the chain skips";
+
+std::string newKey()
+{
+    static std::mt19937_64 random { std::random_device {}() };
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    std::ostringstream digits;
+    digits << std::hex << std::setfill('0') << std::setw(12) << milliseconds << '7' << std::setw(3) << (random() & 0xfff)
+           << 'a' << std::setw(15) << (random() & 0xfffffffffffffff);
+    std::string key = digits.str();
+    for (const std::size_t position : { 8, 13, 18, 23 })
+        key.insert(position, "-");
+    return key;
+}
+
 Cluster::Cluster(const ClusterOptions& clusterOptions)
     : options(clusterOptions)
     , directory((std::filesystem::temp_directory_path() / ("filbertspoke-test-" + std::to_string(::getpid()))).string())
@@ -90,7 +107,7 @@
     std::filesystem::create_directories(this->directory);
     this->logProcess = std::make_unique<StandInProcess>(StandInProcess::start({ "log" }));
     this->startEndpoints();
-    if (this->approve("hanna") != 0)
+    if (this->startApproval("hanna").wait() != 0)
         throw std::runtime_error("the configuration was not approved");
     for (std::uint32_t index = 0; index < this->options.daemons; ++index)
         this->startDaemon(index, nullptr);
@@ -213,12 +230,15 @@
     return path;
 }
 
-int Cluster::approve(const std::string& author, std::uint32_t modelMaximumTokens)
+Process Cluster::startApproval(const std::string& author, const std::string& base)
 {
     const std::uint32_t layers = this->options.stages * layersPerStage;
-    const std::string file = this->writeFile("answers-" + author + ".yaml", questionnaireText(layers, modelMaximumTokens));
+    const std::string file = this->writeFile("answers-" + author + ".yaml", questionnaireText(author, layers, maximumTokens));
     const std::string log = this->logAddress().address + ":" + std::to_string(this->logAddress().port);
-    return Process("filbertspokectl", { "approve", file, "--author", author, "--approver", "dawit", "--log", log }).wait();
+    std::vector<std::string> arguments { "approve", file, "--author", author, "--approver", "dawit", "--log", log };
+    if (!base.empty())
+        arguments.insert(arguments.end(), { "--base", base });
+    return Process("filbertspokectl", arguments);
 }
 
 bool Cluster::ready(std::uint32_t daemon)
@@ -231,6 +251,19 @@
     return static_cast<std::size_t>(available) >= this->engines.size() + this->services.size() - this->leaving.size();
 }
 
+std::uint32_t Cluster::busiestReplica(std::uint32_t stage)
+{
+    std::uint32_t busiest = 0;
+    std::size_t most = 0;
+    for (std::uint32_t replica = 0; replica < this->options.replicas; ++replica) {
+        const std::size_t count = this->runs(this->engine(stage, replica).address).size();
+        if (count > most)
+            busiest = replica;
+        most = std::max(most, count);
+    }
+    return busiest;
+}
+
 json::value Cluster::status(std::uint32_t daemon)
 {
     try {
@@ -250,7 +283,7 @@
     return pending;
 }
 
-std::shared_ptr<PendingExchange> Cluster::complete(std::uint32_t daemon, std::uint32_t tokens, const std::vector<std::string>& received)
+std::shared_ptr<PendingExchange> Cluster::complete(std::uint32_t daemon, std::uint32_t tokens, const std::string& prompt, const std::vector<std::string>& received)
 {
     json::object body { { "model", "assistant" }, { "prompt", prompt }, { "max_tokens", tokens }, { "stream", true } };
     HttpRequest request { "POST", "/v1/completions", {}, {} };
@@ -270,7 +303,7 @@
     return this->send(this->daemon(daemon).callers, std::move(request));
 }
 
-std::vector<std::string> Cluster::reference(std::uint32_t tokens) const
+std::vector<std::string> Cluster::reference(std::uint32_t tokens, const std::string& prompt) const
 {
     return referenceCompletion(tokenize(prompt), tokens, ModelId("assistant"), "1", this->options.stages * layersPerStage);
 }
@@ -290,7 +323,7 @@
     std::size_t count = 0;
     for (const auto& replica : this->services) {
         for (const json::value& run : this->runs(replica->address))
-            count += run.at("body") == body ? 1 : 0;
+            count += run.at("body").as_string() == body ? 1 : 0;
     }
     return count;
 }
--- a/testing/filbertspoke/src/ClusterTesting/Cluster.h
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.h
@@ -18,6 +18,9 @@
 
 namespace filbertspoke {
 
+/** \returns a new idempotency key: a UUIDv7 of now */
+std::string newKey();
+
 /** \brief How many processes a Cluster starts. */
 struct ClusterOptions {
     std::uint32_t daemons = 2;
@@ -46,6 +49,7 @@
 public:
     static constexpr std::uint32_t layersPerStage = 4;
     static constexpr std::uint32_t maximumTokens = 400;
+    static const std::string defaultPrompt;
 
     explicit Cluster(const ClusterOptions& = {});
     ~Cluster();
@@ -58,6 +62,8 @@
 
     /** \brief Puts a relay between the daemons and an endpoint; call listHosts() to announce it. */
     StandInProcess& relay(const std::string& endpoint);
+    /** \returns the relay that stands before the endpoint */
+    StandInProcess& relayOf(const std::string& endpoint) { return *this->relays.at(endpoint); }
 
     /** \brief Writes the host list, without the endpoints that are left out and with the leaving ones marked. */
     void listHosts();
@@ -66,14 +72,16 @@
     /** \brief Ends a daemon by SIGKILL and starts it again at the same addresses. */
     void restartDaemon(std::uint32_t index);
 
-    /** \brief Sends a streamed completion of the prompt "the chain skips". */
-    std::shared_ptr<PendingExchange> complete(std::uint32_t daemon, std::uint32_t tokens, const std::vector<std::string>& received = {});
+    /** \brief Sends a streamed completion.
+     * \param received the tokens that the caller has already, when it resumes
+     */
+    std::shared_ptr<PendingExchange> complete(std::uint32_t daemon, std::uint32_t tokens, const std::string& prompt = defaultPrompt, const std::vector<std::string>& received = {});
 
     /** \brief Calls the plain service, with an idempotency key unless it is empty. */
     std::shared_ptr<PendingExchange> call(std::uint32_t daemon, const std::string& method, const std::string& path, const std::string& body, const std::string& key = {});
 
     /** \returns the tokens that complete() must give */
-    std::vector<std::string> reference(std::uint32_t tokens) const;
+    std::vector<std::string> reference(std::uint32_t tokens, const std::string& prompt = defaultPrompt) const;
 
     /** \brief Gives a stand-in an order. */
     void control(const HttpAddress&, const boost::json::value&);
@@ -84,6 +92,9 @@
     /** \returns how many calls of all service replicas ran with the body */
     std::size_t runsWithBody(const std::string& body);
 
+    /** \returns the replica of a stage that ran the most steps so far */
+    std::uint32_t busiestReplica(std::uint32_t stage);
+
     /** \returns a daemon's status, null when it doesn't answer */
     boost::json::value status(std::uint32_t daemon);
 
@@ -92,15 +103,19 @@
      */
     bool await(const std::function<bool()>&);
 
-    /** \brief Approves a questionnaire by filbertspokectl. \returns its exit code */
-    int approve(const std::string& author, std::uint32_t modelMaximumTokens = maximumTokens);
+    /** \brief Starts filbertspokectl to approve a questionnaire.
+     * \param base the revision that the change rests on, the one in force when empty
+     */
+    Process startApproval(const std::string& author, const std::string& base = {});
+
+    /** \returns whether the daemon is ready and sees every endpoint that isn't leaving */
+    bool ready(std::uint32_t daemon);
 
 private:
     void startEndpoints();
     void startDaemon(std::uint32_t index, const DaemonProcess* previous);
     std::string writeFile(const std::string& name, const std::string& text);
     std::shared_ptr<PendingExchange> send(const HttpAddress&, HttpRequest);
-    bool ready(std::uint32_t daemon);
     boost::json::value endpointLine(const std::string& id, const StandInProcess&, const boost::json::value& role) const;
 
     ClusterOptions options;
--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -169,7 +169,9 @@
 
 StandInProcess StandInProcess::start(const std::vector<std::string>& arguments)
 {
-    Process process("filbertspoke-standin", arguments);
+    std::vector<std::string> all = arguments;
+    all.push_back("--end-with-parent");
+    Process process("filbertspoke-standin", all);
     const std::optional<std::string> line = process.readLine();
     if (!line)
         throw std::runtime_error("a stand-in ended before it was ready");
