--- a/packages/Caller/filbertspoke/src/Caller/CallerServer.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/CallerServer.cpp
@@ -43,7 +43,7 @@
 void CallerServer::carryOut(const RefuseRequest& action)
 {
     if (auto session = this->state->find(action.request))
-        session->refuse(action.refusal);
+        session->refuse(action);
 }
 
 void CallerServer::drain()
--- a/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
@@ -216,9 +216,16 @@
 
 void CallerSession::answer(const AnswerCall& action)
 {
+    this->idempotencyKey = action.idempotencyKey;
     this->sendWhole(action.answer.status, action.answer.contentType, action.answer.body);
 }
 
+void CallerSession::refuse(const RefuseRequest& action)
+{
+    this->idempotencyKey = action.idempotencyKey;
+    this->refuse(action.refusal);
+}
+
 void CallerSession::refuse(const Refusal& refusal)
 {
     if (this->streamStarted) {
@@ -251,6 +258,8 @@
     response.set("Filbertspoke-Request", this->request.str());
     if (retryAfter)
         response.set(http::field::retry_after, retryAfterSeconds(*retryAfter));
+    if (this->idempotencyKey)
+        response.set("Idempotency-Key", *std::exchange(this->idempotencyKey, std::nullopt));
     response.keep_alive(this->keepAlive);
     response.body() = std::move(body);
     response.prepare_payload();
--- a/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.h
+++ b/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.h
@@ -30,6 +30,7 @@
     void emitToken(const EmitToken&);
     void complete(const CompleteRequest&);
     void answer(const AnswerCall&);
+    void refuse(const RefuseRequest&);
     void refuse(const Refusal&);
 
     /** \brief Closes the connection when no request is in progress, else after its answer. */
@@ -76,6 +77,7 @@
     bool timedOut = false;
     bool bytesLeftUnread = false; ///< the caller may still be sending a request that was refused
     std::vector<std::string> tokens; ///< of a completion that is answered whole
+    std::optional<std::string> idempotencyKey; ///< goes with the next answer, when the daemon made it
     std::deque<std::string> unsent;
     std::size_t unsentBytes = 0;
 };
--- a/packages/Caller/filbertspoke/src/Caller/internal/RequestParser.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/internal/RequestParser.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view accountHeader = "Filbertspoke-Account";
 constexpr std::string_view deadlineHeader = "Filbertspoke-Deadline-Ms";
 constexpr std::string_view keyHeader = "Idempotency-Key";
+constexpr std::string_view firstUseHeader = "Idempotency-Key-First-Use";
 constexpr std::string_view lastEventHeader = "Last-Event-ID";
 constexpr std::uint64_t longestDeadlineMs = 24ull * 60 * 60 * 1000;
 
@@ -157,8 +158,9 @@
     event.call.method = std::string(request.method_string());
     event.call.contentType = std::string(request[http::field::content_type]);
     event.call.body = request.body();
-    if (const std::string_view key = header(request, keyHeader); !key.empty())
-        event.idempotencyKey = std::string(key);
+    if (request.find(boost::beast::string_view(keyHeader.data(), keyHeader.size())) != request.end())
+        event.idempotencyKey = std::string(header(request, keyHeader));
+    event.firstUse = header(request, firstUseHeader) == "true";
     return event;
 }
 
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.cpp
@@ -101,9 +101,8 @@
 {
     this->observe(now);
     this->platformUp = true;
-    const bool waiting = !this->requestKeys.empty();
     const bool wasHolding = this->cursor.completed() <= this->staleReads;
-    const LogIntake intake = this->cursor.take(records, oldest, next, now.monotonic(), waiting ? this->limits.waitPoll : this->limits.idlePoll);
+    const LogIntake intake = this->cursor.take(records, oldest, next, now.monotonic());
     this->applyRecords(intake);
     this->settleLostAppends();
     if (wasHolding && this->cursor.completed() > this->staleReads) {
@@ -159,7 +158,7 @@
 
 TimePoint KeyLedger::nextWake() const
 {
-    TimePoint next = std::min(this->cursor.nextWake(this->now.monotonic()), this->now.monotonic() + this->limits.idlePoll);
+    TimePoint next = std::min(this->cursor.nextWake(this->now.monotonic()), this->now.monotonic() + this->limits.pauseBound / 2);
     if (const auto flush = this->queue.nextWake())
         next = std::min(next, std::max(*flush, this->nextAppend));
     if (!this->timers.empty())
@@ -167,6 +166,14 @@
     return next;
 }
 
+std::size_t KeyLedger::unsettled() const
+{
+    return static_cast<std::size_t>(std::count_if(this->entries.begin(), this->entries.end(), [](const auto& entry) {
+        const AttemptPhase phase = entry.second.machine.phase();
+        return phase != AttemptPhase::Idle && phase != AttemptPhase::Claiming;
+    }));
+}
+
 void KeyLedger::observe(const Now& now)
 {
     // A process that was paused has old answers of the log in its sockets.
--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedger.h
@@ -81,6 +81,8 @@
     /** \returns how many keys are remembered */
     std::size_t rememberedKeys() const { return this->fold.size(); }
     bool platformReachable() const { return this->platformUp; }
+    /** \returns how many attempts of this process run or are not yet settled in the log */
+    std::size_t unsettled() const;
 
 private:
     struct Waiter {
--- a/packages/Idempotency/filbertspoke/src/Idempotency/LedgerLimits.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LedgerLimits.h
@@ -14,10 +14,9 @@
     Duration window = std::chrono::hours(24); ///< how long after its creation a caller key is accepted
     Duration clockTolerance = std::chrono::seconds(10); ///< most by which any two clocks, callers' included, differ
     Duration appendDelay = std::chrono::milliseconds(10); ///< how long records are collected for one append
-    Duration idlePoll = std::chrono::milliseconds(500); ///< between reads when nothing waits for the log
-    Duration waitPoll = std::chrono::milliseconds(50); ///< between reads while a caller waits for another daemon
+    Duration silence = std::chrono::seconds(5); ///< the log is read when no records came for so long
     Duration platformRetry = std::chrono::seconds(1); ///< between tries of a log that failed
-    Duration answerTimeout = std::chrono::seconds(5); ///< after which the log's answer counts as lost
+    Duration answerTimeout = std::chrono::seconds(10); ///< after which the log's answer counts as lost
     Duration pauseBound = std::chrono::seconds(2); ///< a longer gap between events means that the process was paused
     Duration settleTime = std::chrono::seconds(60); ///< how long a claim that nobody wants is watched for
     Duration markInterval = std::chrono::hours(1); ///< most time between two records of the log
--- a/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
@@ -14,13 +14,13 @@
     return ReadKeyRecords { this->nextOffset };
 }
 
-LogIntake LogCursor::take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now, Duration poll)
+LogIntake LogCursor::take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now)
 {
     if (this->readTimeout) {
         this->readTimeout.reset();
         this->completedNumber = this->issuedCount;
-        this->nextRead = now + poll;
     }
+    this->nextRead = now + this->limits.silence;
     LogIntake intake;
     if (oldest > this->nextOffset) {
         intake.truncated = true;
--- a/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.h
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.h
@@ -18,7 +18,11 @@
     bool truncated = false; ///< the log dropped records before these unread
 };
 
-/** \brief Reads a stream of the log from front to back, one read at a time. */
+/** \brief Follows a stream of the log from front to back.
+ *
+ * The records may come unasked, as the driver follows the stream; a read is asked for where the
+ * present end of the log matters, and when the driver has been silent for long.
+ */
 class LogCursor {
 public:
     explicit LogCursor(const LedgerLimits& limits)
@@ -35,9 +39,8 @@
      *
      * \param oldest the oldest offset that the log still keeps
      * \param next the offset that the log's next record will get
-     * \param poll how long to wait before the next read, unless one is requested
      */
-    LogIntake take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now, Duration poll);
+    LogIntake take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now);
     /** \brief The read failed. */
     void failed(TimePoint now);
 
--- a/packages/Idempotency/tests/LedgerProperty.cpp
+++ b/packages/Idempotency/tests/LedgerProperty.cpp
@@ -24,6 +24,7 @@
     limits.window = 60s;
     limits.clockTolerance = 1s;
     limits.settleTime = 5s;
+    limits.silence = 500ms;
     limits.markInterval = 10s;
     limits.maximumBatch = 2;
     return limits;
--- a/packages/Router/filbertspoke/src/Router/Action.h
+++ b/packages/Router/filbertspoke/src/Router/Action.h
@@ -7,6 +7,7 @@
 #include <filbertspoke/Membership>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -38,6 +39,7 @@
 struct AnswerCall {
     RequestId request;
     ServiceAnswer answer;
+    std::optional<std::string> idempotencyKey {}; ///< with which the caller may ask again, when the daemon made it
 
     bool operator==(const AnswerCall&) const = default;
 };
@@ -46,6 +48,7 @@
 struct RefuseRequest {
     RequestId request;
     Refusal refusal;
+    std::optional<std::string> idempotencyKey {}; ///< with which the caller may ask again, when the daemon made it
 
     bool operator==(const RefuseRequest&) const = default;
 };
--- a/packages/Router/filbertspoke/src/Router/Event.h
+++ b/packages/Router/filbertspoke/src/Router/Event.h
@@ -42,6 +42,7 @@
     ServiceCall call;
     std::optional<std::string> idempotencyKey;
     std::optional<Duration> deadline; ///< from now; the service's own applies when absent
+    bool firstUse = false; ///< the caller says that it never sent the key before
 
     bool operator==(const CallReceived&) const = default;
 };
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -10,6 +10,7 @@
 #include <filbertspoke/Routing>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -32,6 +33,7 @@
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
+    std::map<DaemonId, ListedDaemon> peers; ///< Router, from the host list: where peers are reached
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
     TraceJournal traces;
 };
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -90,6 +90,11 @@
 
 void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
 {
+    this->context.peers.clear();
+    for (const ListedHost& host : event.hosts) {
+        if (const auto* daemon = std::get_if<ListedDaemon>(&host.member))
+            this->context.peers.insert_or_assign(daemon->id, *daemon);
+    }
     this->membership.handle(event, now, actions);
 }
 
