--- a/packages/Idempotency/tests/Ledger.cpp
+++ b/packages/Idempotency/tests/Ledger.cpp
@@ -69,8 +69,18 @@
             const TimePoint next = std::clamp(this->ledger.nextWake(), this->now.monotonic() + 1ms, end);
             this->now = this->now.after(next - this->now.monotonic());
             this->take(this->ledger.wake(this->now));
+            this->follow();
         }
     }
+    // Hands over new records unasked, as a client that follows the stream does.
+    void follow()
+    {
+        const std::vector<LogRecord> records = this->log.from(this->followed);
+        if (records.empty())
+            return;
+        this->followed = records.back().offset + 1;
+        this->take(this->ledger.recordsRead(records, this->log.oldest, this->log.records.size(), this->now));
+    }
     void ask(const char* request, Duration deadline = 5s, const std::string& digest = "digest")
     {
         this->take(this->ledger.begin({ RequestId(request), key, digest, this->now.monotonic() + deadline, false }, this->now));
@@ -80,6 +90,7 @@
     FakeLog& log;
     KeyLedger ledger;
     Now now = start;
+    LogOffset followed = 0;
     LedgerOutputs seen;
 };
 
