--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -11,6 +11,7 @@
 #include <filbertspoke/Routing>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,7 @@
     bool draining = false; ///< Router, from StopRequested on
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
     std::optional<PeerRevision> newestPeer; ///< MembershipHandler: the first heard of the live ones with the highest revision
+    std::map<DaemonId, ListedDaemon> peers; ///< Router, from the host list: where peers are reached
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
     TraceJournal traces;
 };
