--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -75,21 +75,30 @@
 
 void RouterParts::handle(const ReadFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const RecordsAppended& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const AppendFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
+    this->context.peers.clear();
+    for (const ListedHost& host : event.hosts) {
+        if (const auto* daemon = std::get_if<ListedDaemon>(&host.member))
+            this->context.peers.insert_or_assign(daemon->id, *daemon);
+    }
     this->membership.handle(event, now, actions);
     this->countDaemons();
 }
@@ -104,6 +113,7 @@
     this->membership.handle(event, now, actions);
     this->countDaemons();
     this->calls.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
 }
 
 void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
@@ -115,7 +125,7 @@
 
 void RouterParts::handle(const Tick& event, const Now& now, Actions& actions)
 {
-    this->configuration.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
     this->membership.handle(event, now, actions);
     this->completions.handle(event, now, actions);
     this->calls.handle(event, now, actions);
