--- a/packages/Bench/app/main.cpp
+++ b/packages/Bench/app/main.cpp
@@ -2,31 +2,35 @@
 
 #include <CLI/CLI.hpp>
 
+#include <cstdint>
+#include <iomanip>
 #include <iostream>
 #include <string>
 #include <vector>
 
 using namespace filbertspoke;
 
-int main(int argc, char** argv)
-{
-    CLI::App app("Drives the decision object under load and faults, in virtual time, beside its baselines.");
-    std::string chosenScenario = "all";
-    std::string chosenPolicy = "all";
+namespace {
+
+struct Choice {
+    std::string scenario = "all";
+    std::string policy = "all";
     std::uint64_t seed = 1;
-    app.add_option("scenario", chosenScenario, "a scenario's name, or all");
-    app.add_option("--policy", chosenPolicy, "a policy's name, or all");
-    app.add_option("--seed", seed, "the same seed prints the same rows");
-    CLI11_PARSE(app, argc, argv);
 
+    bool matches(const std::string& name) const { return this->scenario == "all" || this->scenario == name; }
+    bool matches(bench::Policy candidate) const { return this->policy == "all" || this->policy == bench::name(candidate); }
+};
+
+int runScenarios(const Choice& choice)
+{
     std::vector<bench::Result> results;
     for (const bench::Scenario& scenario : bench::allScenarios()) {
-        if (chosenScenario != "all" && chosenScenario != scenario.name)
+        if (!choice.matches(scenario.name))
             continue;
         for (const bench::Policy policy : bench::allPolicies()) {
-            if (chosenPolicy != "all" && chosenPolicy != bench::name(policy))
+            if (!choice.matches(policy))
                 continue;
-            results.push_back(bench::Trial(scenario, policy, seed).run());
+            results.push_back(bench::Trial(scenario, policy, choice.seed).run());
             std::cout << bench::toJson(results.back()) << std::endl;
         }
     }
@@ -37,3 +41,33 @@
     bench::writeTable(std::cout, results);
     return 0;
 }
+
+int compareLoadReports(std::uint64_t seed)
+{
+    std::cout << std::left << std::setw(24) << "scenario" << std::setw(16) << "reports" << std::right << std::setw(12) << "a second"
+              << std::setw(12) << "mean error" << std::setw(12) << "p95 error" << '\n';
+    for (const bench::Scenario& scenario : bench::allScenarios()) {
+        if (scenario.name != "gearwell" && scenario.name != "gearwell-moderate")
+            continue;
+        bench::Trial trial(scenario, bench::Policy::ExpectedTime, seed);
+        trial.run();
+        for (const bench::ReportingCost& cost : bench::compareReporting(trial.loads())) {
+            std::cout << std::left << std::setw(24) << scenario.name << std::setw(16) << cost.way << std::right << std::fixed << std::setprecision(2)
+                      << std::setw(12) << cost.reportsPerSecond << std::setw(12) << cost.meanError << std::setw(12) << cost.p95Error << '\n';
+        }
+    }
+    return 0;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Drives the decision object under load and faults, in virtual time, beside its baselines.");
+    Choice choice;
+    app.add_option("scenario", choice.scenario, "a scenario's name, all, or load-reports");
+    app.add_option("--policy", choice.policy, "a policy's name, or all");
+    app.add_option("--seed", choice.seed, "the same seed prints the same rows");
+    CLI11_PARSE(app, argc, argv);
+    return choice.scenario == "load-reports" ? compareLoadReports(choice.seed) : runScenarios(choice);
+}
--- a/packages/Bench/filbertspoke/src/Bench/Trial.cpp
+++ b/packages/Bench/filbertspoke/src/Bench/Trial.cpp
@@ -40,6 +40,8 @@
     this->loadEnd = this->loadStart + this->scenario.length;
     this->scheduleArrivals();
     this->scheduleFault();
+    this->loadTrace.resize(this->world.engines.size());
+    this->world.time.after(this->scenario.warmUp, [this] { this->sampleLoads(); });
     this->world.time.runUntil(this->loadEnd + drainTime);
     return evaluate(this->world, this->policy, this->seed, this->loadStart);
 }
@@ -53,6 +55,18 @@
         daemon->start();
 }
 
+void Trial::sampleLoads()
+{
+    if (this->world.time.now().monotonic() >= this->loadEnd)
+        return;
+    std::size_t number = 0;
+    for (const auto& [id, engine] : this->world.engines) {
+        const LoadReport load = engine->load();
+        this->loadTrace[number++].push_back(load.queued + load.running);
+    }
+    this->world.time.after(loadSampleInterval, [this] { this->sampleLoads(); });
+}
+
 void Trial::scheduleArrivals()
 {
     for (const AccountSpec& account : this->scenario.accounts)
--- a/packages/Bench/filbertspoke/src/Bench/Trial.h
+++ b/packages/Bench/filbertspoke/src/Bench/Trial.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSPOKE_TRIAL_H
 #define FILBERTSPOKE_TRIAL_H
 
+#include "LoadReporting.h"
 #include "Policy.h"
 #include "Result.h"
 #include "Scenario.h"
@@ -19,8 +20,12 @@
 
     Result run();
 
+    /** \returns the load of each engine while it was measured */
+    const LoadTrace& loads() const { return this->loadTrace; }
+
 private:
     void startDaemons();
+    void sampleLoads();
     void scheduleArrivals();
     void scheduleArrival(const AccountSpec&);
     void arrive(const AccountId&);
@@ -47,6 +52,7 @@
     double bound; ///< before the fault
     std::uint64_t requests = 0;
     bool repeatRefused = false;
+    LoadTrace loadTrace;
 };
 
 }
