Account limits are shared over daemons by exchanged demand

Cause: each daemon counted itself as the only one, so that four daemons let an account use its limit four times; the limiter of Routing was not told of peers. Change: DemandHandler sends each heard peer the accounts' demand every 500 ms, and takes theirs; who may serve beyond a cut (still listed, though not heard) keeps an even part of each limit. Before: a daemon of four starts 8 of 8 requests with requestsAtOnce 8 (by the code, not run). After: 2 of 8 with peers unheard, 7 or 8 with idle peers heard (Router.AccountLimits). Conclusion: limits hold over daemons; calls to plain services don't pass admission yet.

--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
@@ -442,6 +442,13 @@
     return result;
 }
 
+std::size_t PeerDirectory::mayBeServing() const
+{
+    return static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(), [](const auto& entry) {
+        return entry.second.listed || entry.second.state != MemberState::Gone;
+    }));
+}
+
 std::map<FailureDomainId, std::map<MemberState, std::size_t>> PeerDirectory::countByFailureDomain() const
 {
     std::map<FailureDomainId, std::map<MemberState, std::size_t>> counts;
--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
@@ -86,6 +86,9 @@
     std::vector<ListedDaemon> peersIn(MemberState) const;
     std::map<FailureDomainId, std::map<MemberState, std::size_t>> countByFailureDomain() const;
     std::size_t size() const { return this->members.size(); }
+    /** \returns the peers that may be serving: those that are not gone, and those that are gone but still
+     * listed, since a cut link looks like a dead peer */
+    std::size_t mayBeServing() const;
     /** \returns how often a word is sent at the present number of peers */
     unsigned sendsPerWord() const;
 
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -87,6 +87,7 @@
     else if (this->admissionRevision != inForce.revision)
         this->admission->configure(inForce.configuration);
     this->admissionRevision = inForce.revision;
+    this->admission->limiter().setDaemons(this->context.listedDaemons);
     return *this->admission;
 }
 
@@ -104,6 +105,12 @@
         decision);
 }
 
+void CompletionHandler::startWaiting(const Now& now, Actions& actions)
+{
+    if (this->admission)
+        this->startAll(this->admission->startWaiting(now.monotonic()), now, actions);
+}
+
 void CompletionHandler::limitConcurrency(const ModelId& id)
 {
     const ModelConfiguration* model = this->context.configuration->configuration.findModel(id);
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.h
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.h
@@ -36,6 +36,10 @@
     /** \returns requests that wait or run */
     std::size_t inProgress() const { return this->completions.size(); }
     std::size_t queued() const { return this->admission ? this->admission->queued() : 0; }
+    /** \returns what holds the account limits; null before the first request */
+    AccountLimiter* limiter() { return this->admission ? &this->admission->limiter() : nullptr; }
+    /** \brief Starts requests that waited for a part of their account's limit that has grown. */
+    void startWaiting(const Now&, Actions&);
     /** \brief Refuses what is left when a stop can wait no longer. */
     void abandon(const Now&, Actions&);
 
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -45,6 +45,7 @@
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
     std::uint32_t daemons = 1; ///< RouterParts: those that are not gone, with this one
+    std::uint32_t listedDaemons = 1; ///< RouterParts: those that may serve beyond a cut, too
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
     std::optional<PeerRevision> newestPeer; ///< MembershipHandler: the first heard of the live ones with the highest revision
     std::map<DaemonId, ListedDaemon> peers; ///< Router, from the host list: where peers are reached
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -10,6 +10,7 @@
     , configuration(this->context)
     , membership(this->context)
     , completions(this->context)
+    , demand(this->membership, this->completions)
     , calls(this->context)
     , drain(this->context)
 {
@@ -101,6 +102,7 @@
     }
     this->membership.handle(event, now, actions);
     this->countDaemons();
+    this->demand.handle(event, now, actions);
 }
 
 void RouterParts::handle(const HostListFailed&, const Now&, Actions& actions)
@@ -112,6 +114,7 @@
 {
     this->membership.handle(event, now, actions);
     this->countDaemons();
+    this->demand.handle(event, now, actions);
     this->calls.handle(event, now, actions);
     this->configuration.handle(event, this->membership.directory(), now, actions);
 }
@@ -127,6 +130,7 @@
 {
     this->configuration.handle(event, this->membership.directory(), now, actions);
     this->membership.handle(event, now, actions);
+    this->demand.handle(event, now, actions);
     this->completions.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
@@ -157,11 +161,13 @@
     const PeerDirectory& directory = this->membership.directory();
     const std::size_t peers = directory.peersIn(MemberState::Alive).size() + directory.peersIn(MemberState::Suspect).size();
     this->context.daemons = static_cast<std::uint32_t>(peers + 1);
+    this->context.listedDaemons = static_cast<std::uint32_t>(directory.mayBeServing() + 1);
 }
 
 std::optional<TimePoint> RouterParts::nextWake() const
 {
-    const std::optional<TimePoint> control = earlier(this->configuration.nextWake(), this->membership.nextWake());
+    const std::optional<TimePoint> membership = earlier(this->membership.nextWake(), this->demand.nextWake());
+    const std::optional<TimePoint> control = earlier(this->configuration.nextWake(), membership);
     return earlier(control, earlier(this->completions.nextWake(), this->calls.nextWake()));
 }
 
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
@@ -4,6 +4,7 @@
 #include "../CallHandler.h"
 #include "../CompletionHandler.h"
 #include "../ConfigurationHandler.h"
+#include "../DemandHandler.h"
 #include "../DrainHandler.h"
 #include "../MembershipHandler.h"
 #include "../RouterContext.h"
@@ -56,6 +57,7 @@
     ConfigurationHandler configuration;
     MembershipHandler membership;
     CompletionHandler completions;
+    DemandHandler demand;
     CallHandler calls;
     DrainHandler drain;
 };
