Http: a closed exchange no longer meets the next one; ledger reads logs that count from 1

Cause, first: in the demo a daemon aborted in Beast's guard against two operations on one stream. A part of a response had been read when the long poll was closed and the next read began at once; the old read then asked for more on the socket that was connecting anew. Ruled out: the order of posted handlers (a trial with a close queued before the data passed), and the calls' channel, which never closes a connection under way. Cause, second: the ledger's cursor waited for offset 0 and passed over the log's first record, 1, so that no claim was ever read back and every action ended as outcome-unknown. Change: each connect has its own socket, buffers and parser, kept alive by what is under way; the cursor takes 0 or 1 as the first offset.

--- a/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -22,7 +22,7 @@
 class HttpConnection::State : public std::enable_shared_from_this<State> {
 public:
     State(asio::io_context& context, HttpAddress address, HttpLimits limits)
-        : stream(context)
+        : link(std::make_shared<Link>(context.get_executor()))
         , idleTimer(context)
         , address(std::move(address))
         , limits(limits)
@@ -34,6 +34,20 @@
     void close();
 
 private:
+    // A read that was cut off may still ask for more before it ends, so that each connect has
+    // its own socket and buffers, which the operations under way keep alive.
+    struct Link {
+        explicit Link(beast::tcp_stream::executor_type executor)
+            : stream(std::move(executor))
+        {
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        std::optional<http::response_parser<http::string_body>> parser;
+    };
+
     void connect();
     void write();
     void read();
@@ -42,7 +56,7 @@
     void watchIdle();
     bool closedByServer();
 
-    beast::tcp_stream stream;
+    std::shared_ptr<Link> link;
     asio::steady_timer idleTimer;
     HttpAddress address;
     HttpLimits limits;
@@ -50,9 +64,7 @@
     Callback callback;
     std::uint64_t epoch = 0; ///< changes with every exchange and close, so that late handlers stop
     bool connected = false;
-    beast::flat_buffer buffer;
     http::request<http::string_body> request;
-    std::optional<http::response_parser<http::string_body>> parser;
 };
 
 void HttpConnection::State::exchange(HttpRequest message, Duration exchangeTimeout, Callback done)
@@ -72,7 +84,7 @@
 
     if (this->connected && this->closedByServer())
         this->connected = false;
-    asio::post(this->stream.get_executor(), [self = this->shared_from_this(), epoch = this->epoch] {
+    asio::post(this->link->stream.get_executor(), [self = this->shared_from_this(), epoch = this->epoch] {
         if (epoch != self->epoch)
             return;
         if (self->connected)
@@ -88,27 +100,27 @@
     const auto ip = asio::ip::make_address(this->address.address, error);
     if (error)
         return this->fail(error, false);
-    this->stream.close();
-    this->buffer.clear();
-    this->stream.expires_after(this->limits.connectTimeout);
-    this->stream.async_connect(asio::ip::tcp::endpoint(ip, this->address.port),
-        [self = this->shared_from_this(), epoch = this->epoch](beast::error_code connectError) {
+    this->link = std::make_shared<Link>(this->link->stream.get_executor());
+    this->link->stream.expires_after(this->limits.connectTimeout);
+    this->link->stream.async_connect(asio::ip::tcp::endpoint(ip, this->address.port),
+        [self = this->shared_from_this(), link = this->link, epoch = this->epoch](beast::error_code connectError) {
             if (epoch != self->epoch)
                 return;
             if (connectError)
                 return self->fail(connectError, false);
             self->connected = true;
             beast::error_code ignored;
-            self->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            link->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
             self->write();
         });
 }
 
 void HttpConnection::State::write()
 {
-    this->stream.expires_after(this->timeout);
-    http::async_write(this->stream, this->request,
-        [self = this->shared_from_this(), epoch = this->epoch](beast::error_code error, std::size_t bytes) {
+    this->link->request = std::move(this->request);
+    this->link->stream.expires_after(this->timeout);
+    http::async_write(this->link->stream, this->link->request,
+        [self = this->shared_from_this(), link = this->link, epoch = this->epoch](beast::error_code error, std::size_t bytes) {
             if (epoch != self->epoch)
                 return;
             // After a timeout the number of bytes says nothing: the write may have gone through.
@@ -120,12 +132,12 @@
 
 void HttpConnection::State::read()
 {
-    this->parser.emplace();
-    this->parser->body_limit(this->limits.responseBytes);
-    if (this->request.method() == http::verb::head)
-        this->parser->skip(true);
-    http::async_read(this->stream, this->buffer, *this->parser,
-        [self = this->shared_from_this(), epoch = this->epoch](beast::error_code error, std::size_t) {
+    auto& parser = this->link->parser.emplace();
+    parser.body_limit(this->limits.responseBytes);
+    if (this->link->request.method() == http::verb::head)
+        parser.skip(true);
+    http::async_read(this->link->stream, this->link->buffer, parser,
+        [self = this->shared_from_this(), link = this->link, epoch = this->epoch](beast::error_code error, std::size_t) {
             if (epoch != self->epoch)
                 return;
             if (error)
@@ -136,7 +148,7 @@
 
 void HttpConnection::State::finish()
 {
-    auto message = this->parser->release();
+    auto message = this->link->parser->release();
     HttpResponse response;
     response.status = message.result_int();
     for (const auto& field : message)
@@ -164,7 +176,7 @@
     this->callback = nullptr;
     this->connected = false;
     this->idleTimer.cancel();
-    this->stream.close();
+    this->link->stream.close();
 }
 
 void HttpConnection::State::watchIdle()
@@ -174,7 +186,7 @@
         if (epoch == self->epoch)
             self->close();
     };
-    this->stream.socket().async_wait(asio::socket_base::wait_read, closeIfIdle);
+    this->link->stream.socket().async_wait(asio::socket_base::wait_read, closeIfIdle);
     this->idleTimer.expires_after(this->limits.idleTimeout);
     this->idleTimer.async_wait(closeIfIdle);
 }
@@ -183,7 +195,7 @@
 {
     char byte = 0;
     beast::error_code error;
-    auto& socket = this->stream.socket();
+    auto& socket = this->link->stream.socket();
     socket.non_blocking(true, error);
     if (error)
         return true;
--- a/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
@@ -4,6 +4,13 @@
 
 namespace filbertspoke {
 
+namespace {
+
+// A log that never dropped a record counts its offsets from 0 or from 1.
+constexpr LogOffset firstOffsetAtMost = 1;
+
+}
+
 std::optional<ReadKeyRecords> LogCursor::issue(TimePoint now)
 {
     if (this->readTimeout || (!this->requested && now < this->nextRead))
@@ -21,6 +28,8 @@
         this->completedNumber = this->issuedCount;
     }
     this->nextRead = now + this->limits.silence;
+    if (this->nextOffset == 0 && oldest == 0)
+        this->nextOffset = std::min<LogOffset>(records.empty() ? next : records.front().offset, firstOffsetAtMost);
     LogIntake intake;
     if (oldest > this->nextOffset) {
         intake.truncated = true;
--- /dev/null
+++ b/packages/Idempotency/tests/LogCursor.cpp
@@ -0,0 +1,38 @@
+#include <filbertspoke/Idempotency>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertspoke;
+
+namespace {
+
+const LogRecord firstOfLog { "actions", 1, "{}" };
+const TimePoint start {};
+
+}
+
+BOOST_AUTO_TEST_CASE(logWhoseOffsetsBeginWithOneIsReadFromItsFirstRecord)
+{
+    LogCursor cursor { LedgerLimits {} };
+    cursor.issue(start);
+    BOOST_TEST(cursor.take({ firstOfLog }, 0, 2, start).records.size() == 1u);
+    BOOST_TEST(cursor.caughtUp());
+}
+
+BOOST_AUTO_TEST_CASE(emptyLogWhoseOffsetsBeginWithOneIsReadToItsEnd)
+{
+    LogCursor cursor { LedgerLimits {} };
+    cursor.issue(start);
+    cursor.take({}, 0, 1, start);
+    BOOST_TEST(cursor.caughtUp());
+    BOOST_TEST(!cursor.issue(start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(recordsDroppedBeforeTheFirstReadAreSeenAsDropped)
+{
+    LogCursor cursor { LedgerLimits {} };
+    cursor.issue(start);
+    const LogIntake intake = cursor.take({}, 5, 7, start);
+    BOOST_TEST(intake.truncated);
+    BOOST_TEST(!cursor.caughtUp());
+}
