--- a/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/EndpointDirectory.cpp
@@ -91,8 +91,11 @@
 {
     EndpointChanges changes;
     const auto entry = this->members.find(id);
-    if (entry == this->members.end() || !entry->second.listed)
+    if (entry == this->members.end() || !entry->second.listed) {
+        if (draining)
+            this->heard({ { id, EndpointSign::Draining, Duration::zero() } }, now);
         return changes;
+    }
     Member& member = entry->second;
     if (engine && member.described->role() != EndpointRole(*engine)) {
         const Endpoint& listed = *member.listed;
--- a/packages/Membership/tests/EndpointDirectory.cpp
+++ b/packages/Membership/tests/EndpointDirectory.cpp
@@ -173,6 +173,15 @@
     BOOST_TEST(!directory.takesNewWork(engineId));
 }
 
+BOOST_AUTO_TEST_CASE(drainingWordBeforeTheListingIsKept)
+{
+    EndpointDirectory directory;
+    directory.reported(engineId, true, std::nullopt, TimePoint(1s));
+    directory.listed(listOf(false), TimePoint(1s));
+    directory.reported(engineId, false, std::nullopt, TimePoint(1s)); // asked before it drained
+    BOOST_TEST(!directory.takesNewWork(engineId));
+}
+
 BOOST_FIXTURE_TEST_CASE(enginesOwnLayersReplaceTheListedOnes, OneEngine)
 {
     const EngineRole other { ModelId("assistant"), "v2", LayerRange(8, 16) };
--- a/packages/Peer/benchmarks/HeartbeatTraffic.cpp
+++ b/packages/Peer/benchmarks/HeartbeatTraffic.cpp
@@ -1,128 +1,15 @@
 // Measures what the heartbeats between daemons cost, in virtual time: messages and bytes a second
 // for each daemon, processor time, and how long the death of a daemon takes to be known.
-#include <filbertspoke/Membership>
-#include <filbertspoke/Peer>
+#include "HeartbeatSimulation.h"
 
-#include <algorithm>
-#include <chrono>
 #include <cstdio>
-#include <memory>
-#include <queue>
-#include <variant>
-#include <vector>
+#include <ctime>
 
 using namespace filbertspoke;
-using namespace std::chrono_literals;
+using namespace filbertspoke::benchmarks;
 
 namespace {
 
-constexpr std::size_t datagramHeaderBytes = 28; // IPv4 and UDP
-constexpr Duration oneWayDelay = 500us;
-constexpr unsigned failureDomains = 7;
-
-ListedDaemon daemonNumber(unsigned number)
-{
-    return { DaemonId("entry-" + std::to_string(number)), FailureDomainId("domain-" + std::to_string(number % failureDomains)),
-        "10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1), 7000 };
-}
-
-class Simulation {
-public:
-    explicit Simulation(unsigned size)
-    {
-        for (unsigned number = 0; number < size; ++number)
-            this->listed.push_back({ daemonNumber(number), false });
-        for (unsigned number = 0; number < size; ++number) {
-            this->nodes.push_back(this->makeNode(number));
-            this->events.push({ this->now + Duration(this->random() % 1'000'000), number, std::nullopt });
-        }
-    }
-
-    void run(Duration duration)
-    {
-        const TimePoint end = this->now + duration;
-        while (!this->events.empty() && this->events.top().when <= end) {
-            const Event event = this->events.top();
-            this->events.pop();
-            this->now = event.when;
-            this->take(event);
-        }
-        this->now = end;
-    }
-
-    void kill(unsigned number) { this->nodes[number].reset(); }
-    void restart(unsigned number)
-    {
-        this->nodes[number] = this->makeNode(number);
-        this->events.push({ this->now, number, std::nullopt });
-    }
-    std::size_t countSeeing(unsigned number, MemberState state) const
-    {
-        return static_cast<std::size_t>(std::count_if(this->nodes.begin(), this->nodes.end(), [&](const auto& node) {
-            return node && node->state(daemonNumber(number).id) == state;
-        }));
-    }
-    std::size_t size() const { return this->nodes.size(); }
-    unsigned draw() { return static_cast<unsigned>(this->random() % this->nodes.size()); }
-    void resetCounts() { this->messages = this->bytes = 0; }
-
-    std::size_t messages = 0;
-    std::size_t bytes = 0;
-
-private:
-    struct Event {
-        TimePoint when;
-        unsigned node = 0;
-        std::optional<PeerMessage> message; ///< nothing for a tick
-
-        bool operator<(const Event& other) const { return this->when > other.when; }
-    };
-
-    std::unique_ptr<PeerDirectory> makeNode(unsigned number)
-    {
-        const auto incarnation = static_cast<std::uint64_t>(1'700'000'000'000'000 + this->now.time_since_epoch().count());
-        auto node = std::make_unique<PeerDirectory>(daemonNumber(number), incarnation);
-        node->listed(this->listed, this->now);
-        node->setLoad(4'711, 60);
-        return node;
-    }
-
-    void take(const Event& event)
-    {
-        PeerDirectory* node = this->nodes[event.node].get();
-        if (!node)
-            return;
-        if (!event.message) {
-            this->send(node->tick(this->now, this->random));
-            this->events.push({ std::max(node->nextWake(), this->now + 1ms), event.node, std::nullopt });
-        } else {
-            std::visit(Overloaded {
-                           [&](const PeerProbe& message) { this->send(node->received(message, this->now, this->random)); },
-                           [&](const PeerProbeRequest& message) { this->send(node->received(message, this->now, this->random)); },
-                           [&](const PeerProbeAnswer& message) { this->send(node->received(message, this->now, this->random)); },
-                           [](const auto&) {} },
-                *event.message);
-        }
-        node->takeChanges();
-    }
-
-    void send(const PeerEnvelopes& envelopes)
-    {
-        for (const PeerEnvelope& envelope : envelopes) {
-            ++this->messages;
-            this->bytes += encodePeerFrame({ envelope.peer.id, envelope.message }).size() + datagramHeaderBytes;
-            const auto node = static_cast<unsigned>(std::stoul(envelope.peer.id.str().substr(6)));
-            this->events.push({ this->now + oneWayDelay, node, envelope.message });
-        }
-    }
-
-    TimePoint now { 1h };
-    Random random { 1 };
-    std::vector<ListedHost> listed;
-    std::vector<std::unique_ptr<PeerDirectory>> nodes;
-    std::priority_queue<Event> events;
-};
-
 struct Cost {
     double messagesPerSecond = 0;
     double bytesPerSecond = 0;
