--- a/packages/Configuration/tests/ConfigurationFoldProperty.cpp
+++ b/packages/Configuration/tests/ConfigurationFoldProperty.cpp
@@ -1,4 +1,4 @@
-#include "ConfigurationRecords.h"
+#include <filbertspoke/ConfigurationTesting>
 
 #include <filbertspoke/Testing>
 
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -11,6 +11,7 @@
 #include <filbertspoke/Routing>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,20 +30,23 @@
 
 /** \brief What the handlers of one Router share. Each field names the handler that writes it. */
 struct RouterContext {
-    RouterContext(DaemonIdentity own, Random::result_type seed)
+    RouterContext(DaemonIdentity own, Random::result_type seed, Planner choice = Planner())
         : identity(std::move(own))
+        , planner(std::move(choice))
         , endpoints(this->identity.failureDomain)
         , random(seed)
     {
     }
 
     DaemonIdentity identity;
+    Planner planner;
     EndpointView endpoints; ///< MembershipHandler; work in progress by whoever sends it
     Random random;
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
     std::optional<PeerRevision> newestPeer; ///< MembershipHandler: the first heard of the live ones with the highest revision
+    std::map<DaemonId, ListedDaemon> peers; ///< Router, from the host list: where peers are reached
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
     TraceJournal traces;
 };
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -5,8 +5,8 @@
 
 namespace filbertspoke::internal {
 
-RouterParts::RouterParts(DaemonIdentity identity, Random::result_type seed)
-    : context(std::move(identity), seed)
+RouterParts::RouterParts(DaemonIdentity identity, Random::result_type seed, Planner planner)
+    : context(std::move(identity), seed, std::move(planner))
     , configuration(this->context)
     , membership(this->context)
     , completions(this->context)
@@ -75,21 +75,30 @@
 
 void RouterParts::handle(const ReadFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const RecordsAppended& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const AppendFailed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
     this->calls.handle(event, now, actions);
 }
 
 void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
 {
+    this->configuration.handle(event, now, actions);
+    this->context.peers.clear();
+    for (const ListedHost& host : event.hosts) {
+        if (const auto* daemon = std::get_if<ListedDaemon>(&host.member))
+            this->context.peers.insert_or_assign(daemon->id, *daemon);
+    }
     this->membership.handle(event, now, actions);
 }
 
@@ -102,6 +111,7 @@
 {
     this->membership.handle(event, now, actions);
     this->calls.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
 }
 
 void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
@@ -112,7 +122,7 @@
 
 void RouterParts::handle(const Tick& event, const Now& now, Actions& actions)
 {
-    this->configuration.handle(event, now, actions);
+    this->configuration.handle(event, this->membership.directory(), now, actions);
     this->membership.handle(event, now, actions);
     this->completions.handle(event, now, actions);
     this->calls.handle(event, now, actions);
