--- a/packages/Router/filbertspoke/src/Router/MembershipHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/MembershipHandler.cpp
@@ -59,10 +59,7 @@
 void MembershipHandler::handle(const PeerReceived& event, const Now& now, Actions& actions)
 {
     std::visit(Overloaded {
-                   [&](const PeerStatus& status) {
-                       this->peerDirectory.received(status, now.monotonic());
-                       this->noteRevision(status);
-                   },
+                   [&](const PeerStatus& status) { this->peerDirectory.received(status, now.monotonic()); },
                    [&](const PeerProbe& probe) { this->receive(probe, now, actions); },
                    [&](const PeerProbeRequest& request) { this->receive(request, now, actions); },
                    [&](const PeerProbeAnswer& answer) { this->receive(answer, now, actions); },
@@ -76,16 +73,6 @@
 {
     this->take(this->endpointDirectory.heard(heartbeat.gossip.endpoints, now.monotonic()), actions);
     this->send(this->peerDirectory.received(heartbeat, now.monotonic(), this->context.random), now, actions);
-    this->noteRevision(heartbeat.status);
-}
-
-/** The first peer heard with a revision is asked for it, so that many daemons don't all ask the same. */
-void MembershipHandler::noteRevision(const PeerStatus& status)
-{
-    const ListedDaemon* peer = this->peerDirectory.find(status.from);
-    const LogOffset known = this->context.newestPeer ? this->context.newestPeer->revision : 0;
-    if (peer && status.configurationRevision > known)
-        this->context.newestPeer = PeerRevision { *peer, status.configurationRevision };
 }
 
 void MembershipHandler::handle(const PeerUnreached& event, const Now& now, Actions& actions)
@@ -168,9 +155,6 @@
 void MembershipHandler::reportPeers(Actions& actions)
 {
     for (const PeerStateChanged& change : this->peerDirectory.takeChanges()) {
-        const bool isGone = !change.to || change.to == MemberState::Gone;
-        if (isGone && this->context.newestPeer && this->context.newestPeer->peer.id == change.peer)
-            this->context.newestPeer.reset();
         const std::string state(change.to ? name(*change.to) : "forgotten");
         actions.push_back(count("peer_state_changes_total", state));
         actions.push_back(WriteLog { WriteLog::Level::Info, "peer-state", { { "peer", change.peer.str() }, { "to", state } } });
--- a/packages/Router/filbertspoke/src/Router/MembershipHandler.h
+++ b/packages/Router/filbertspoke/src/Router/MembershipHandler.h
@@ -42,7 +42,6 @@
     void take(const EndpointDescribed&, Actions&);
     void take(const EndpointStateChanged&, Actions&);
     void take(const EndpointForgotten&, Actions&);
-    void noteRevision(const PeerStatus&);
     void reportPeers(Actions&);
     void announceUrgent(const Now&, Actions&);
     void send(PeerEnvelopes, const Now&, Actions&);
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -13,21 +13,12 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace filbertspoke::internal {
 
-/** \brief A peer that follows a newer configuration than any peer before it, as its heartbeat says. */
-struct PeerRevision {
-    ListedDaemon peer;
-    LogOffset revision = 0; ///< the offset of the configuration record that the peer follows
-
-    bool operator==(const PeerRevision&) const = default;
-};
-
 /** \brief What the handlers of one Router share. Each field names the handler that writes it. */
 struct RouterContext {
     RouterContext(DaemonIdentity own, Random::result_type seed, Planner choice = Planner())
@@ -45,7 +36,6 @@
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
-    std::optional<PeerRevision> newestPeer; ///< MembershipHandler: the first heard of the live ones with the highest revision
     std::map<DaemonId, ListedDaemon> peers; ///< Router, from the host list: where peers are reached
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
     TraceJournal traces;
