--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -100,6 +100,7 @@
             this->context.peers.insert_or_assign(daemon->id, *daemon);
     }
     this->membership.handle(event, now, actions);
+    this->countDaemons();
 }
 
 void RouterParts::handle(const HostListFailed&, const Now&, Actions& actions)
@@ -110,6 +111,7 @@
 void RouterParts::handle(const PeerReceived& event, const Now& now, Actions& actions)
 {
     this->membership.handle(event, now, actions);
+    this->countDaemons();
     this->calls.handle(event, now, actions);
     this->configuration.handle(event, this->membership.directory(), now, actions);
 }
@@ -117,6 +119,7 @@
 void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
 {
     this->membership.handle(event, now, actions);
+    this->countDaemons();
     this->calls.handle(event, now, actions);
 }
 
@@ -149,6 +152,13 @@
     this->drain.settle(this->inProgress(), actions);
 }
 
+void RouterParts::countDaemons()
+{
+    const PeerDirectory& directory = this->membership.directory();
+    const std::size_t peers = directory.peersIn(MemberState::Alive).size() + directory.peersIn(MemberState::Suspect).size();
+    this->context.daemons = static_cast<std::uint32_t>(peers + 1);
+}
+
 std::optional<TimePoint> RouterParts::nextWake() const
 {
     const std::optional<TimePoint> control = earlier(this->configuration.nextWake(), this->membership.nextWake());
