A lost stage is blamed on itself alone; sharing of account limits measured

Cause: when an endpoint was lost, every run that used it counted its outstanding step as a failure of whichever engine had that step, so that three such runs opened the breaker of a healthy engine and the rest were refused. Cancelled steps counted as answers, too, and so did prompts among the steps of one token. Change: workCancelled() ends work that tells nothing of its endpoint; a cancelled probe leaves the breaker open to the next; answers say how many positions ran. The smoothed demand of accounts follows within 0.5 s in place of 2 s. filbertspoke-bench account-limits shows how much of a limit passes.

--- a/packages/Bench/app/main.cpp
+++ b/packages/Bench/app/main.cpp
@@ -59,15 +59,28 @@
     return 0;
 }
 
+int measureAccountLimits(std::uint64_t seed)
+{
+    std::cout << std::left << std::setw(18) << "demand" << std::setw(16) << "links" << std::right << std::setw(10) << "offered"
+              << std::setw(10) << "passed" << std::setw(14) << "worst second" << '\n';
+    for (const bench::LimitSharingResult& result : bench::measureLimitSharing(seed)) {
+        std::cout << std::left << std::setw(18) << result.demand << std::setw(16) << result.links << std::right << std::fixed << std::setprecision(2)
+                  << std::setw(10) << result.offeredOverLimit << std::setw(10) << result.passedOverLimit << std::setw(14) << result.worstSecond << '\n';
+    }
+    return 0;
+}
+
 }
 
 int main(int argc, char** argv)
 {
     CLI::App app("Drives the decision object under load and faults, in virtual time, beside its baselines.");
     Choice choice;
-    app.add_option("scenario", choice.scenario, "a scenario's name, all, or load-reports");
+    app.add_option("scenario", choice.scenario, "a scenario's name, all, load-reports or account-limits");
     app.add_option("--policy", choice.policy, "a policy's name, or all");
     app.add_option("--seed", choice.seed, "the same seed prints the same rows");
     CLI11_PARSE(app, argc, argv);
+    if (choice.scenario == "account-limits")
+        return measureAccountLimits(choice.seed);
     return choice.scenario == "load-reports" ? compareLoadReports(choice.seed) : runScenarios(choice);
 }
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -163,7 +163,7 @@
     if (event.receipt.status() == StepStatus::Draining)
         this->context.endpoints.saidDraining(event.endpoint);
     if (wasOutstanding && !dropped)
-        this->context.endpoints.workFinished(event.endpoint, now.monotonic() - sent, now.monotonic());
+        this->context.endpoints.workFinished(event.endpoint, now.monotonic() - sent, now.monotonic(), event.receipt.step().count());
     this->carryOut(*completion, outputs, now, actions);
 }
 
@@ -190,12 +190,20 @@
             const std::optional<StepDue> outstanding = completion->run.outstanding();
             const RunOutputs outputs = completion->run.endpointLost(endpoint);
             if (!outputs.empty() && outstanding)
-                this->context.endpoints.workFailed(outstanding->endpoint, now.monotonic());
+                this->giveUp(outstanding->endpoint, endpoint, now);
             this->carryOut(*completion, outputs, now, actions);
         }
     }
 }
 
+void CompletionHandler::giveUp(const EndpointId& asked, const EndpointId& lost, const Now& now)
+{
+    if (asked == lost)
+        this->context.endpoints.workFailed(asked, now.monotonic());
+    else
+        this->context.endpoints.workCancelled(asked, now.monotonic());
+}
+
 void CompletionHandler::handle(const CallerGone& event, const Now& now, Actions& actions)
 {
     if (!this->find(event.request))
@@ -326,7 +334,7 @@
     PipelineRun& run = entry->second.run;
     this->context.endpoints.chainClosed(run.chain());
     if (run.outstanding())
-        this->context.endpoints.workFinished(run.outstanding()->endpoint, now.monotonic() - entry->second.stepSent, now.monotonic());
+        this->context.endpoints.workCancelled(run.outstanding()->endpoint, now.monotonic());
     for (const RunOutput& output : run.cancel()) {
         if (const auto* release = std::get_if<CacheReleased>(&output))
             actions.push_back(CancelSteps { release->endpoint, request });
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.h
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.h
@@ -63,6 +63,8 @@
     void replaceChain(Completion&, const ChainNeeded&, const Now&, Actions&);
     void finish(const Completion&, const Now&, Actions&);
     void stepLost(Completion&, const Now&, Actions&);
+    /** \brief Ends the outstanding step at \a asked, of a run that has lost an endpoint. */
+    void giveUp(const EndpointId& asked, const EndpointId& lost, const Now&);
     void timeOutSteps(const Now&, Actions&);
     void refuse(RequestId, const Refusal&, const Now&, Actions&);
     void end(RequestId, const Now&, Actions&);
--- a/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/AccountLimiter.cpp
@@ -8,7 +8,7 @@
 
 namespace internal {
 
-constexpr Duration demandWindow = std::chrono::seconds(2); ///< time constant of the smoothed demand
+constexpr Duration demandWindow = std::chrono::milliseconds(500); ///< time constant of the smoothed demand
 constexpr Duration demandLifetime = std::chrono::seconds(3); ///< a peer that is silent longer counts as unheard
 constexpr Duration longestPromise = std::chrono::seconds(30);
 constexpr double demandFloor = 0.05; ///< part of an even share that a daemon keeps without any demand
--- a/packages/Routing/filbertspoke/src/Routing/Breaker.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/Breaker.cpp
@@ -27,6 +27,8 @@
 struct WorkFailed {
     TimePoint now;
 };
+struct WorkCancelled {
+};
 
 struct BreakerDefinition : msm::front::state_machine_def<BreakerDefinition> {
     struct Closed : msm::front::state<> {
@@ -83,6 +85,7 @@
         Row<Open, WorkStarted, HalfOpen, none, IsProbeDue>,
         Row<Open, WorkSucceeded, Closed, Reset, none>,
         Row<HalfOpen, WorkSucceeded, Closed, Reset, none>,
+        Row<HalfOpen, WorkCancelled, Open, none, none>,
         Row<HalfOpen, WorkFailed, Open, SetOpenTime, none>>;
 
     // Events without a row are late answers, which change nothing.
@@ -146,4 +149,10 @@
     this->machine->process_event(internal::WorkFailed { now });
 }
 
+void Breaker::cancelled(TimePoint)
+{
+    if (this->machine)
+        this->machine->process_event(internal::WorkCancelled {});
+}
+
 }
--- a/packages/Routing/filbertspoke/src/Routing/Breaker.h
+++ b/packages/Routing/filbertspoke/src/Routing/Breaker.h
@@ -27,6 +27,8 @@
     void started(TimePoint);
     void succeeded(TimePoint);
     void failed(TimePoint);
+    /** \brief Takes note that work was given up before its answer, which tells nothing of the endpoint. */
+    void cancelled(TimePoint);
 
 private:
     class Machine;
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
@@ -102,6 +102,15 @@
     state->breaker.failed(now);
 }
 
+void EndpointView::workCancelled(const EndpointId& id, TimePoint now)
+{
+    EndpointState* state = this->findMutable(id);
+    if (!state)
+        return;
+    state->ownWork -= state->ownWork > 0 ? 1 : 0;
+    state->breaker.cancelled(now);
+}
+
 void EndpointView::chainOpened(const Chain& chain)
 {
     for (const ChainStage& stage : chain) {
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.h
@@ -42,13 +42,15 @@
     void report(const EndpointId&, const LoadReport&, TimePoint);
     /** \brief Takes an endpoint's own word that it takes no new work, before its next report says so. */
     void saidDraining(const EndpointId&);
-    /** \brief Notes that a step or call was sent. Each is ended by workFinished() or workFailed(). */
+    /** \brief Notes that a step or call was sent. Each is ended by one of the three below. */
     void workStarted(const EndpointId&, TimePoint);
     /** \param latency from sending the work to its answer
      * \param positions how many token positions the work ran */
     void workFinished(const EndpointId&, Duration latency, TimePoint, std::uint32_t positions = 1);
     /** \brief Notes that a step or call got no answer, or that the endpoint failed it. */
     void workFailed(const EndpointId&, TimePoint);
+    /** \brief Notes that this daemon gave a step or call up before its answer. */
+    void workCancelled(const EndpointId&, TimePoint);
 
     /** \brief Counts a chain against its endpoints until chainClosed(); call it as soon as the chain is
      * planned, so that requests planned at the same moment spread out. */
--- a/packages/Routing/tests/Breaking.cpp
+++ b/packages/Routing/tests/Breaking.cpp
@@ -57,6 +57,17 @@
     BOOST_TEST(this->breaker.isClosed());
 }
 
+BOOST_FIXTURE_TEST_CASE(cancelledProbeLeavesRoomForTheNext, Fixture)
+{
+    this->fail(3);
+    this->now += milliseconds(500);
+    this->breaker.started(this->now);
+    this->breaker.cancelled(this->now);
+
+    BOOST_TEST(this->breaker.allows(this->now));
+    BOOST_TEST(!this->breaker.isClosed());
+}
+
 BOOST_AUTO_TEST_CASE(retriesAreBoundedByTheBudget)
 {
     RetryBudget budget(0.1, 2);
