--- /dev/null
+++ b/packages/Daemon/benchmarks/HopLatency.cpp
@@ -0,0 +1,175 @@
+// Measures what a daemon adds to a pipeline hop and to a plain call, against the same exchanges
+// made direct to the stand-ins, in one run on loopback. Prints one JSON line for each row.
+#include <filbertspoke/ClusterTesting>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <deque>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace filbertspoke;
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+using Microseconds = std::chrono::duration<double, std::micro>;
+
+constexpr std::uint32_t stages = 3;
+constexpr std::uint32_t tokens = Cluster::maximumTokens;
+constexpr std::uint32_t warmUp = 50; // exchanges or tokens that are left out at the start
+constexpr std::uint32_t calls = 2000;
+
+/** \brief Times of one kind of exchange. */
+class Samples {
+public:
+    void add(Clock::duration duration) { this->times.push_back(Microseconds(duration).count()); }
+
+    double percentile(double share)
+    {
+        std::sort(this->times.begin(), this->times.end());
+        return this->times[static_cast<std::size_t>(share * static_cast<double>(this->times.size() - 1))];
+    }
+
+    void print(const std::string& row)
+    {
+        const json::object line { { "row", row }, { "samples", this->times.size() }, { "p50us", this->percentile(0.5) }, { "p95us", this->percentile(0.95) }, { "p99us", this->percentile(0.99) } };
+        std::cout << json::serialize(line) << std::endl;
+    }
+
+private:
+    std::vector<double> times;
+};
+
+/** \brief A kept connection for one exchange after another. */
+class Client {
+public:
+    explicit Client(const HttpAddress& address)
+        : connection(this->io, address, HttpLimits {})
+    {
+    }
+
+    std::string exchange(const std::string& method, const std::string& target, const std::string& body)
+    {
+        HttpRequest request;
+        request.method = method;
+        request.target = target;
+        request.headers = { { "Filbertspoke-Account", "bole-workshops" }, { "Content-Type", "application/json" } };
+        request.body = body;
+        std::optional<HttpOutcome> outcome;
+        this->connection.exchange(std::move(request), std::chrono::seconds(10), [&](HttpOutcome result) { outcome = std::move(result); });
+        this->io.restart();
+        while (!outcome)
+            this->io.run_one();
+        return std::get<HttpResponse>(*outcome).body;
+    }
+
+private:
+    boost::asio::io_context io;
+    HttpConnection connection;
+};
+
+Samples timeCalls(Client& client, const std::string& target)
+{
+    Samples samples;
+    for (std::uint32_t call = 0; call < calls + warmUp; ++call) {
+        const auto start = Clock::now();
+        client.exchange("GET", target, "");
+        if (call >= warmUp)
+            samples.add(Clock::now() - start);
+    }
+    return samples;
+}
+
+std::string stepBody(std::uint32_t stage, std::uint32_t position, std::uint32_t count, const std::string& input)
+{
+    const std::uint32_t first = stage * Cluster::layersPerStage;
+    const json::object step { { "request", "direct" }, { "generation", 0 }, { "sequence", position * stages + stage }, { "model", "assistant" }, { "version", "1" },
+        { "layers", { first, first + Cluster::layersPerStage } }, { "position", position }, { "count", count }, { "input", input } };
+    return json::serialize(json::object { { "steps", { step } } });
+}
+
+/** \brief Runs one pass over all stages, each by one exchange with its engine. */
+std::string runPass(std::deque<Client>& engines, std::uint32_t position, std::uint32_t count, std::string input)
+{
+    for (std::uint32_t stage = 0; stage < stages; ++stage) {
+        const std::string answer = engines[stage].exchange("POST", "/v1/steps", stepBody(stage, position, count, input));
+        input = std::string(json::parse(answer).at("receipts").at(0).at("output").as_string());
+    }
+    return input;
+}
+
+Samples timeTokensDirect(std::deque<Client>& engines)
+{
+    Samples samples;
+    std::string token = runPass(engines, 0, 2, "[\"true\",\"wheel\"]");
+    for (std::uint32_t index = 1; index < tokens; ++index) {
+        const auto start = Clock::now();
+        token = runPass(engines, index + 1, 1, json::serialize(json::array { token }));
+        if (index >= warmUp)
+            samples.add(Clock::now() - start);
+    }
+    return samples;
+}
+
+/** \brief Reads a stream and times the gaps between its tokens. */
+Samples timeTokensThroughDaemon(const HttpAddress& callers)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({ boost::asio::ip::make_address(callers.address), callers.port });
+    const std::string body = R"({"model":"assistant","prompt":"true wheel","stream":true,"max_tokens":)" + std::to_string(tokens) + "}";
+    boost::asio::write(socket, boost::asio::buffer("POST /v1/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\nFilbertspoke-Account: bole-workshops\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+
+    Samples samples;
+    std::array<char, 4096> bytes;
+    std::optional<Clock::time_point> last;
+    std::uint32_t seen = 0;
+    boost::system::error_code error;
+    while (!error) {
+        const std::size_t size = socket.read_some(boost::asio::buffer(bytes), error);
+        const auto now = Clock::now();
+        const std::string text(bytes.data(), size);
+        // With no work at the engines a read holds one token; one that holds more counts once.
+        if (text.find("id: ") == std::string::npos)
+            continue;
+        if (last && ++seen >= warmUp)
+            samples.add(now - *last);
+        last = now;
+    }
+    return samples;
+}
+
+}
+
+int main()
+{
+    ClusterOptions options;
+    options.daemons = 1;
+    options.stages = stages;
+    options.replicas = 1;
+    options.services = 1;
+    options.engineDelayUs = 0;
+    Cluster cluster(options);
+
+    Client service(cluster.service(0).address);
+    Client daemon(cluster.daemon(0).callers);
+    timeCalls(service, "/stock/hub").print("plain call, direct");
+    timeCalls(daemon, "/services/bench-app/stock/hub").print("plain call, through the daemon");
+
+    std::deque<Client> engines;
+    for (std::uint32_t stage = 0; stage < stages; ++stage)
+        engines.emplace_back(cluster.engine(stage, 0).address);
+    timeTokensDirect(engines).print("token over 3 hops, direct");
+    timeTokensThroughDaemon(cluster.daemon(0).callers).print("token over 3 hops, through the daemon");
+    return 0;
+}
