--- a/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/LogCursor.cpp
@@ -4,6 +4,13 @@
 
 namespace filbertspoke {
 
+namespace {
+
+// A log that never dropped a record counts its offsets from 0 or from 1.
+constexpr LogOffset firstOffsetAtMost = 1;
+
+}
+
 std::optional<ReadKeyRecords> LogCursor::issue(TimePoint now)
 {
     if (this->readTimeout || (!this->requested && now < this->nextRead))
@@ -14,13 +21,15 @@
     return ReadKeyRecords { this->nextOffset };
 }
 
-LogIntake LogCursor::take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now, Duration poll)
+LogIntake LogCursor::take(const std::vector<LogRecord>& records, LogOffset oldest, LogOffset next, TimePoint now)
 {
     if (this->readTimeout) {
         this->readTimeout.reset();
         this->completedNumber = this->issuedCount;
-        this->nextRead = now + poll;
     }
+    this->nextRead = now + this->limits.silence;
+    if (this->nextOffset == 0 && oldest == 0)
+        this->nextOffset = std::min<LogOffset>(records.empty() ? next : records.front().offset, firstOffsetAtMost);
     LogIntake intake;
     if (oldest > this->nextOffset) {
         intake.truncated = true;
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -93,8 +93,10 @@
 void CompletionHandler::admit(const CompletionReceived& event, TimePoint deadline, const Now& now, Actions& actions)
 {
     const double cost = event.maximumTokens - event.received.size();
-    const AdmissionRequest request { event.request, event.account, event.priority, deadline, cost };
-    const AdmissionDecision decision = this->currentAdmission().offer(request, now.monotonic());
+    const AdmissionRequest request { event.request, event.account, event.priority, deadline, cost, event.model };
+    Admission& admission = this->currentAdmission();
+    this->limitConcurrency(event.model);
+    const AdmissionDecision decision = admission.offer(request, now.monotonic());
     std::visit(Overloaded {
                    [&](const Admitted&) { this->plan(*this->find(event.request), now, actions); },
                    [&](const Queued&) { this->context.traces.add(event.request, now, "queued", event.account.str()); },
@@ -102,6 +104,15 @@
         decision);
 }
 
+void CompletionHandler::limitConcurrency(const ModelId& id)
+{
+    const ModelConfiguration* model = this->context.configuration->configuration.findModel(id);
+    if (!model)
+        return;
+    if (const std::optional<std::uint32_t> limit = this->concurrency.limit(*model, this->context.endpoints, this->context.daemons))
+        this->admission->setConcurrency(id, *limit);
+}
+
 void CompletionHandler::startAll(const std::vector<RequestId>& requests, const Now& now, Actions& actions)
 {
     for (const RequestId& request : requests) {
@@ -119,13 +130,15 @@
     for (const EndpointId& endpoint : completion.excluded)
         builder.exclude(endpoint);
 
-    const Result<Chain> chain = Planner().plan(builder.build(), this->context.endpoints, this->context.random, now.monotonic());
+    const Result<Chain> chain = this->context.planner.plan(builder.build(), this->context.endpoints, this->context.random, now.monotonic());
     if (!chain) {
         const Refusal refusal(ErrorCode::NoPipeline, ranState(completion.run));
         this->refuse(spec.request(), refusal.retryAfter(planningRetryDelay), now, actions);
         return;
     }
     this->context.traces.add(spec.request(), now, "planned", describe(*chain));
+    this->context.endpoints.chainClosed(completion.run.chain());
+    this->context.endpoints.chainOpened(*chain);
     this->carryOut(completion, completion.run.assign(*chain), now, actions);
 }
 
@@ -140,6 +153,8 @@
     const TimePoint sent = completion->stepSent;
     const RunOutputs outputs = completion->run.answered(event.endpoint, event.receipt);
     const bool dropped = std::holds_alternative<AnswerDropped>(outputs.front());
+    if (event.receipt.status() == StepStatus::Draining)
+        this->context.endpoints.saidDraining(event.endpoint);
     if (wasOutstanding && !dropped)
         this->context.endpoints.workFinished(event.endpoint, now.monotonic() - sent, now.monotonic());
     this->carryOut(*completion, outputs, now, actions);
@@ -302,17 +317,22 @@
     if (entry == this->completions.end())
         return;
     PipelineRun& run = entry->second.run;
+    this->context.endpoints.chainClosed(run.chain());
     if (run.outstanding())
         this->context.endpoints.workFinished(run.outstanding()->endpoint, now.monotonic() - entry->second.stepSent, now.monotonic());
     for (const RunOutput& output : run.cancel()) {
         if (const auto* release = std::get_if<CacheReleased>(&output))
             actions.push_back(CancelSteps { release->endpoint, request });
     }
+    const bool whole = run.tokenCount() >= run.spec().maximumTokens();
+    const ModelId model = run.spec().model();
     this->completions.erase(entry);
     this->deadlines.erase(request);
     this->stepTimeouts.erase(request);
-    if (this->admission)
-        this->startAll(this->admission->cancel(request, now.monotonic()), now, actions);
+    if (!this->admission)
+        return;
+    this->limitConcurrency(model);
+    this->startAll(whole ? this->admission->finished(request, now.monotonic()) : this->admission->cancel(request, now.monotonic()), now, actions);
 }
 
 CompletionHandler::Completion* CompletionHandler::find(const RequestId& request)
--- a/packages/Router/filbertspoke/src/Router/RouterContext.h
+++ b/packages/Router/filbertspoke/src/Router/RouterContext.h
@@ -7,9 +7,11 @@
 
 #include <filbertspoke/Configuration>
 #include <filbertspoke/Core>
+#include <filbertspoke/Membership>
 #include <filbertspoke/Routing>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -19,19 +21,23 @@
 
 /** \brief What the handlers of one Router share. Each field names the handler that writes it. */
 struct RouterContext {
-    RouterContext(DaemonIdentity own, Random::result_type seed)
+    RouterContext(DaemonIdentity own, Random::result_type seed, Planner choice = Planner())
         : identity(std::move(own))
+        , planner(std::move(choice))
         , endpoints(this->identity.failureDomain)
         , random(seed)
     {
     }
 
     DaemonIdentity identity;
+    Planner planner;
     EndpointView endpoints; ///< MembershipHandler; work in progress by whoever sends it
     Random random;
     std::shared_ptr<const ConfigurationInForce> configuration; ///< ConfigurationHandler; null before the first
     bool draining = false; ///< Router, from StopRequested on
+    std::uint32_t daemons = 1; ///< RouterParts: those that are not gone, with this one
     std::vector<EndpointId> lostEndpoints; ///< MembershipHandler: lost in this event
+    std::map<DaemonId, ListedDaemon> peers; ///< Router, from the host list: where peers are reached
     std::uint64_t nextAppend = 1; ///< names the next AppendRecords of any handler
     TraceJournal traces;
 };
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -5,8 +5,8 @@
 
 namespace filbertspoke::internal {
 
-RouterParts::RouterParts(DaemonIdentity identity, Random::result_type seed)
-    : context(std::move(identity), seed)
+RouterParts::RouterParts(DaemonIdentity identity, Random::result_type seed, Planner planner)
+    : context(std::move(identity), seed, std::move(planner))
     , configuration(this->context)
     , membership(this->context)
     , completions(this->context)
@@ -94,7 +94,13 @@
 void RouterParts::handle(const HostsListed& event, const Now& now, Actions& actions)
 {
     this->configuration.handle(event, now, actions);
+    this->context.peers.clear();
+    for (const ListedHost& host : event.hosts) {
+        if (const auto* daemon = std::get_if<ListedDaemon>(&host.member))
+            this->context.peers.insert_or_assign(daemon->id, *daemon);
+    }
     this->membership.handle(event, now, actions);
+    this->countDaemons();
 }
 
 void RouterParts::handle(const HostListFailed&, const Now&, Actions& actions)
@@ -105,6 +111,7 @@
 void RouterParts::handle(const PeerReceived& event, const Now& now, Actions& actions)
 {
     this->membership.handle(event, now, actions);
+    this->countDaemons();
     this->calls.handle(event, now, actions);
     this->configuration.handle(event, this->membership.directory(), now, actions);
 }
@@ -112,6 +119,7 @@
 void RouterParts::handle(const PeerUnreached& event, const Now& now, Actions& actions)
 {
     this->membership.handle(event, now, actions);
+    this->countDaemons();
     this->calls.handle(event, now, actions);
 }
 
@@ -144,6 +152,13 @@
     this->drain.settle(this->inProgress(), actions);
 }
 
+void RouterParts::countDaemons()
+{
+    const PeerDirectory& directory = this->membership.directory();
+    const std::size_t peers = directory.peersIn(MemberState::Alive).size() + directory.peersIn(MemberState::Suspect).size();
+    this->context.daemons = static_cast<std::uint32_t>(peers + 1);
+}
+
 std::optional<TimePoint> RouterParts::nextWake() const
 {
     const std::optional<TimePoint> control = earlier(this->configuration.nextWake(), this->membership.nextWake());
