Daemons on a system-chosen peer port find each other; daemons as real processes

Cause: four daemon processes never saw each other alive. Ruled out: the network and the directories (two links on loopback and the simulated clusters pass). The daemon told its peers the port of its settings, which is 0 where the system chooses, so that every answer to a heartbeat went to port 0.

Change: DaemonLoop binds the peer link before it makes the Router, and the Router's identity carries the port that was bound. Its constructor reaches members through this. Tests Daemon.Peers.*: a daemon that is killed and restarted, one that is paused by SIGSTOP, and one that stops while its stream finishes, as the other three see them.

--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
@@ -41,13 +41,13 @@
 
     Settings settings;
     boost::asio::io_context io;
+    PeerLink peers; ///< bound before the router is made, which tells peers the port
     Router router;
     Metrics metrics;
     LatencyRecorder latencies;
     OperatorPages pages;
     PlatformClient platform;
     EndpointPool endpoints;
-    PeerLink peers;
     CallerServer callers;
     HttpServer operators;
     boost::asio::signal_set signals;
--- /dev/null
+++ b/packages/Daemon/tests/Peers.cpp
@@ -0,0 +1,83 @@
+// Daemons that are killed, paused and stopped, as the other daemons see them. Real processes.
+#include <filbertspoke/ClusterTesting>
+
+#include <boost/json/array.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <cstdint>
+#include <string>
+
+using namespace filbertspoke;
+
+namespace {
+
+struct FourDaemons : Cluster {
+    FourDaemons()
+        : Cluster({ .daemons = 4, .stages = 2, .replicas = 1 })
+    {
+    }
+
+    /** \returns the state in which a daemon sees another, empty when it doesn't know it */
+    std::string stateOf(std::uint32_t viewer, std::uint32_t other)
+    {
+        const boost::json::value status = this->status(viewer);
+        if (!status.is_object())
+            return {};
+        for (const boost::json::value& peer : status.at("peers").as_array()) {
+            if (peer.at("id").as_string() == "daemon-" + std::to_string(other))
+                return std::string(peer.at("state").as_string());
+        }
+        return {};
+    }
+
+    bool othersSee(std::uint32_t daemon, const std::string& state)
+    {
+        for (std::uint32_t viewer = 0; viewer < 4; ++viewer) {
+            if (viewer != daemon && this->stateOf(viewer, daemon) != state)
+                return false;
+        }
+        return true;
+    }
+
+    bool everyoneIsAlive()
+    {
+        for (std::uint32_t daemon = 0; daemon < 4; ++daemon) {
+            if (!this->othersSee(daemon, "alive"))
+                return false;
+        }
+        return true;
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(killedDaemonIsGoneAndAliveAgainAfterItsRestart, FourDaemons)
+{
+    BOOST_TEST_REQUIRE(this->await([this] { return this->everyoneIsAlive(); }));
+    this->daemon(2).process.kill();
+    BOOST_TEST_REQUIRE(this->await([this] { return this->othersSee(2, "gone"); }));
+    this->restartDaemon(2);
+    BOOST_TEST(this->await([this] { return this->everyoneIsAlive(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(pausedDaemonIsAliveAgainWhenItGoesOn, FourDaemons)
+{
+    BOOST_TEST_REQUIRE(this->await([this] { return this->everyoneIsAlive(); }));
+    this->daemon(1).process.signal(SIGSTOP);
+    BOOST_TEST_REQUIRE(this->await([this] { return this->othersSee(1, "gone"); }));
+    this->daemon(1).process.signal(SIGCONT);
+    BOOST_TEST(this->await([this] { return this->everyoneIsAlive(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(stoppingDaemonIsSeenAsLeavingWhileItsStreamFinishes, FourDaemons)
+{
+    BOOST_TEST_REQUIRE(this->await([this] { return this->everyoneIsAlive(); }));
+    const auto completion = this->complete(3, Cluster::maximumTokens);
+    BOOST_TEST_REQUIRE(this->await([this] { return !this->runs(this->engine(1, 0).address).empty(); }));
+    this->daemon(3).process.signal(SIGTERM);
+    BOOST_TEST_REQUIRE(this->await([this] { return this->othersSee(3, "leaving"); }));
+    BOOST_TEST_REQUIRE(this->await([&] { return completion->done(); }));
+    BOOST_TEST(readStream(completion->body()).whole);
+    BOOST_TEST(this->daemon(3).process.wait() == 0);
+}
