--- a/packages/Pipeline/tests/PipelineRun.cpp
+++ b/packages/Pipeline/tests/PipelineRun.cpp
@@ -95,6 +95,21 @@
     BOOST_TEST(run.tokenCount() == 0u);
 }
 
+// The engine keeps its place in the chain, and its late answer is to the same layers and positions.
+BOOST_AUTO_TEST_CASE(earlierGenerationsAnswerFromAnEngineThatStaysIsDropped)
+{
+    PipelineRun run(specOf(2));
+    run.assign(twoStages);
+    const StepDue earlier = *run.outstanding();
+    run.endpointLost(EndpointId("b"));
+    run.assign(replaced);
+    const StepDue current = *run.outstanding();
+    BOOST_TEST(current.endpoint == earlier.endpoint);
+
+    BOOST_TEST(findOutput<AnswerDropped>(run.answered(earlier.endpoint, receiptFor(earlier, "late"))));
+    BOOST_TEST((run.outstanding() == current));
+}
+
 BOOST_AUTO_TEST_CASE(replacementRecomputesTheCacheAndSendsNoTokenTwice)
 {
     PipelineRun run(specOf(3));
