Planner draws two candidates a side; slow start goes out

Change: two draws from each side of the failure domain border in place of four; slow start is taken out. Conclusion: more candidates herd on the same stale reports; slow start only holds capacity back.

--- a/packages/Routing/filbertspoke/src/Routing/EndpointState.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.cpp
@@ -1,7 +1,5 @@
 #include "EndpointState.h"
 
-#include <chrono>
-
 namespace filbertspoke {
 
 namespace internal {
@@ -9,8 +7,6 @@
 constexpr double rateWithoutReport = 100; ///< tokens or calls a second
 constexpr double microsecondsPerSecond = 1e6;
 constexpr double prefillTolerance = 3; ///< a prompt may take this much longer than expected
-constexpr Duration slowStartTime = std::chrono::seconds(5);
-constexpr double slowStartFloor = 0.2; ///< part of the rate that a newcomer is trusted with at once
 
 }
 
@@ -29,12 +25,4 @@
     return internal::rateWithoutReport;
 }
 
-double EndpointState::rampedRate(TimePoint now) const
-{
-    if (!this->rampStart)
-        return this->rate() * internal::slowStartFloor;
-    const double elapsed = static_cast<double>((now - *this->rampStart).count()) / static_cast<double>(internal::slowStartTime.count());
-    return this->rate() * std::clamp(elapsed, internal::slowStartFloor, 1.0);
-}
-
 }
--- a/packages/Routing/filbertspoke/src/Routing/EndpointState.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.h
@@ -65,8 +65,6 @@
     /** \returns the tokens or calls a second that the endpoint serves at full load: its own word, or
      * else what its latency allows */
     double rate() const;
-    /** \returns rate(), reduced while the endpoint is new or has just come back */
-    double rampedRate(TimePoint now) const;
 
 private:
     friend class EndpointView;
@@ -76,7 +74,6 @@
     bool newWorkAllowed = true;
     LoadReport latestLoad;
     std::optional<TimePoint> reportTime;
-    std::optional<TimePoint> rampStart; ///< first report, or the end of a failure
     std::uint32_t ownWork = 0;
     std::uint32_t ownWorkAtReport = 0;
     std::uint32_t openChains = 0;
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
@@ -51,8 +51,6 @@
     if (!state)
         return;
     state->latestLoad = load;
-    if (!state->rampStart)
-        state->rampStart = now;
     state->reportTime = now;
     state->ownWorkAtReport = state->ownWork;
     this->countCapacity(*state);
@@ -82,8 +80,6 @@
     if (!state)
         return;
     state->ownWork -= state->ownWork > 0 ? 1 : 0;
-    if (!state->breaker.isClosed())
-        state->rampStart = now;
     state->breaker.succeeded(now);
     if (positions <= 1) {
         state->latency.add(latency);
--- a/packages/Routing/filbertspoke/src/Routing/Planner.h
+++ b/packages/Routing/filbertspoke/src/Routing/Planner.h
@@ -16,7 +16,7 @@
 /** \brief Finds the chain with the least expected time among a few candidates for each range of layers. */
 class Planner {
 public:
-    static constexpr std::size_t defaultDraws = 4; ///< per range, from each side: own and other failure domains
+    static constexpr std::size_t defaultDraws = 2; ///< per range, from each side: own and other failure domains
 
     Planner()
         : Planner(expectedStageTime)
--- a/packages/Routing/filbertspoke/src/Routing/StageCost.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/StageCost.cpp
@@ -11,9 +11,9 @@
 
 }
 
-double expectedStageTime(const EndpointState& state, const PlanRequest& request, TimePoint now)
+double expectedStageTime(const EndpointState& state, const PlanRequest& request, TimePoint)
 {
-    const double servicePerToken = internal::microsecondsInSecond / state.rampedRate(now);
+    const double servicePerToken = internal::microsecondsInSecond / state.rate();
     const double waiting = state.ownChains() + state.othersLoad() + 1;
     const double step = static_cast<double>(state.smallestLatency().count()) + waiting * servicePerToken;
     const double prefillPerToken = state.prefillMicrosecondsPerToken() > 0
