--- a/packages/Control/filbertspoke/src/Control/ConfigurationLog.cpp
+++ b/packages/Control/filbertspoke/src/Control/ConfigurationLog.cpp
@@ -13,6 +13,8 @@
 
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusGone = 410;
+constexpr unsigned firstClientError = 400; // a client error leaves no record; any other failure may
+constexpr unsigned firstServerError = 500;
 constexpr int pageLimit = 1000; // records in one read
 constexpr int maximumPages = 100'000; // against a log that never ends
 
@@ -117,8 +119,7 @@
     const unsigned status = std::get<HttpResponse>(outcome).status;
     if (status == statusOk)
         return AppendState::Appended;
-    constexpr unsigned firstServerError = 500;
-    return status >= firstServerError ? AppendState::Unknown : AppendState::NotAppended;
+    return status >= firstClientError && status < firstServerError ? AppendState::NotAppended : AppendState::Unknown;
 }
 
 }
--- a/packages/Control/tests/Approval.cpp
+++ b/packages/Control/tests/Approval.cpp
@@ -135,6 +135,16 @@
     BOOST_TEST((this->approve(answersOf("bench", 1)).exitCode == ExitCode::Unreachable));
 }
 
+BOOST_FIXTURE_TEST_CASE(answerThatIsNoRefusalLeavesTheOutcomeUnknown, Operators)
+{
+    for (const unsigned status : { 202U, 302U, 503U }) {
+        this->transport.appendAnswer = HttpResponse { status, {}, {} };
+        BOOST_TEST((this->approve(answersOf("bench", 1)).exitCode == ExitCode::OutcomeUnknown), status);
+    }
+    this->transport.appendAnswer = HttpResponse { 400, {}, {} };
+    BOOST_TEST((this->approve(answersOf("bench", 1)).exitCode == ExitCode::Unreachable));
+}
+
 BOOST_FIXTURE_TEST_CASE(lostAnswerAndLostLogLeaveTheOutcomeUnknown, Operators)
 {
     this->transport.afterAppend = [this] { this->transport.unreachable = true; };
--- a/packages/Control/tests/LogTransport.h
+++ b/packages/Control/tests/LogTransport.h
@@ -6,6 +6,7 @@
 #include <filbertspoke/StandIns>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -24,6 +25,8 @@
             std::exchange(this->beforeAppend, nullptr)();
         if (this->unreachable)
             return HttpFailure { make_error_code(ErrorCode::PlatformUnavailable), this->sent };
+        if (request.method == "POST" && this->appendAnswer)
+            return *this->appendAnswer;
         HttpOutcome outcome = filbertspoke::exchange(this->context, address, request);
         if (request.method == "POST" && this->afterAppend)
             std::exchange(this->afterAppend, nullptr)();
@@ -38,6 +41,7 @@
     LogStandIn log { this->context, { "127.0.0.1", 0 } };
     std::function<void()> beforeAppend;
     std::function<void()> afterAppend;
+    std::optional<HttpResponse> appendAnswer; ///< given in place of the log's, which takes nothing
     bool unreachable = false;
     bool sent = false;
     int pauses = 0;
--- a/packages/Router/filbertspoke/src/Router/ConfigurationHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/ConfigurationHandler.cpp
@@ -42,7 +42,7 @@
     }
     for (const LogRecord& record : event.records)
         this->take(this->fold.apply(record), now, actions);
-    if (event.records.empty() || event.records.back().offset + 1 >= event.next)
+    if (this->fold.next() >= event.next || (event.records.empty() && this->fold.current()))
         this->caughtUp = true;
     this->bringIntoForce(now, actions);
     this->checkpoints.logRead(event.oldest, event.next, now.monotonic());
