Daemon: tells peers the port that it listens on, not the 0 of its settings

Cause: with port 0 a daemon's probes named port 0 as the place for answers, so that two healthy daemons called each other gone within 6 s, and a fresh daemon without the log got its configuration only after a probe of gone peers. Ruled out: the peer link (frames arrive) and the directory (its rules are those of its own tests). Change: the peer link listens before the Router is built, which gets the bound port. Conclusion: processes on free ports are peers as others are.

--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
@@ -24,10 +24,17 @@
     return Now(monotonic, wall);
 }
 
-DaemonIdentity identityOf(const Settings& settings)
+DaemonIdentity identityOf(const Settings& settings, std::uint16_t peerPort)
 {
     const auto started = static_cast<std::uint64_t>(readClocks().wall().time_since_epoch().count());
-    return { settings.daemon(), settings.failureDomain(), started, settings.peers().address, settings.peers().port };
+    return { settings.daemon(), settings.failureDomain(), started, settings.peers().address, peerPort };
+}
+
+std::uint16_t startListening(PeerLink& peers)
+{
+    if (const std::error_code error = peers.start())
+        throw std::system_error(error, "peers.address");
+    return peers.port();
 }
 
 CallerServerLimits limitsOf(const Settings& settings)
@@ -61,25 +68,23 @@
 
 DaemonLoop::DaemonLoop(const Settings& daemonSettings)
     : settings(daemonSettings)
-    , router(identityOf(settings), settings.randomSeed().value_or(std::random_device()()))
+    , peers(this->io, peersOf(this->settings), [this](Event event) { this->take(std::move(event)); })
+    , router(identityOf(this->settings, startListening(this->peers)), this->settings.randomSeed().value_or(std::random_device()()))
     , latencies(this->metrics)
     , pages(this->router, this->metrics)
-    , platform(this->io, platformOf(settings), [this](Event event) { this->take(std::move(event)); })
+    , platform(this->io, platformOf(this->settings), [this](Event event) { this->take(std::move(event)); })
     , endpoints(this->io, EndpointSettings {}, [this](Event event) { this->take(std::move(event)); })
-    , peers(this->io, peersOf(settings), [this](Event event) { this->take(std::move(event)); })
     , callers(
-          this->io, settings.callers().address, settings.callers().port, limitsOf(settings),
-          settings.daemon().str() + "-" + std::to_string(this->router.status().identity.incarnation),
+          this->io, this->settings.callers().address, this->settings.callers().port, limitsOf(this->settings),
+          this->settings.daemon().str() + "-" + std::to_string(this->router.status().identity.incarnation),
           [this](Event event) { this->take(std::move(event)); })
-    , operators(this->io, { settings.operators().address, settings.operators().port },
+    , operators(this->io, { this->settings.operators().address, this->settings.operators().port },
           [this](HttpRequest request) -> asio::awaitable<std::optional<HttpResponse>> { co_return this->pages.answer(request); })
     , signals(this->io, SIGTERM, SIGINT)
     , wakeTimer(this->io)
     , drainTimer(this->io)
     , finishTimer(this->io)
 {
-    if (const std::error_code error = this->peers.start())
-        throw std::system_error(error, "peers.address");
 }
 
 void DaemonLoop::run()
--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
@@ -41,13 +41,13 @@
 
     Settings settings;
     boost::asio::io_context io;
+    PeerLink peers; ///< before the router, which tells peers the port that it got
     Router router;
     Metrics metrics;
     LatencyRecorder latencies;
     OperatorPages pages;
     PlatformClient platform;
     EndpointPool endpoints;
-    PeerLink peers;
     CallerServer callers;
     HttpServer operators;
     boost::asio::signal_set signals;
