--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
@@ -24,17 +24,13 @@
     return Now(monotonic, wall);
 }
 
-DaemonIdentity identityOf(const Settings& settings, std::uint16_t peerPort)
-{
-    const auto started = static_cast<std::uint64_t>(readClocks().wall().time_since_epoch().count());
-    return { settings.daemon(), settings.failureDomain(), started, settings.peers().address, peerPort };
-}
-
-std::uint16_t startListening(PeerLink& peers)
+/** \brief Binds the link, since a port of 0 is known only then. */
+DaemonIdentity startPeers(PeerLink& peers, const Settings& settings)
 {
     if (const std::error_code error = peers.start())
         throw std::system_error(error, "peers.address");
-    return peers.port();
+    const auto started = static_cast<std::uint64_t>(readClocks().wall().time_since_epoch().count());
+    return { settings.daemon(), settings.failureDomain(), started, settings.peers().address, peers.port() };
 }
 
 CallerServerLimits limitsOf(const Settings& settings)
@@ -69,7 +65,7 @@
 DaemonLoop::DaemonLoop(const Settings& daemonSettings)
     : settings(daemonSettings)
     , peers(this->io, peersOf(this->settings), [this](Event event) { this->take(std::move(event)); })
-    , router(identityOf(this->settings, startListening(this->peers)), this->settings.randomSeed().value_or(std::random_device()()))
+    , router(startPeers(this->peers, this->settings), this->settings.randomSeed().value_or(std::random_device()()))
     , latencies(this->metrics)
     , pages(this->router, this->metrics)
     , platform(this->io, platformOf(this->settings), [this](Event event) { this->take(std::move(event)); })
--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
@@ -41,7 +41,7 @@
 
     Settings settings;
     boost::asio::io_context io;
-    PeerLink peers; ///< before the router, which tells peers the port that it got
+    PeerLink peers; ///< bound before the router is made, which tells peers the port
     Router router;
     Metrics metrics;
     LatencyRecorder latencies;
