Router: a second request with an id in use disturbs nothing

Cause: refusing it ended the run that had the id, since refuse() ends by id. Ruled out: ids of one process repeating, as they are counted; so it can't come from callers, but from a fault elsewhere. Change: such an event is dropped and counted. Before: Router.Completions.secondRequestWithAnIdInUseDisturbsNothing fails at three checks. After: passes. Conclusion: ids decide who gets an answer, so only their first owner may.

--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -42,6 +42,11 @@
 
 void CompletionHandler::handle(const CompletionReceived& event, const Now& now, Actions& actions)
 {
+    if (this->completions.contains(event.request)) {
+        // An answer by this id would reach the caller of the request that is in progress.
+        actions.push_back(count("requests_dropped_total", "duplicate-id"));
+        return;
+    }
     if (std::optional<Refusal> refusal = this->check(event)) {
         this->refuse(event.request, *refusal, now, actions);
         return;
@@ -74,8 +79,6 @@
         return Refusal(ErrorCode::MalformedRequest, Ran::No).withDetail("max_tokens must be from 1 to " + std::to_string(model->maximumTokens));
     if (splitTokens(event.prompt).empty())
         return Refusal(ErrorCode::MalformedRequest, Ran::No).withDetail("prompt holds no token");
-    if (this->completions.contains(event.request))
-        return Refusal(ErrorCode::MalformedRequest, Ran::No).withDetail("the request id is in use");
     return std::nullopt;
 }
 
--- a/packages/Router/tests/Completions.cpp
+++ b/packages/Router/tests/Completions.cpp
@@ -141,6 +141,16 @@
     BOOST_TEST((refusalCode(this->handle(event)) == ErrorCode::UnknownAccount));
 }
 
+BOOST_FIXTURE_TEST_CASE(secondRequestWithAnIdInUseDisturbsNothing, Fixture)
+{
+    const SendStep first = onlyStep(this->ask(1));
+    const Actions actions = this->ask(1);
+    BOOST_TEST(collect<RefuseRequest>(actions).empty());
+    BOOST_TEST(collect<CancelSteps>(actions).empty());
+    const SendStep second = onlyStep(this->answer(first, "x"));
+    BOOST_TEST(collect<CompleteRequest>(this->answer(second, "hub")).size() == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(noPipelineIsRefusedAtOnceWithWhenToComeBack, Fixture)
 {
     this->list({ { engineLine("e1", { 0, 4 }).member, true }, engineLine("e2", { 4, 8 }), engineLine("e3", { 4, 8 }) });
