Callers may take a bound key before they call

Cause: a call without a key gets one with its answer; a caller whose connection breaks before that has no key to ask again with, and while the platform is away a caller key is refused.

Change: POST /v1/idempotency-keys (event KeyRequested) gives a key that this daemon runs from memory; sending it with the call makes the call safe to repeat through any daemon that reaches this one. No state is kept until it is used.

--- a/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
@@ -170,7 +170,9 @@
         this->streaming = completion->stream;
         this->tokens = completion->stream ? std::vector<std::string>() : completion->received;
         this->server->dispatch(this->request, this->shared_from_this(), std::move(*completion));
-    } else
+    } else if (auto* key = std::get_if<KeyRequested>(&parsed))
+        this->server->dispatch(this->request, this->shared_from_this(), std::move(*key));
+    else
         this->server->dispatch(this->request, this->shared_from_this(), std::move(std::get<CallReceived>(parsed)));
 }
 
--- a/packages/Caller/filbertspoke/src/Caller/internal/RequestParser.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/internal/RequestParser.cpp
@@ -17,6 +17,7 @@
 namespace json = boost::json;
 
 constexpr std::string_view completionsPath = "/v1/completions";
+constexpr std::string_view keysPath = "/v1/idempotency-keys";
 constexpr std::string_view servicesPrefix = "/services/";
 constexpr std::string_view accountHeader = "Filbertspoke-Account";
 constexpr std::string_view deadlineHeader = "Filbertspoke-Deadline-Ms";
@@ -145,6 +146,17 @@
     return event;
 }
 
+ParsedRequest parseKeyRequest(const HttpRequest& request, const RequestId& id)
+{
+    if (request.method() != http::verb::post)
+        return Refusal(ErrorCode::UnknownPath, Ran::No).withDetail("/v1/idempotency-keys takes POST");
+    KeyRequested event;
+    event.request = id;
+    if (auto refusal = readCommonHeaders(request, event))
+        return *refusal;
+    return event;
+}
+
 ParsedRequest parseCall(const HttpRequest& request, const RequestId& id, std::string_view target)
 {
     CallReceived event;
@@ -180,9 +192,11 @@
     }
     if (path == completionsPath)
         return parseCompletion(request, id);
+    if (path == keysPath)
+        return parseKeyRequest(request, id);
     if (path.starts_with(servicesPrefix) && path.size() > servicesPrefix.size())
         return parseCall(request, id, target);
-    return Refusal(ErrorCode::UnknownPath, Ran::No).withDetail("known are /v1/completions and /services/{service}/{path}");
+    return Refusal(ErrorCode::UnknownPath, Ran::No).withDetail("known are /v1/completions, /v1/idempotency-keys and /services/{service}/{path}");
 }
 
 }
--- a/packages/Caller/filbertspoke/src/Caller/internal/RequestParser.h
+++ b/packages/Caller/filbertspoke/src/Caller/internal/RequestParser.h
@@ -13,7 +13,7 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 /** \brief What an HTTP request asks for, or why it is malformed. */
-using ParsedRequest = std::variant<CompletionReceived, CallReceived, Refusal>;
+using ParsedRequest = std::variant<CompletionReceived, CallReceived, KeyRequested, Refusal>;
 
 /** \returns the event for a caller's request; every Refusal says that nothing ran */
 ParsedRequest parseRequest(const HttpRequest&, const RequestId&);
--- a/packages/Router/filbertspoke/src/Router/CallHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CallHandler.cpp
@@ -1,5 +1,8 @@
 #include "CallHandler.h"
 
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
 #include <utility>
 #include <variant>
 #include <vector>
@@ -9,6 +12,7 @@
 namespace {
 
 constexpr std::string_view actionStream = "actions";
+constexpr std::uint32_t statusCreated = 201;
 constexpr Duration callRetryDelay = std::chrono::seconds(1);
 constexpr Duration outcomeWait = std::chrono::seconds(30); ///< for an action's answer after its caller's deadline
 
@@ -63,18 +67,24 @@
     const Ran notRun = event.idempotencyKey ? Ran::Unknown : Ran::No;
     if (this->calls.contains(event.request) || this->runs.contains(event.request))
         return Refusal(ErrorCode::MalformedRequest, notRun).withDetail("the request id is in use");
+    if (const auto refusal = this->checkAccount(event.account, notRun))
+        return refusal;
+    const ServiceConfiguration* service = this->context.configuration->configuration.findService(event.call.service);
+    if (!service)
+        return Refusal(ErrorCode::UnknownService, Ran::No);
+    if (!service->findRule(event.call.method, event.call.path))
+        return Refusal(ErrorCode::UnknownPath, Ran::No);
+    return std::nullopt;
+}
+
+std::optional<Refusal> CallHandler::checkAccount(const AccountId& account, Ran notRun) const
+{
     if (this->context.draining)
         return Refusal(ErrorCode::Draining, notRun).retryAfter(callRetryDelay);
     if (!this->context.configuration)
         return Refusal(ErrorCode::ConfigurationUnavailable, notRun).retryAfter(callRetryDelay);
-    const Configuration& configuration = this->context.configuration->configuration;
-    if (!configuration.findAccount(event.account))
+    if (!this->context.configuration->configuration.findAccount(account))
         return Refusal(ErrorCode::UnknownAccount, Ran::No);
-    const ServiceConfiguration* service = configuration.findService(event.call.service);
-    if (!service)
-        return Refusal(ErrorCode::UnknownService, Ran::No);
-    if (!service->findRule(event.call.method, event.call.path))
-        return Refusal(ErrorCode::UnknownPath, Ran::No);
     return std::nullopt;
 }
 
@@ -169,6 +179,17 @@
         this->answer(event.request, { event.status, event.contentType, event.body }, now, actions);
 }
 
+void CallHandler::handle(const KeyRequested& event, const Now& now, Actions& actions)
+{
+    if (const auto refusal = this->checkAccount(event.account, Ran::No)) {
+        this->refuse(event.request, *refusal, now, actions);
+        return;
+    }
+    const std::string key = this->boundKeys.mint().str();
+    const std::string body = boost::json::serialize(boost::json::object { { "idempotencyKey", key } });
+    actions.push_back(AnswerCall { event.request, { statusCreated, "application/json", body }, key });
+}
+
 void CallHandler::handle(const CallAnswered& event, const Now& now, Actions& actions)
 {
     if (const auto end = this->runner.handle(event, now, actions))
--- a/packages/Router/filbertspoke/src/Router/CallHandler.h
+++ b/packages/Router/filbertspoke/src/Router/CallHandler.h
@@ -28,6 +28,7 @@
 
     void start(const Now&, Actions&);
     void handle(const CallReceived&, const Now&, Actions&);
+    void handle(const KeyRequested&, const Now&, Actions&);
     void handle(const CallAnswered&, const Now&, Actions&);
     void handle(const CallFailed&, const Now&, Actions&);
     void handle(const CallerGone&, const Now&, Actions&);
@@ -69,6 +70,7 @@
     };
 
     std::optional<Refusal> check(const CallReceived&) const;
+    std::optional<Refusal> checkAccount(const AccountId&, Ran notRun) const;
     Call& add(const CallReceived&, bool idempotent, TimePoint deadline);
     void runIdempotent(const RequestId&, const Now&, Actions&);
     void runKeyed(const CallReceived&, const Now&, Actions&);
--- a/packages/Router/filbertspoke/src/Router/Event.h
+++ b/packages/Router/filbertspoke/src/Router/Event.h
@@ -47,6 +47,15 @@
     bool operator==(const CallReceived&) const = default;
 };
 
+/** \brief A caller asks for an idempotency key that this daemon runs without the platform. */
+struct KeyRequested {
+    RequestId request;
+    AccountId account;
+    std::optional<Duration> deadline; ///< from now; the answer comes at once
+
+    bool operator==(const KeyRequested&) const = default;
+};
+
 /** \brief A caller closed its connection before its answer was complete. */
 struct CallerGone {
     RequestId request;
@@ -199,7 +208,7 @@
 /** @} */
 
 using Event = std::variant<
-    CompletionReceived, CallReceived, CallerGone,
+    CompletionReceived, CallReceived, KeyRequested, CallerGone,
     StepAnswered, StepFailed, CallAnswered, CallFailed, EndpointReported, EndpointSilent,
     RecordsRead, ReadFailed, RecordsAppended, AppendFailed, HostsListed, HostListFailed,
     PeerReceived, PeerUnreached,
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.cpp
@@ -31,6 +31,11 @@
     this->calls.handle(event, now, actions);
 }
 
+void RouterParts::handle(const KeyRequested& event, const Now& now, Actions& actions)
+{
+    this->calls.handle(event, now, actions);
+}
+
 void RouterParts::handle(const CallerGone& event, const Now& now, Actions& actions)
 {
     this->completions.handle(event, now, actions);
--- a/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
+++ b/packages/Router/filbertspoke/src/Router/internal/RouterParts.h
@@ -23,6 +23,7 @@
 
     void handle(const CompletionReceived&, const Now&, Actions&);
     void handle(const CallReceived&, const Now&, Actions&);
+    void handle(const KeyRequested&, const Now&, Actions&);
     void handle(const CallerGone&, const Now&, Actions&);
     void handle(const StepAnswered&, const Now&, Actions&);
     void handle(const StepFailed&, const Now&, Actions&);
--- a/packages/Router/tests/Calls.cpp
+++ b/packages/Router/tests/Calls.cpp
@@ -220,6 +220,20 @@
     BOOST_TEST(daemon.take<AnswerCall>().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(aCallerMayTakeABoundKeyBeforeItCalls)
+{
+    Fixture daemon;
+    daemon.logUp = false;
+    daemon.on(KeyRequested { RequestId("r1"), AccountId("addis"), std::nullopt });
+    const std::string key = daemon.takeOne<AnswerCall>().idempotencyKey.value();
+    daemon.book("r2", key);
+    daemon.on(CallerGone { RequestId("r2") });
+    daemon.answer(daemon.takeOne<SendCall>());
+    daemon.book("r3", key);
+    BOOST_TEST(daemon.take<SendCall>().empty());
+    BOOST_TEST(daemon.takeOne<AnswerCall>().answer.body == "booked");
+}
+
 BOOST_AUTO_TEST_CASE(aBoundKeyOfAnotherDaemonIsForwarded)
 {
     Fixture asked("d1");
