--- a/testing/filbertspoke/src/ClusterTesting/Completion.cpp
+++ b/testing/filbertspoke/src/ClusterTesting/Completion.cpp
@@ -35,6 +35,12 @@
     return response != nullptr ? response->body : std::string();
 }
 
+std::string PendingExchange::header(const std::string& name) const
+{
+    const auto* response = this->outcome ? std::get_if<HttpResponse>(&*this->outcome) : nullptr;
+    return response != nullptr ? std::string(findHeader(response->headers, name)) : std::string();
+}
+
 std::string PendingExchange::field(const std::string& name) const
 {
     return stringField(this->body(), name);
