--- a/packages/Configuration/filbertspoke/src/Configuration/AuditEntry.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/AuditEntry.cpp
@@ -129,11 +129,13 @@
 
 std::string describe(WallTime time)
 {
-    const std::time_t seconds = std::chrono::system_clock::to_time_t(std::chrono::time_point_cast<std::chrono::system_clock::duration>(time));
+    const auto wholeSeconds = std::chrono::floor<std::chrono::seconds>(time);
+    const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(time - wholeSeconds);
+    const std::time_t seconds = wholeSeconds.time_since_epoch().count();
     std::tm parts {};
     gmtime_r(&seconds, &parts);
     std::ostringstream text;
-    text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%SZ");
+    text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S") << '.' << std::setw(3) << std::setfill('0') << milliseconds.count() << 'Z';
     return text.str();
 }
 
--- a/packages/Configuration/filbertspoke/src/Configuration/AuditEntry.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/AuditEntry.h
@@ -81,7 +81,7 @@
 /** \returns the entry as a JSON object, with the answers */
 std::string auditEntryJson(const AuditEntry&);
 
-/** \returns a time as "2026-12-03T22:10:00Z" */
+/** \returns a time as "2026-12-03T22:10:00.000Z", in UTC */
 std::string describe(WallTime);
 
 }
--- a/packages/Control/tests/Approval.cpp
+++ b/packages/Control/tests/Approval.cpp
@@ -173,10 +173,10 @@
 BOOST_FIXTURE_TEST_CASE(auditTellsWhenDaemonsTookARevision, Operators)
 {
     this->approve(answersOf("bench", 1));
-    this->append(inForceStream, InForceReport { DaemonId("addis-bole-1"), { { 1, WallTime(std::chrono::seconds(60)) } } });
+    this->append(inForceStream, InForceReport { DaemonId("addis-bole-1"), { { 1, WallTime(std::chrono::milliseconds(60250)) } } });
 
-    BOOST_TEST(contains(this->audit().output, "in force at addis-bole-1 since 1970-01-01T00:01:00Z"));
-    BOOST_TEST(contains(this->audit(OutputFormat::Json).output, "\"inForce\":{\"addis-bole-1\":\"1970-01-01T00:01:00Z\"}"));
+    BOOST_TEST(contains(this->audit().output, "in force at addis-bole-1 since 1970-01-01T00:01:00.250Z"));
+    BOOST_TEST(contains(this->audit(OutputFormat::Json).output, "\"inForce\":{\"addis-bole-1\":\"1970-01-01T00:01:00.250Z\"}"));
 }
 
 BOOST_FIXTURE_TEST_CASE(questionnaireProblemsAreListed, Operators)
