--- a/testing/filbertspoke/src/ClusterTesting/Cluster.h
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.h
@@ -29,6 +29,7 @@
     std::uint32_t services = 1;
     std::uint32_t engineDelayUs = 1000; ///< of one token position
     std::uint32_t drainMs = 20'000; ///< how long a graceful stop waits
+    bool relayLog = false; ///< puts a relay between each daemon and the log; the host list is reached directly
 };
 
 /** \brief A daemon process and where it listens. */
@@ -65,6 +66,9 @@
     /** \returns the relay that stands before the endpoint */
     StandInProcess& relayOf(const std::string& endpoint) { return *this->relays.at(endpoint); }
 
+    /** \returns the relay between a daemon and the log */
+    StandInProcess& logRelay(std::uint32_t daemon) { return *this->logRelays.at(daemon); }
+
     /** \brief Writes the host list, without the endpoints that are left out and with the leaving ones marked. */
     void listHosts();
     void leave(const std::string& endpoint) { this->leaving[endpoint] = true; }
@@ -114,6 +118,7 @@
 private:
     void startEndpoints();
     void startDaemon(std::uint32_t index, const DaemonProcess* previous);
+    HttpAddress logAddressOf(std::uint32_t daemon);
     std::string writeFile(const std::string& name, const std::string& text);
     std::shared_ptr<PendingExchange> send(const HttpAddress&, HttpRequest);
     boost::json::value endpointLine(const std::string& id, const StandInProcess&, const boost::json::value& role) const;
@@ -125,6 +130,7 @@
     std::vector<std::unique_ptr<StandInProcess>> engines;
     std::vector<std::unique_ptr<StandInProcess>> services;
     std::map<std::string, std::unique_ptr<StandInProcess>> relays;
+    std::map<std::uint32_t, std::unique_ptr<StandInProcess>> logRelays;
     std::map<std::string, bool> leaving;
     std::vector<DaemonProcess> daemons;
     std::vector<std::unique_ptr<HttpConnection>> connections;
--- a/testing/filbertspoke/src/ClusterTesting/Completion.h
+++ b/testing/filbertspoke/src/ClusterTesting/Completion.h
@@ -22,6 +22,9 @@
     /** \returns the response's body, empty when there was none */
     std::string body() const;
 
+    /** \returns the value of a header field, empty when there is none */
+    std::string header(const std::string& name) const;
+
     /** \returns the value of a string field of the JSON body, empty when there is none */
     std::string field(const std::string& name) const;
 };
