Membership: cost of one piece of evidence, words in a set, probes in a class of their own

Change: SpreadQueue keeps its names in a set by number of sends. ProbeTable holds the probes under way and those for others. A flag that nothing read is gone.

--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t maxRelays = 1024;
-
 /** \returns whether a word is newer than what is held */
 bool overrides(std::uint64_t incarnation, MemberState state, std::uint64_t heldIncarnation, MemberState heldState)
 {
@@ -26,6 +24,7 @@
     : self(std::move(self))
     , incarnation(incarnation)
     , settings(settings)
+    , probes(settings)
 {
     this->words.add(this->self.id);
 }
@@ -66,10 +65,7 @@
 
 TimePoint PeerDirectory::nextWake() const
 {
-    TimePoint wake = this->nextProbe;
-    for (const Probe& probe : this->probes)
-        wake = std::min(wake, probe.sent + (probe.askOthers ? this->settings.probeTimeout : this->settings.probeInterval));
-    return wake;
+    return std::min(this->nextProbe, this->probes.nextWake().value_or(this->nextProbe));
 }
 
 /** After a pause of this process nothing follows from answers that it did not take. */
@@ -80,7 +76,6 @@
     if (gap <= this->settings.pauseThreshold)
         return;
     this->probes.clear();
-    this->relays.clear();
     for (auto& [id, member] : this->members) {
         if (member.goneAt)
             *member.goneAt += gap;
@@ -89,32 +84,24 @@
 
 void PeerDirectory::checkProbes(TimePoint now, Random& random, PeerEnvelopes& messages)
 {
-    const auto isOver = [&](const Probe& probe) { return now >= probe.sent + this->settings.probeInterval; };
-    const auto firstOpen = std::partition(this->probes.begin(), this->probes.end(), isOver);
-    const std::vector<Probe> failed(this->probes.begin(), firstOpen);
-    this->probes.erase(this->probes.begin(), firstOpen);
-    for (Probe& probe : this->probes) {
-        if (probe.askOthers && now >= probe.sent + this->settings.probeTimeout) {
-            probe.askOthers = false;
-            this->askOthers(probe, random, messages);
-        }
-    }
-    for (const Probe& probe : failed)
-        this->takeFailure(probe, now, messages);
-    std::erase_if(this->relays, [&](const Relay& relay) { return now >= relay.sent + this->settings.probeInterval; });
+    const std::vector<internal::OpenProbe> failed = this->probes.takeFailed(now);
+    for (const internal::OpenProbe& probe : this->probes.takeSlow(now))
+        this->askOthers(probe, random, messages);
+    for (const internal::OpenProbe& probe : failed)
+        this->takeFailure(probe.target, now, messages);
 }
 
 /** Probes a suspect peer again until it is gone: it can refute only what it hears. */
-void PeerDirectory::takeFailure(const Probe& failed, TimePoint now, PeerEnvelopes& messages)
+void PeerDirectory::takeFailure(const DaemonId& target, TimePoint now, PeerEnvelopes& messages)
 {
-    const auto entry = this->members.find(failed.target);
+    const auto entry = this->members.find(target);
     if (entry == this->members.end() || entry->second.state == MemberState::Gone)
         return;
     this->suspect(entry->second, now);
     this->probe(entry->second, false, now, messages);
 }
 
-void PeerDirectory::askOthers(const Probe& probe, Random& random, PeerEnvelopes& messages)
+void PeerDirectory::askOthers(const internal::OpenProbe& probe, Random& random, PeerEnvelopes& messages)
 {
     const auto entry = this->members.find(probe.target);
     if (entry == this->members.end())
@@ -198,8 +185,7 @@
 
 void PeerDirectory::probe(const Member& member, bool askOthers, TimePoint now, PeerEnvelopes& messages)
 {
-    const std::uint64_t sequence = ++this->lastSequence;
-    this->probes.push_back({ member.daemon.id, sequence, now, askOthers });
+    const std::uint64_t sequence = this->probes.open(member.daemon.id, askOthers, now);
     messages.push_back({ member.daemon, this->makeProbe(member.daemon.id, sequence) });
 }
 
@@ -265,32 +251,27 @@
 {
     this->hearSender(message.status, message.self, now);
     this->hear(message.gossip, now);
-    if (this->relays.size() >= maxRelays || message.target.id == this->self.id)
+    if (message.target.id == this->self.id)
         return {};
-    const std::uint64_t sequence = ++this->lastSequence;
-    this->relays.push_back({ message.self, message.sequence, sequence, now });
-    return { { message.target, this->makeProbe(message.target.id, sequence) } };
+    const std::optional<std::uint64_t> sequence = this->probes.openRelay(message.self, message.sequence, now);
+    if (!sequence)
+        return {};
+    return { { message.target, this->makeProbe(message.target.id, *sequence) } };
 }
 
 PeerEnvelopes PeerDirectory::received(const PeerProbeAnswer& message, TimePoint now, Random&)
 {
     this->received(message.status, now);
     this->hear(message.gossip, now);
-    const auto isAnswered = [&](const Probe& probe) {
-        return probe.sequence == message.sequence && probe.target == message.subject;
-    };
-    std::erase_if(this->probes, isAnswered);
-
-    PeerEnvelopes messages;
-    const auto relay = std::find_if(this->relays.begin(), this->relays.end(),
-        [&](const Relay& candidate) { return candidate.sequence == message.sequence; });
-    if (relay != this->relays.end() && message.subject == message.status.from) {
-        const DaemonId& requester = relay->requester.id;
-        messages.push_back({ relay->requester,
-            PeerProbeAnswer { this->ownStatus(), message.subject, relay->requested, this->gossipFor(requester) } });
-        this->relays.erase(relay);
-    }
-    return messages;
+    this->probes.answered(message.subject, message.sequence);
+    if (message.subject != message.status.from)
+        return {};
+    const std::optional<internal::Relay> relay = this->probes.takeRelay(message.sequence);
+    if (!relay)
+        return {};
+    const PeerProbeAnswer answer { this->ownStatus(), message.subject, relay->requested,
+        this->gossipFor(relay->requester.id) };
+    return { { relay->requester, answer } };
 }
 
 void PeerDirectory::received(const PeerStatus& status, TimePoint now)
@@ -394,44 +375,6 @@
     return this->settings.minimumSends + static_cast<unsigned>(std::ceil(growing));
 }
 
-void PeerDirectory::setLoad(LogOffset revision, std::uint32_t inProgress)
-{
-    this->configurationRevision = revision;
-    this->requestsInProgress = inProgress;
-}
-
-void PeerDirectory::startLeaving()
-{
-    if (this->ownState == MemberState::Leaving)
-        return;
-    this->ownState = MemberState::Leaving;
-    this->words.add(this->self.id);
-}
-
-PeerStatus PeerDirectory::ownStatus() const
-{
-    return { this->self.id, this->incarnation, this->configurationRevision, this->requestsInProgress,
-        this->ownState == MemberState::Leaving };
-}
-
-std::optional<MemberState> PeerDirectory::state(const DaemonId& id) const
-{
-    const auto entry = this->members.find(id);
-    return entry == this->members.end() ? std::nullopt : std::optional(entry->second.state);
-}
-
-const ListedDaemon* PeerDirectory::find(const DaemonId& id) const
-{
-    const auto entry = this->members.find(id);
-    return entry == this->members.end() ? nullptr : &entry->second.daemon;
-}
-
-const PeerStatus* PeerDirectory::status(const DaemonId& id) const
-{
-    const auto entry = this->members.find(id);
-    return entry != this->members.end() && entry->second.status ? &*entry->second.status : nullptr;
-}
-
 std::vector<ListedDaemon> PeerDirectory::peersIn(MemberState state) const
 {
     std::vector<ListedDaemon> result;
@@ -450,9 +393,4 @@
     return counts;
 }
 
-std::vector<PeerStateChanged> PeerDirectory::takeChanges()
-{
-    return std::exchange(this->changes, {});
-}
-
 }
--- a/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
+++ b/packages/Membership/filbertspoke/src/Membership/PeerDirectory.h
@@ -5,6 +5,7 @@
 #include "ListedHost.h"
 #include "PeerDirectorySettings.h"
 #include "PeerMessage.h"
+#include "internal/ProbeTable.h"
 #include "internal/SpreadQueue.h"
 
 #include <filbertspoke/Core>
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace filbertspoke {
@@ -70,18 +72,44 @@
     void unreached(const DaemonId&, TimePoint);
 
     /** \brief Sets what the daemon's own heartbeats report. */
-    void setLoad(LogOffset configurationRevision, std::uint32_t requestsInProgress);
+    void setLoad(LogOffset revision, std::uint32_t inProgress)
+    {
+        this->configurationRevision = revision;
+        this->requestsInProgress = inProgress;
+    }
     /** \brief Says from now on that this daemon stops. */
-    void startLeaving();
+    void startLeaving()
+    {
+        if (this->ownState == MemberState::Leaving)
+            return;
+        this->ownState = MemberState::Leaving;
+        this->words.add(this->self.id);
+    }
     /** \returns probes that take urgent words to a few peers at once */
     PeerEnvelopes announce(TimePoint, Random&);
 
-    PeerStatus ownStatus() const;
-    std::optional<MemberState> state(const DaemonId&) const;
+    PeerStatus ownStatus() const
+    {
+        return { this->self.id, this->incarnation, this->configurationRevision, this->requestsInProgress,
+            this->ownState == MemberState::Leaving };
+    }
+    std::optional<MemberState> state(const DaemonId& id) const
+    {
+        const auto entry = this->members.find(id);
+        return entry == this->members.end() ? std::nullopt : std::optional(entry->second.state);
+    }
     /** \returns where the peer is reached, or null when it isn't known */
-    const ListedDaemon* find(const DaemonId&) const;
+    const ListedDaemon* find(const DaemonId& id) const
+    {
+        const auto entry = this->members.find(id);
+        return entry == this->members.end() ? nullptr : &entry->second.daemon;
+    }
     /** \returns the peer's last word on itself, or null when it has not been heard */
-    const PeerStatus* status(const DaemonId&) const;
+    const PeerStatus* status(const DaemonId& id) const
+    {
+        const auto entry = this->members.find(id);
+        return entry != this->members.end() && entry->second.status ? &*entry->second.status : nullptr;
+    }
     /** \returns the peers in a state, ordered by their id */
     std::vector<ListedDaemon> peersIn(MemberState) const;
     std::map<FailureDomainId, std::map<MemberState, std::size_t>> countByFailureDomain() const;
@@ -90,7 +118,10 @@
     unsigned sendsPerWord() const;
 
     /** \returns the changes since the last call */
-    std::vector<PeerStateChanged> takeChanges();
+    std::vector<PeerStateChanged> takeChanges()
+    {
+        return std::exchange(this->changes, {});
+    }
 
 private:
     struct Member {
@@ -103,23 +134,11 @@
         bool behind = false; ///< it speaks with an earlier incarnation than is held of it
         std::optional<PeerStatus> status;
     };
-    struct Probe {
-        DaemonId target;
-        std::uint64_t sequence = 0;
-        TimePoint sent;
-        bool askOthers = false; ///< to probe the target too when it doesn't answer in time
-    };
-    struct Relay {
-        ListedDaemon requester;
-        std::uint64_t requested = 0;
-        std::uint64_t sequence = 0;
-        TimePoint sent;
-    };
 
     void allowForPause(TimePoint);
     void checkProbes(TimePoint, Random&, PeerEnvelopes&);
-    void takeFailure(const Probe&, TimePoint, PeerEnvelopes&);
-    void askOthers(const Probe&, Random&, PeerEnvelopes&);
+    void takeFailure(const DaemonId& target, TimePoint, PeerEnvelopes&);
+    void askOthers(const internal::OpenProbe&, Random&, PeerEnvelopes&);
     void endSuspicions(TimePoint);
     void forgetOld(TimePoint);
     void probeNext(TimePoint, Random&, PeerEnvelopes&);
@@ -148,10 +167,8 @@
     std::map<DaemonId, Member> members;
     std::vector<DaemonId> probeOrder; ///< peers still to probe in this round, the next one last
     std::vector<DaemonId> goneOrder;
-    std::vector<Probe> probes; ///< without an answer so far
-    std::vector<Relay> relays;
+    internal::ProbeTable probes;
     internal::SpreadQueue<DaemonId> words;
-    std::uint64_t lastSequence = 0;
     std::optional<TimePoint> lastTick;
     std::optional<TimePoint> nextGone; ///< not later than the end of any suspicion
     TimePoint nextProbe {};
--- a/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.cpp
+++ b/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.cpp
@@ -45,7 +45,6 @@
 {
     this->note(now);
     this->absentSince.reset();
-    this->listShowsLeaving = false;
     this->leaving.contradict(now, settings.listLag, settings.confirmation);
 }
 
@@ -53,7 +52,6 @@
 {
     this->note(now);
     this->absentSince.reset();
-    this->listShowsLeaving = true;
     this->leaving.observe(now);
 }
 
--- a/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.h
+++ b/packages/Membership/filbertspoke/src/Membership/internal/EndpointEvidence.h
@@ -37,7 +37,6 @@
     /** \returns when the sign was last observed by any daemon */
     std::optional<TimePoint> observed(EndpointSign) const;
     bool listed() const { return !this->absentSince; }
-    bool shownAsLeaving() const { return this->listShowsLeaving; }
     /** \returns the time of the last evidence of any kind */
     TimePoint lastEvidence() const { return this->latest; }
 
@@ -46,7 +45,6 @@
 
     bool heard = false;
     unsigned misses = 0;
-    bool listShowsLeaving = false;
     HeldSign draining;
     HeldSign leaving;
     std::optional<TimePoint> silentAt; ///< when a daemon last found it silent
--- a/packages/Membership/filbertspoke/src/Membership/internal/SpreadQueue.h
+++ b/packages/Membership/filbertspoke/src/Membership/internal/SpreadQueue.h
@@ -1,8 +1,9 @@
 #ifndef FILBERTSPOKE_SPREAD_QUEUE_H
 #define FILBERTSPOKE_SPREAD_QUEUE_H
 
-#include <algorithm>
 #include <cstddef>
+#include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -16,37 +17,49 @@
     void add(const Key& key)
     {
         this->remove(key);
-        this->entries.push_back({ 0, key });
+        this->insert(0, key);
     }
 
     void remove(const Key& key)
     {
-        std::erase_if(this->entries, [&](const Entry& entry) { return entry.second == key; });
+        const auto entry = this->sendsByKey.find(key);
+        if (entry == this->sendsByKey.end())
+            return;
+        this->bySends.erase({ entry->second, key });
+        this->sendsByKey.erase(entry);
     }
 
-    bool empty() const { return this->entries.empty(); }
-    std::size_t size() const { return this->entries.size(); }
+    bool empty() const { return this->bySends.empty(); }
+    std::size_t size() const { return this->bySends.size(); }
 
     /** \brief Picks up to \a limit names and counts them as sent; after \a maximumSends they are dropped. */
     std::vector<Key> take(std::size_t limit, unsigned maximumSends)
     {
-        const std::size_t count = std::min(limit, this->entries.size());
-        const auto middle = this->entries.begin() + static_cast<std::ptrdiff_t>(count);
-        std::partial_sort(this->entries.begin(), middle, this->entries.end());
+        std::vector<Entry> picked;
+        for (auto entry = this->bySends.begin(); entry != this->bySends.end() && picked.size() < limit; ++entry)
+            picked.push_back(*entry);
         std::vector<Key> taken;
-        taken.reserve(count);
-        for (auto entry = this->entries.begin(); entry != middle; ++entry) {
-            ++entry->first;
-            taken.push_back(entry->second);
+        taken.reserve(picked.size());
+        for (auto& [sends, key] : picked) {
+            this->remove(key);
+            if (sends + 1 < maximumSends)
+                this->insert(sends + 1, key);
+            taken.push_back(std::move(key));
         }
-        std::erase_if(this->entries, [&](const Entry& entry) { return entry.first >= maximumSends; });
         return taken;
     }
 
 private:
     using Entry = std::pair<unsigned, Key>;
 
-    std::vector<Entry> entries;
+    void insert(unsigned sends, const Key& key)
+    {
+        this->bySends.insert({ sends, key });
+        this->sendsByKey.emplace(key, sends);
+    }
+
+    std::set<Entry> bySends;
+    std::map<Key, unsigned> sendsByKey;
 };
 
 }
