--- a/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
@@ -60,6 +60,11 @@
     return key + ":\n    address: " + address.address + "\n    port: " + std::to_string(address.port) + "\n";
 }
 
+std::string platformLines(const HttpAddress& address)
+{
+    return "        address: " + address.address + "\n        port: " + std::to_string(address.port) + "\n";
+}
+
 HttpAddress parseAddress(const json::value& line, const std::string& field)
 {
     const std::string text(line.at(field).as_string());
@@ -78,6 +83,12 @@
     throw std::runtime_error("a daemon ended before it was ready");
 }
 
+std::unique_ptr<StandInProcess> startRelay(const HttpAddress& target)
+{
+    return std::make_unique<StandInProcess>(StandInProcess::start(
+        { "relay", "--target-address", target.address, "--target-port", std::to_string(target.port) }));
+}
+
 std::string engineId(std::uint32_t stage, std::uint32_t replica)
 {
     return "engine-" + std::to_string(stage) + "-" + std::to_string(replica);
@@ -155,8 +166,7 @@
     settings += socketLines("callers", previous ? previous->callers : anywhere);
     settings += socketLines("peers", previous ? previous->peers : anywhere);
     settings += socketLines("operators", previous ? previous->operators : anywhere);
-    const std::string platform = "        address: " + this->logAddress().address + "\n        port: " + std::to_string(this->logAddress().port) + "\n";
-    settings += "platform:\n    log:\n" + platform + "    hosts:\n" + platform;
+    settings += "platform:\n    log:\n" + platformLines(this->logAddressOf(index)) + "    hosts:\n" + platformLines(this->logAddress());
     settings += "limits:\n    drainMs: " + std::to_string(this->options.drainMs) + "\n";
     const std::string file = this->writeFile(name + ".yaml", settings);
 
@@ -181,6 +191,16 @@
     return *this->engines.at(stage * this->options.replicas + replica);
 }
 
+HttpAddress Cluster::logAddressOf(std::uint32_t daemon)
+{
+    if (!this->options.relayLog)
+        return this->logAddress();
+    auto& relay = this->logRelays[daemon];
+    if (!relay)
+        relay = startRelay(this->logAddress());
+    return relay->address;
+}
+
 StandInProcess& Cluster::relay(const std::string& endpoint)
 {
     HttpAddress target;
@@ -191,8 +211,7 @@
         }
     }
     auto& relay = this->relays[endpoint];
-    relay = std::make_unique<StandInProcess>(StandInProcess::start(
-        { "relay", "--target-address", target.address, "--target-port", std::to_string(target.port) }));
+    relay = startRelay(target);
     return *relay;
 }
 
