--- a/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
@@ -314,11 +314,13 @@
     return this->send(this->daemon(daemon).callers, std::move(request));
 }
 
-std::shared_ptr<PendingExchange> Cluster::call(std::uint32_t daemon, const std::string& method, const std::string& path, const std::string& body, const std::string& key)
+std::shared_ptr<PendingExchange> Cluster::call(std::uint32_t daemon, const std::string& method, const std::string& path, const std::string& body, const std::string& key, bool firstUse)
 {
     HttpRequest request { method, "/services/bench-app" + path, {}, body };
     if (!key.empty())
         request.headers.push_back({ "Idempotency-Key", key });
+    if (firstUse)
+        request.headers.push_back({ "Idempotency-Key-First-Use", "true" });
     return this->send(this->daemon(daemon).callers, std::move(request));
 }
 
--- a/testing/filbertspoke/src/ClusterTesting/Cluster.h
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.h
@@ -81,8 +81,10 @@
      */
     std::shared_ptr<PendingExchange> complete(std::uint32_t daemon, std::uint32_t tokens, const std::string& prompt = defaultPrompt, const std::vector<std::string>& received = {});
 
-    /** \brief Calls the plain service, with an idempotency key unless it is empty. */
-    std::shared_ptr<PendingExchange> call(std::uint32_t daemon, const std::string& method, const std::string& path, const std::string& body, const std::string& key = {});
+    /** \brief Calls the plain service, with an idempotency key unless it is empty.
+     * \param firstUse says that no other request carried the key
+     */
+    std::shared_ptr<PendingExchange> call(std::uint32_t daemon, const std::string& method, const std::string& path, const std::string& body, const std::string& key = {}, bool firstUse = false);
 
     /** \returns the tokens that complete() must give */
     std::vector<std::string> reference(std::uint32_t tokens, const std::string& prompt = defaultPrompt) const;
