--- a/packages/Control/tests/Approval.cpp
+++ b/packages/Control/tests/Approval.cpp
@@ -135,6 +135,16 @@
     BOOST_TEST((this->approve(answersOf("bench", 1)).exitCode == ExitCode::Unreachable));
 }
 
+BOOST_FIXTURE_TEST_CASE(answerThatIsNoRefusalLeavesTheOutcomeUnknown, Operators)
+{
+    for (const unsigned status : { 202U, 302U, 503U }) {
+        this->transport.appendAnswer = HttpResponse { status, {}, {} };
+        BOOST_TEST((this->approve(answersOf("bench", 1)).exitCode == ExitCode::OutcomeUnknown), status);
+    }
+    this->transport.appendAnswer = HttpResponse { 400, {}, {} };
+    BOOST_TEST((this->approve(answersOf("bench", 1)).exitCode == ExitCode::Unreachable));
+}
+
 BOOST_FIXTURE_TEST_CASE(lostAnswerAndLostLogLeaveTheOutcomeUnknown, Operators)
 {
     this->transport.afterAppend = [this] { this->transport.unreachable = true; };
@@ -163,10 +173,10 @@
 BOOST_FIXTURE_TEST_CASE(auditTellsWhenDaemonsTookARevision, Operators)
 {
     this->approve(answersOf("bench", 1));
-    this->append(inForceStream, InForceReport { DaemonId("addis-bole-1"), { { 1, WallTime(std::chrono::seconds(60)) } } });
+    this->append(inForceStream, InForceReport { DaemonId("addis-bole-1"), { { 1, WallTime(std::chrono::milliseconds(60250)) } } });
 
-    BOOST_TEST(contains(this->audit().output, "in force at addis-bole-1 since 1970-01-01T00:01:00Z"));
-    BOOST_TEST(contains(this->audit(OutputFormat::Json).output, "\"inForce\":{\"addis-bole-1\":\"1970-01-01T00:01:00Z\"}"));
+    BOOST_TEST(contains(this->audit().output, "in force at addis-bole-1 since 1970-01-01T00:01:00.250Z"));
+    BOOST_TEST(contains(this->audit(OutputFormat::Json).output, "\"inForce\":{\"addis-bole-1\":\"1970-01-01T00:01:00.250Z\"}"));
 }
 
 BOOST_FIXTURE_TEST_CASE(questionnaireProblemsAreListed, Operators)
--- a/packages/Daemon/tests/StageFailure.cpp
+++ b/packages/Daemon/tests/StageFailure.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/object.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <string>
@@ -119,6 +120,29 @@
     this->breakLink("black-hole");
 }
 
+// Nothing can run meanwhile: what the caller got is a part of its own answer, and the end tells the truth.
+BOOST_FIXTURE_TEST_CASE(stageWithoutAnyEngineEndsTruthfullyAndComesBack, MidStream)
+{
+    for (const std::uint32_t stageReplica : { 0, 1 })
+        this->cluster.engine(1, stageReplica).process.signal(SIGSTOP);
+    BOOST_TEST_REQUIRE(this->cluster.await([this] { return this->completion->done(); }));
+    const std::vector<std::string> whole = this->cluster.reference(longCompletion);
+    const StreamedCompletion streamed = readStream(this->completion->body());
+    BOOST_TEST(!streamed.whole);
+    BOOST_TEST(streamed.indexed);
+    BOOST_TEST_REQUIRE(streamed.tokens.size() < whole.size());
+    BOOST_TEST(std::equal(streamed.tokens.begin(), streamed.tokens.end(), whole.begin()));
+
+    for (const std::uint32_t stageReplica : { 0, 1 })
+        this->cluster.engine(1, stageReplica).process.signal(SIGCONT);
+    BOOST_TEST_REQUIRE(this->cluster.await([this] { return this->cluster.ready(0); }));
+    const auto resumed = this->cluster.complete(0, longCompletion, Cluster::defaultPrompt, streamed.tokens);
+    BOOST_TEST_REQUIRE(this->cluster.await([&] { return resumed->done(); }));
+    const StreamedCompletion rest = readStream(resumed->body(), static_cast<std::uint32_t>(streamed.tokens.size()));
+    BOOST_TEST(rest.whole, resumed->body());
+    BOOST_TEST(rest.tokens == std::vector<std::string>(whole.begin() + static_cast<std::ptrdiff_t>(streamed.tokens.size()), whole.end()), boost::test_tools::per_element());
+}
+
 BOOST_FIXTURE_TEST_CASE(lostCacheIsFilledAgain, MidStream)
 {
     this->cluster.control(this->cluster.engine(1, this->replica).address, { { "dropCaches", true } });
