KeyLedger: a restarted daemon knows that its own earlier attempt is over

Cause: a retry at the daemon that was restarted waited for the deadline of an attempt that its own earlier process held.

Change: an earlier incarnation of the asked daemon counts as gone.

--- a/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedgerSteps.cpp
+++ b/packages/Idempotency/filbertspoke/src/Idempotency/KeyLedgerSteps.cpp
@@ -99,7 +99,9 @@
 
 bool KeyLedger::waitForHolder(Entry& entry, const KeyState& state)
 {
-    const bool gone = this->fold.isReplaced(state.attempt.holder);
+    const KeyHolder& holder = state.attempt.holder;
+    const bool earlierSelf = holder.daemon == this->self.daemon && holder.incarnation < this->self.incarnation;
+    const bool gone = earlierSelf || this->fold.isReplaced(holder);
     const TimePoint until = this->now.monotonic() + (state.until + this->limits.clockTolerance - this->now.wall());
     if (gone || until <= this->now.monotonic())
         this->refuseAll(entry, ErrorCode::OutcomeUnknown);
--- a/packages/Idempotency/tests/Ledger.cpp
+++ b/packages/Idempotency/tests/Ledger.cpp
@@ -143,6 +143,18 @@
     BOOST_TEST(find<RefuseAction>(second.takeSeen()).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(aRestartedDaemonAnswersAtOnceThatItsEarlierAttemptIsUnknown)
+{
+    FakeLog log;
+    Daemon first(log, "d1", 1);
+    first.ask("r1", 60s);
+    first.pass(20ms);
+    Daemon restarted(log, "d1", 2);
+    restarted.ask("r2", 60s);
+    restarted.pass(20ms);
+    BOOST_TEST((find<RefuseAction>(restarted.takeSeen())->refusal.ran() == Ran::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(aReleasedAttemptAllowsTheNext)
 {
     FakeLog log;
