Hedged look-ups, a picker that sees slow replicas, time limits from each engine's own history

Cause, first: the configuration says of a call that is needed at once that a second replica is asked when the first is slow, and nothing did it. Second: the picker judged a replica by its latency with little load, so that half of the calls went on going to one that had become slow. Third: an engine that fell silent was given up after 0.3 s at the least, though its history allows less. Change: CallRunner asks a second replica after three times the first one's latency with little load (2 to 100 ms), out of the retry budget; ServicePicker adds how much longer answers took lately, for a second after the last one; steps wait as EndpointState::answerTimeout says, and StepTimeout is gone.

--- a/packages/Daemon/benchmarks/HopLatency.cpp
+++ b/packages/Daemon/benchmarks/HopLatency.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint32_t tokens = Cluster::maximumTokens;
 constexpr std::uint32_t warmUp = 50; // exchanges or tokens that are left out at the start
 constexpr std::uint32_t calls = 2000;
+constexpr std::uint32_t slowTurns = 40;
+constexpr std::uint32_t callsPerTurn = 25;
+constexpr std::uint32_t slowReplicaMs = 50;
 
 /** \brief Times of one kind of exchange. */
 class Samples {
@@ -90,6 +93,24 @@
     return samples;
 }
 
+/** \brief Times calls while one replica after the other becomes slow. */
+Samples timeCallsWithSlowReplicas(Cluster& cluster, Client& client, const std::string& target)
+{
+    Samples samples;
+    for (std::uint32_t turn = 0; turn < slowTurns; ++turn) {
+        cluster.control(cluster.service(turn % 2).address, { { "delayMs", slowReplicaMs } });
+        cluster.control(cluster.service((turn + 1) % 2).address, { { "delayMs", 0 } });
+        for (std::uint32_t call = 0; call < callsPerTurn; ++call) {
+            const auto start = Clock::now();
+            client.exchange("GET", target, "");
+            samples.add(Clock::now() - start);
+        }
+    }
+    for (std::uint32_t replica = 0; replica < 2; ++replica)
+        cluster.control(cluster.service(replica).address, { { "delayMs", 0 } });
+    return samples;
+}
+
 std::string stepBody(std::uint32_t stage, std::uint32_t position, std::uint32_t count, const std::string& input)
 {
     const std::uint32_t first = stage * Cluster::layersPerStage;
@@ -157,7 +178,7 @@
     options.daemons = 1;
     options.stages = stages;
     options.replicas = 1;
-    options.services = 1;
+    options.services = 2;
     options.engineDelayUs = 0;
     Cluster cluster(options);
 
@@ -166,6 +187,9 @@
     timeCalls(service, "/stock/hub").print("plain call, direct");
     timeCalls(daemon, "/services/bench-app/stock/hub").print("plain call, through the daemon");
 
+    timeCallsWithSlowReplicas(cluster, daemon, "/services/bench-app/stock/list").print("call, replicas slow in turn, not hedged");
+    timeCallsWithSlowReplicas(cluster, daemon, "/services/bench-app/stock/hub").print("call, replicas slow in turn, hedged");
+
     std::deque<Client> engines;
     for (std::uint32_t stage = 0; stage < stages; ++stage)
         engines.emplace_back(cluster.engine(stage, 0).address);
--- a/packages/Router/filbertspoke/src/Router/CallHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CallHandler.cpp
@@ -53,9 +53,9 @@
         return;
     }
     const ServiceConfiguration& service = *this->context.configuration->configuration.findService(event.call.service);
-    const bool idempotent = service.findRule(event.call.method, event.call.path)->idempotent;
-    this->add(event, idempotent, now.monotonic() + event.deadline.value_or(service.deadline));
-    if (idempotent)
+    const RouteRule& rule = *service.findRule(event.call.method, event.call.path);
+    this->add(event, { rule.idempotent, rule.idempotent && rule.hedged }, now.monotonic() + event.deadline.value_or(service.deadline));
+    if (rule.idempotent)
         this->runIdempotent(event.request, now, actions);
     else
         this->runKeyed(event, now, actions);
@@ -88,13 +88,13 @@
     return std::nullopt;
 }
 
-CallHandler::Call& CallHandler::add(const CallReceived& event, bool idempotent, TimePoint deadline)
+CallHandler::Call& CallHandler::add(const CallReceived& event, CallPolicy policy, TimePoint deadline)
 {
     Call& call = this->calls[event.request];
     call.call = event.call;
-    call.idempotent = idempotent;
+    call.policy = policy;
     call.deadline = deadline;
-    if (!idempotent)
+    if (!policy.idempotent)
         call.digest = digestOf(event.account, event.call);
     return call;
 }
@@ -103,7 +103,7 @@
 {
     const Call& call = this->calls.at(request);
     this->deadlines.set(request, call.deadline);
-    if (const auto end = this->runner.start(request, call.call, true, now, actions))
+    if (const auto end = this->runner.start(request, call.call, call.policy, now, actions))
         this->finish(request, *end, now, actions);
 }
 
@@ -207,7 +207,7 @@
     const auto call = this->calls.find(event.request);
     if (call == this->calls.end())
         return;
-    const bool idempotent = call->second.idempotent;
+    const bool idempotent = call->second.policy.idempotent;
     this->calls.erase(call);
     this->deadlines.erase(event.request);
     this->context.traces.add(event.request, now, "caller-gone", "");
@@ -264,10 +264,11 @@
         this->refuse(request, Refusal(ErrorCode::PeerUnreachable, Ran::Unknown).retryAfter(callRetryDelay), now, actions);
 }
 
-void CallHandler::handle(const Tick&, const Now& now, Actions& actions)
+void CallHandler::handle(const Tick& event, const Now& now, Actions& actions)
 {
     this->expireCalls(now, actions);
     this->expireRuns(now, actions);
+    this->runner.handle(event, now, actions);
     this->carryOut(this->boundKeys.wake(now), now, actions);
     this->carryOut(this->ledger.wake(now), now, actions);
 }
@@ -275,7 +276,7 @@
 std::optional<TimePoint> CallHandler::nextWake() const
 {
     const std::optional<TimePoint> ours = earlier(this->deadlines.next(), this->runTimeouts.next());
-    return earlier(ours, earlier(this->boundKeys.nextWake(), this->ledger.nextWake()));
+    return earlier(earlier(ours, this->runner.nextWake()), earlier(this->boundKeys.nextWake(), this->ledger.nextWake()));
 }
 
 std::size_t CallHandler::inProgress() const
@@ -290,7 +291,7 @@
     for (const auto& [request, call] : this->calls)
         left.push_back(request);
     for (const RequestId& request : left) {
-        const bool idempotent = this->calls.at(request).idempotent;
+        const bool idempotent = this->calls.at(request).policy.idempotent;
         const Ran ran = idempotent ? this->runner.cancel(request, now, actions) : Ran::Unknown;
         this->boundKeys.leave(request);
         this->carryOut(this->ledger.leave(request, now), now, actions);
@@ -323,7 +324,7 @@
     const TimePoint timeout = call.deadline + outcomeWait;
     this->runs.emplace(output.request, KeyedRun { output.key, timeout });
     this->runTimeouts.set(output.request, timeout);
-    if (const auto end = this->runner.start(output.request, call.call, false, now, actions))
+    if (const auto end = this->runner.start(output.request, call.call, CallPolicy {}, now, actions))
         this->finish(output.request, *end, now, actions);
 }
 
@@ -404,7 +405,7 @@
 void CallHandler::expireCalls(const Now& now, Actions& actions)
 {
     for (const RequestId& request : this->deadlines.takeDue(now.monotonic())) {
-        const bool idempotent = this->calls.at(request).idempotent;
+        const bool idempotent = this->calls.at(request).policy.idempotent;
         const Ran ran = idempotent ? this->runner.cancel(request, now, actions) : Ran::Unknown;
         const ErrorCode code = idempotent ? ErrorCode::DeadlineExceeded : ErrorCode::OutcomeUnknown;
         this->refuse(request, Refusal(code, ran).retryAfter(callRetryDelay), now, actions);
--- a/packages/Router/filbertspoke/src/Router/CallHandler.h
+++ b/packages/Router/filbertspoke/src/Router/CallHandler.h
@@ -55,7 +55,7 @@
 
     struct Call {
         ServiceCall call;
-        bool idempotent = false;
+        CallPolicy policy;
         TimePoint deadline;
         std::string digest;
         std::optional<std::string> boundKey; ///< goes back with the answer
@@ -71,7 +71,7 @@
 
     std::optional<Refusal> check(const CallReceived&) const;
     std::optional<Refusal> checkAccount(const AccountId&, Ran notRun) const;
-    Call& add(const CallReceived&, bool idempotent, TimePoint deadline);
+    Call& add(const CallReceived&, CallPolicy, TimePoint deadline);
     void runIdempotent(const RequestId&, const Now&, Actions&);
     void runKeyed(const CallReceived&, const Now&, Actions&);
     void runBound(const RequestId&, const BoundKey&, const Now&, Actions&);
--- a/packages/Router/filbertspoke/src/Router/CallRunner.h
+++ b/packages/Router/filbertspoke/src/Router/CallRunner.h
@@ -23,10 +23,19 @@
  */
 using CallEnd = std::variant<ServiceAnswer, Refusal>;
 
+/** \brief How the rule of a call lets it be sent. */
+struct CallPolicy {
+    bool idempotent = false; ///< may be sent again after a failure
+    bool hedged = false; ///< a second replica is asked when the first is slow
+
+    bool operator==(const CallPolicy&) const = default;
+};
+
 /** \brief Takes a call to a replica of its service, and to another one where that is allowed.
  *
  * An attempt of which a byte may have left is repeated only for an idempotent call, by budget. An
- * attempt that surely did not run is repeated for every call.
+ * attempt that surely did not run is repeated for every call. A hedged call asks a second replica
+ * when the first takes much longer than it usually does; hedges come out of the same budget.
  */
 class CallRunner {
 public:
@@ -37,7 +46,7 @@
     }
 
     /** \returns the end, when no replica could be asked */
-    std::optional<CallEnd> start(const RequestId&, const ServiceCall&, bool idempotent, const Now&, Actions&);
+    std::optional<CallEnd> start(const RequestId&, const ServiceCall&, CallPolicy, const Now&, Actions&);
     /** \returns the end of the run, unless it goes on or is unknown */
     std::optional<CallEnd> handle(const CallAnswered&, const Now&, Actions&);
     std::optional<CallEnd> handle(const CallFailed&, const Now&, Actions&);
@@ -47,6 +56,10 @@
      */
     Ran cancel(const RequestId&, const Now&, Actions&);
 
+    /** \brief Sends the hedges that are due. */
+    void handle(const Tick&, const Now&, Actions&);
+    std::optional<TimePoint> nextWake() const { return this->hedges.next(); }
+
     std::size_t inProgress() const { return this->runs.size(); }
 
 private:
@@ -62,7 +75,7 @@
     // Several attempts may be outstanding at once; the first answer ends the run.
     struct Run {
         ServiceCall call;
-        bool idempotent = false;
+        CallPolicy policy;
         bool mayHaveRun = false; ///< an attempt that got no answer
         std::uint32_t attempts = 0;
         std::vector<EndpointId> tried;
@@ -70,12 +83,16 @@
     };
 
     std::optional<CallEnd> send(const RequestId&, Run&, ErrorCode failure, const Now&, Actions&);
+    /** \returns whether there was a replica left to ask */
+    bool tryReplica(const RequestId&, Run&, const char* decision, const Now&, Actions&);
+    Duration hedgeDelay(const EndpointId&) const;
     std::optional<CallEnd> end(const RequestId&, CallEnd, const Now&, Actions&);
     void close(const RequestId&, Run&, const Now&, Actions&);
 
     RouterContext& context;
     RetryBudget budget;
     std::unordered_map<RequestId, Run> runs;
+    DeadlineQueue<RequestId> hedges; ///< when a run's first replica counts as slow
 };
 
 }
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -1,7 +1,5 @@
 #include "CompletionHandler.h"
 
-#include "StepTimeout.h"
-
 #include <algorithm>
 #include <sstream>
 #include <utility>
@@ -13,6 +11,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t maximumReplacements = 8;
+constexpr Duration timeoutOfUnknownEngine = 1s;
 constexpr Duration planningRetryDelay = 1s; // the endpoint view changes with every report
 
 std::string describe(const Chain& chain)
@@ -290,7 +289,7 @@
 {
     completion.stepSent = now.monotonic();
     const EndpointState* state = this->context.endpoints.find(due.endpoint);
-    this->stepTimeouts.set(due.step.request(), now.monotonic() + stepTimeout(state, due.step));
+    this->stepTimeouts.set(due.step.request(), now.monotonic() + (state ? state->answerTimeout(due.step.count()) : timeoutOfUnknownEngine));
     this->context.endpoints.workStarted(due.endpoint, now.monotonic());
     actions.push_back(SendStep { due.endpoint, due.step });
 }
--- a/packages/Router/tests/Calls.cpp
+++ b/packages/Router/tests/Calls.cpp
@@ -20,7 +20,7 @@
 
 Configuration configuration()
 {
-    const ServiceConfiguration service { ServiceId("bench-app"), { { "GET", "/stock", true, false }, { "POST", "/bookings", false, false } }, 5s };
+    const ServiceConfiguration service { ServiceId("bench-app"), { { "GET", "/stock", true, false }, { "GET", "/prices", true, true }, { "POST", "/bookings", false, false } }, 5s };
     return Configuration::Builder().service(service).account({ AccountId("addis"), 1, 0, 0 }).build();
 }
 
@@ -289,6 +289,55 @@
     BOOST_TEST(daemon.takeOne<AnswerCall>().answer.body == "booked");
 }
 
+BOOST_AUTO_TEST_CASE(slowReplicaOfAHedgedCallGetsASecondOneBesideIt)
+{
+    Fixture daemon;
+    daemon.call("r1", "GET", "/prices");
+    const SendCall first = daemon.takeOne<SendCall>();
+    daemon.pass(200ms);
+    const SendCall second = daemon.takeOne<SendCall>();
+    BOOST_TEST((second.endpoint != first.endpoint));
+    daemon.answer(second);
+    BOOST_TEST((daemon.takeOne<AnswerCall>().request == RequestId("r1")));
+    BOOST_TEST((daemon.takeOne<CancelCall>() == CancelCall { first.endpoint, RequestId("r1"), first.attempt }));
+    daemon.answer(first);
+    BOOST_TEST(daemon.take<AnswerCall>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(failedHedgeLeavesTheFirstReplicaToAnswer)
+{
+    Fixture daemon;
+    daemon.call("r1", "GET", "/prices");
+    const SendCall first = daemon.takeOne<SendCall>();
+    daemon.pass(200ms);
+    daemon.lose(daemon.takeOne<SendCall>(), true);
+    BOOST_TEST(daemon.take<RefuseRequest>().empty());
+    daemon.answer(first);
+    BOOST_TEST((daemon.takeOne<AnswerCall>().request == RequestId("r1")));
+}
+
+BOOST_AUTO_TEST_CASE(callsThatAreNotHedgedWaitForTheirReplica)
+{
+    Fixture daemon;
+    daemon.call("r1", "GET", "/stock");
+    daemon.book("r2");
+    BOOST_TEST(daemon.take<SendCall>().size() == 2u);
+    daemon.pass(2s);
+    BOOST_TEST(daemon.take<SendCall>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(hedgesComeOutOfABudget)
+{
+    constexpr std::size_t calls = 100;
+    Fixture daemon;
+    for (std::size_t number = 0; number < calls; ++number)
+        daemon.call(("r" + std::to_string(number)).c_str(), "GET", "/prices");
+    daemon.pass(200ms);
+    const std::size_t hedges = daemon.take<SendCall>().size() - calls;
+    BOOST_TEST(hedges > 0u);
+    BOOST_TEST(hedges <= 30u); // a reserve of 10, and one for each five calls
+}
+
 BOOST_AUTO_TEST_CASE(anActionGoesOnWithoutItsCaller)
 {
     Fixture daemon;
--- a/packages/Routing/filbertspoke/src/Routing/EndpointState.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.cpp
@@ -6,6 +6,7 @@
 
 constexpr double rateWithoutReport = 100; ///< tokens or calls a second
 constexpr double microsecondsPerSecond = 1e6;
+constexpr Duration latencyMemory = std::chrono::seconds(1);
 constexpr double prefillTolerance = 3; ///< a prompt may take this much longer than expected
 
 }
@@ -16,6 +17,13 @@
     return this->latency.timeout() + Duration(static_cast<Duration::rep>(prefill));
 }
 
+Duration EndpointState::recentDelay(TimePoint now) const
+{
+    if (!this->latencyTime || now - *this->latencyTime > internal::latencyMemory)
+        return Duration::zero();
+    return std::max(this->latency.smoothed() - this->latency.smallest(), Duration::zero());
+}
+
 double EndpointState::rate() const
 {
     if (this->latestLoad.tokensPerSecond > 0)
--- a/packages/Routing/filbertspoke/src/Routing/EndpointState.h
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointState.h
@@ -57,6 +57,9 @@
     Duration smoothedLatency() const { return this->latency.smoothed(); }
     /** \returns the time from sending work to its answer with little load; zero before the first answer */
     Duration smallestLatency() const { return this->latency.smallest(); }
+    /** \returns how much longer than with little load answers have taken lately; zero when none came
+     * for a while, so that an endpoint that was slow is tried again */
+    Duration recentDelay(TimePoint now) const;
     /** \returns the time that an engine takes for one token of a prompt; zero before the first prompt */
     double prefillMicrosecondsPerToken() const { return this->prefillTime; }
     /** \returns how long an answer for work on \a positions tokens may take before the endpoint is suspected */
@@ -78,6 +81,7 @@
     std::uint32_t ownWorkAtReport = 0;
     std::uint32_t openChains = 0;
     std::uint64_t placedChains = 0;
+    std::optional<TimePoint> latencyTime; ///< of the latest sample in the history
     internal::LatencyHistory latency; ///< of work on one token position, and of calls
     double prefillTime = 0;
     Breaker breaker;
--- a/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/EndpointView.cpp
@@ -83,6 +83,7 @@
     state->breaker.succeeded(now);
     if (positions <= 1) {
         state->latency.add(latency);
+        state->latencyTime = now;
         return;
     }
     const double sample = static_cast<double>(latency.count()) / positions;
--- a/packages/Routing/filbertspoke/src/Routing/ServicePicker.cpp
+++ b/packages/Routing/filbertspoke/src/Routing/ServicePicker.cpp
@@ -22,7 +22,10 @@
     const auto usable = [&](const EndpointState& state) {
         return state.available(now) && std::find(excluded.begin(), excluded.end(), state.endpoint().id()) == excluded.end();
     };
-    const auto expectedTime = [&](const EndpointState& state) { return (state.expectedLoad() + 1) / state.rate(); };
+    const auto expectedTime = [&](const EndpointState& state) {
+        const double delay = std::chrono::duration<double>(state.recentDelay(now)).count();
+        return (state.expectedLoad() + 1) / state.rate() + delay;
+    };
     const internal::Candidate best = internal::cheapest(*replicas, internal::replicasDrawn, usable, expectedTime, random);
     if (!best.state)
         return make_error_code(ErrorCode::NoEndpoint);
--- a/packages/Routing/tests/Picking.cpp
+++ b/packages/Routing/tests/Picking.cpp
@@ -41,3 +41,19 @@
 
     BOOST_TEST((picked.error() == ErrorCode::NoEndpoint));
 }
+
+BOOST_FIXTURE_TEST_CASE(replicaThatHasBecomeSlowIsLeftAloneForAWhile, Fixture)
+{
+    using namespace std::chrono_literals;
+    this->view.put(replica("slow"));
+    this->view.put(replica("fast"));
+    for (const char* name : { "slow", "fast" })
+        this->view.workFinished(EndpointId(name), 1ms, this->now);
+    this->view.workFinished(EndpointId("slow"), 50ms, this->now);
+
+    this->view.workStarted(EndpointId("fast"), this->now);
+
+    const auto pick = [&](Duration later) { return this->picker.pick(service, {}, this->view, this->random, this->now + later).value().str(); };
+    BOOST_TEST(pick(10ms) == "fast");
+    BOOST_TEST(pick(2s) == "slow");
+}
--- a/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
@@ -44,6 +44,10 @@
             method: POST
             path: /bookings
             mayBeRepeated: no
+          - what: list stock
+            method: GET
+            path: /stock/list
+            mayBeRepeated: yes
           - what: look up stock
             method: GET
             path: /stock
--- a/testing/filbertspoke/src/ClusterTesting/Cluster.h
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.h
@@ -44,7 +44,8 @@
  *
  * The constructor returns once every daemon is ready and sees every endpoint. The model is
  * "assistant", version "1"; its layers are spread evenly over the stages. The plain service is
- * "bench-app": POST /bookings may not be repeated, GET /stock may.
+ * "bench-app": POST /bookings may not be repeated, GET /stock may and is
+ * hedged but for GET /stock/list.
  */
 class Cluster {
 public:
