CallHandler: what concerns other daemons stands in a file of its own

Change: forwarding moved as it was; constants shared in the header. Conclusion: no behaviour changed.

--- a/packages/Router/filbertspoke/src/Router/CallHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CallHandler.cpp
@@ -13,19 +13,8 @@
 
 constexpr std::string_view actionStream = "actions";
 constexpr std::uint32_t statusCreated = 201;
-constexpr Duration callRetryDelay = std::chrono::seconds(1);
 constexpr Duration outcomeWait = std::chrono::seconds(30); ///< for an action's answer after its caller's deadline
 
-std::string digestOf(const AccountId& account, const ServiceCall& call)
-{
-    return requestDigest({ account.str(), call.service.str(), call.method, call.path, call.contentType, call.body });
-}
-
-RequestId localRequest(const DaemonId& peer, const RequestId& request)
-{
-    return RequestId(peer.str() + '/' + request.str());
-}
-
 StoredOutcome outcomeOf(const ServiceAnswer& answer)
 {
     return { answer.status, answer.contentType, answer.body, false };
@@ -41,6 +30,11 @@
 {
 }
 
+std::string CallHandler::digestOf(const AccountId& account, const ServiceCall& call)
+{
+    return requestDigest({ account.str(), call.service.str(), call.method, call.path, call.contentType, call.body });
+}
+
 void CallHandler::start(const Now& now, Actions& actions)
 {
     this->carryOut(this->ledger.wake(now), now, actions);
@@ -80,9 +74,9 @@
 std::optional<Refusal> CallHandler::checkAccount(const AccountId& account, Ran notRun) const
 {
     if (this->context.draining)
-        return Refusal(ErrorCode::Draining, notRun).retryAfter(callRetryDelay);
+        return Refusal(ErrorCode::Draining, notRun).retryAfter(retryDelay);
     if (!this->context.configuration)
-        return Refusal(ErrorCode::ConfigurationUnavailable, notRun).retryAfter(callRetryDelay);
+        return Refusal(ErrorCode::ConfigurationUnavailable, notRun).retryAfter(retryDelay);
     if (!this->context.configuration->configuration.findAccount(account))
         return Refusal(ErrorCode::UnknownAccount, Ran::No);
     return std::nullopt;
@@ -135,50 +129,6 @@
     this->carryOut(this->boundKeys.begin({ request, key.str(), call.digest, call.deadline, false }, key, now), now, actions);
 }
 
-void CallHandler::forward(const RequestId& request, const CallReceived& event, const BoundKey& key, const Now& now, Actions& actions)
-{
-    Call& call = this->calls.at(request);
-    const auto peer = this->context.peers.find(key.daemon);
-    if (peer == this->context.peers.end()) {
-        const Refusal refusal = Refusal(ErrorCode::OutcomeUnknown, Ran::Unknown).retryAfter(callRetryDelay);
-        this->refuse(request, refusal.withDetail("the daemon that made the key is not known"), now, actions);
-        return;
-    }
-    call.boundKey = key.str();
-    call.forwardedTo = key.daemon;
-    this->deadlines.set(request, call.deadline);
-    this->context.traces.add(request, now, "forwarded", key.daemon.str());
-    actions.push_back(SendToPeer { peer->second, ForwardedCall { request, event.account, event.call.service, event.call.method, event.call.path, event.call.contentType, event.call.body, key.str(), call.deadline - now.monotonic() } });
-}
-
-void CallHandler::acceptForwarded(const DaemonId& from, const ForwardedCall& event, const Now& now, Actions& actions)
-{
-    const RequestId request = localRequest(from, event.request);
-    if (this->calls.contains(request) || !this->context.peers.contains(from))
-        return;
-    Call& call = this->calls[request];
-    call.call = ServiceCall { event.service, event.method, event.path, event.contentType, event.body };
-    call.deadline = now.monotonic() + event.deadline;
-    call.digest = digestOf(event.account, call.call);
-    call.origin = Origin { from, event.request };
-    const Result<BoundKey> key = BoundKey::parse(event.key);
-    if (!key || key->daemon != this->context.identity.id)
-        this->refuse(request, Refusal(ErrorCode::MalformedKey, Ran::No), now, actions);
-    else
-        this->runBound(request, *key, now, actions);
-}
-
-void CallHandler::acceptAnswer(const DaemonId& from, const ForwardedAnswer& event, const Now& now, Actions& actions)
-{
-    const auto call = this->calls.find(event.request);
-    if (call == this->calls.end() || call->second.forwardedTo != from)
-        return;
-    if (event.refusal)
-        this->refuse(event.request, *event.refusal, now, actions);
-    else
-        this->answer(event.request, { event.status, event.contentType, event.body }, now, actions);
-}
-
 void CallHandler::handle(const KeyRequested& event, const Now& now, Actions& actions)
 {
     if (const auto refusal = this->checkAccount(event.account, Ran::No)) {
@@ -245,25 +195,6 @@
         this->carryOut(this->ledger.appendFailed(append.mapped(), event.sent, now), now, actions);
 }
 
-void CallHandler::handle(const PeerReceived& event, const Now& now, Actions& actions)
-{
-    if (const auto* call = std::get_if<ForwardedCall>(&event.message))
-        this->acceptForwarded(event.from, *call, now, actions);
-    else if (const auto* answer = std::get_if<ForwardedAnswer>(&event.message))
-        this->acceptAnswer(event.from, *answer, now, actions);
-}
-
-void CallHandler::handle(const PeerUnreached& event, const Now& now, Actions& actions)
-{
-    std::vector<RequestId> lost;
-    for (const auto& [request, call] : this->calls) {
-        if (call.forwardedTo == event.peer)
-            lost.push_back(request);
-    }
-    for (const RequestId& request : lost)
-        this->refuse(request, Refusal(ErrorCode::PeerUnreachable, Ran::Unknown).retryAfter(callRetryDelay), now, actions);
-}
-
 void CallHandler::handle(const Tick& event, const Now& now, Actions& actions)
 {
     this->expireCalls(now, actions);
@@ -295,7 +226,7 @@
         const Ran ran = idempotent ? this->runner.cancel(request, now, actions) : Ran::Unknown;
         this->boundKeys.leave(request);
         this->carryOut(this->ledger.leave(request, now), now, actions);
-        this->refuse(request, Refusal(ErrorCode::Draining, ran).retryAfter(callRetryDelay), now, actions);
+        this->refuse(request, Refusal(ErrorCode::Draining, ran).retryAfter(retryDelay), now, actions);
     }
     this->runs.clear();
 }
@@ -408,7 +339,7 @@
         const bool idempotent = this->calls.at(request).policy.idempotent;
         const Ran ran = idempotent ? this->runner.cancel(request, now, actions) : Ran::Unknown;
         const ErrorCode code = idempotent ? ErrorCode::DeadlineExceeded : ErrorCode::OutcomeUnknown;
-        this->refuse(request, Refusal(code, ran).retryAfter(callRetryDelay), now, actions);
+        this->refuse(request, Refusal(code, ran).retryAfter(retryDelay), now, actions);
     }
 }
 
--- a/packages/Router/filbertspoke/src/Router/CallHandler.h
+++ b/packages/Router/filbertspoke/src/Router/CallHandler.h
@@ -47,6 +47,8 @@
     void abandon(const Now&, Actions&);
 
 private:
+    static constexpr Duration retryDelay = std::chrono::seconds(1); ///< what refused callers are told
+
     // A call that a peer forwarded is answered to the peer.
     struct Origin {
         DaemonId peer;
@@ -71,6 +73,7 @@
 
     std::optional<Refusal> check(const CallReceived&) const;
     std::optional<Refusal> checkAccount(const AccountId&, Ran notRun) const;
+    static std::string digestOf(const AccountId&, const ServiceCall&);
     Call& add(const CallReceived&, CallPolicy, TimePoint deadline);
     void runIdempotent(const RequestId&, const Now&, Actions&);
     void runKeyed(const CallReceived&, const Now&, Actions&);
