Routing's properties run by the shared runner

Cause: the test had its own copy of what <filbertspoke/Testing> does: seed, cases, the line that replays a failure. Conclusion: one runner for all properties.

--- a/packages/Routing/tests/Properties.cpp
+++ b/packages/Routing/tests/Properties.cpp
@@ -1,35 +1,22 @@
 #include <filbertspoke/Routing>
+#include <filbertspoke/Testing>
 
 #include <boost/test/unit_test.hpp>
-#include <rapidcheck.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <string>
 #include <vector>
 
 using namespace filbertspoke;
+using namespace filbertspoke::testing;
 
 namespace {
 
 const ModelId model("assistant");
 const std::string version = "1";
 constexpr std::uint32_t layerCount = 8;
-
-/** \brief Runs a property with the seed and number of cases of the environment, or fixed ones. */
-template <typename Property>
-bool holds(const std::string& name, Property&& property)
-{
-    const char* seed = std::getenv("FILBERTSPOKE_SEED");
-    const char* cases = std::getenv("FILBERTSPOKE_CASES");
-    const std::string parameters = "seed=" + std::string(seed ? seed : "1") + " max_success=" + (cases ? cases : "300") + " noshrink=0";
-    setenv("RC_PARAMS", parameters.c_str(), 1);
-    const bool passed = rc::check(name, std::forward<Property>(property));
-    if (!passed)
-        std::cerr << "replay: FILBERTSPOKE_SEED=" << (seed ? seed : "1") << " build/bin/RoutingPropertiesTest\n";
-    return passed;
-}
+constexpr int casesInCi = 300;
 
 struct GeneratedEngine {
     std::uint32_t first;
@@ -63,7 +50,7 @@
 
 BOOST_AUTO_TEST_CASE(planCoversExactlyWheneverAChainExists)
 {
-    BOOST_TEST(holds("plan covers exactly whenever a chain exists", [] {
+    checkProperty([] {
         EndpointView view(FailureDomainId("own"));
         std::vector<GeneratedEngine> engines;
         const int count = *rc::gen::inRange(0, 14);
@@ -92,12 +79,13 @@
             RC_ASSERT(state && state->takesNewWork());
             RC_ASSERT((std::get<EngineRole>(state->endpoint().role()).layers == stage.layers));
         }
-    }));
+    },
+        casesInCi);
 }
 
 BOOST_AUTO_TEST_CASE(viewIndexesMatchItsEndpoints)
 {
-    BOOST_TEST(holds("view indexes match its endpoints", [] {
+    checkProperty([] {
         EndpointView view(FailureDomainId("own"));
         std::map<EndpointId, LayerRange> oracle;
         const int steps = *rc::gen::inRange(0, 60);
@@ -126,12 +114,13 @@
         }
         RC_ASSERT(indexed == oracle);
         RC_ASSERT(view.size() == oracle.size());
-    }));
+    },
+        casesInCi);
 }
 
 BOOST_AUTO_TEST_CASE(backloggedAccountsGetTheirShareWithinOneRequest)
 {
-    BOOST_TEST(holds("backlogged accounts get their share within one request each", [] {
+    checkProperty([] {
         constexpr double largestCost = 100;
         FairQueue queue;
         const int accountCount = *rc::gen::inRange(2, 6);
@@ -164,12 +153,13 @@
                 RC_ASSERT(ahead <= largestCost / weights[left]);
             }
         }
-    }));
+    },
+        casesInCi);
 }
 
 BOOST_AUTO_TEST_CASE(partsOfALimitNeverAddUpToMore)
 {
-    BOOST_TEST(holds("parts of a limit never add up to more, whoever hears whom", [] {
+    checkProperty([] {
         constexpr int limit = 1000;
         const int count = *rc::gen::inRange(1, 7);
         const AccountId account("a");
@@ -196,12 +186,13 @@
         for (const AccountLimiter& daemon : daemons)
             sum += daemon.concurrency(account, TimePoint()).value();
         RC_ASSERT(sum <= limit + static_cast<std::uint32_t>(count));
-    }));
+    },
+        casesInCi);
 }
 
 BOOST_AUTO_TEST_CASE(maximumFlowIsTheSmallestCut)
 {
-    BOOST_TEST(holds("maximum flow equals the smallest cut", [] {
+    checkProperty([] {
         constexpr std::uint32_t layers = 5;
         RangeCapacities capacities;
         const int count = *rc::gen::inRange(0, 10);
@@ -221,5 +212,6 @@
             smallest = std::min(smallest, cut);
         }
         RC_ASSERT(std::abs(maximumFlow(capacities, LayerRange(0, layers)) - smallest) < 1e-6);
-    }));
+    },
+        casesInCi);
 }
