--- a/cmake/Filbertspoke.cmake
+++ b/cmake/Filbertspoke.cmake
@@ -24,6 +24,10 @@
     target_compile_definitions(${package} ${scope} ${filbertspokeDefinitions})
     target_link_libraries(${package} ${scope} ${arg_PUBLIC} Threads::Threads)
 
+    if(NOT FILBERTSPOKE_DEVELOPMENT)
+        return()
+    endif()
+
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
     foreach(test IN LISTS tests)
         filbertspoke_test(${package} ${test})
--- /dev/null
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
@@ -0,0 +1,99 @@
+#include "GatewaySettings.h"
+#include "internal/MappingReader.h"
+
+#include <charconv>
+#include <string>
+
+namespace filbertspoke {
+
+namespace {
+
+constexpr double maximumRatio = 10;
+constexpr double maximumReserve = 1e6;
+constexpr std::uint64_t minimumStopMs = 100;
+constexpr std::uint64_t maximumStopMs = 600'000;
+constexpr std::uint64_t minimumStallMs = 10;
+constexpr std::uint64_t maximumStallMs = 60'000;
+const std::vector<std::string_view> levelNames = { "debug", "info", "warning", "error" };
+
+std::optional<SocketAddress> parseAddress(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return std::nullopt;
+    SocketAddress address;
+    address.address = text.substr(0, colon);
+    const char* end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, address.port);
+    if (error != std::errc() || rest != end)
+        return std::nullopt;
+    return address;
+}
+
+SocketAddress readAddress(internal::MappingReader& root, const std::string& key)
+{
+    const auto address = parseAddress(root.text(key));
+    if (!address)
+        root.note(key, ProblemReason::WrongType, "write an IP number and a port, for example 10.1.0.4:8080");
+    return address.value_or(SocketAddress {});
+}
+
+std::optional<SocketAddress> readOptionalAddress(internal::MappingReader& root, const std::string& key)
+{
+    if (!root.has(key) || root.text(key, "").empty())
+        return std::nullopt;
+    return readAddress(root, key);
+}
+
+std::vector<SocketAddress> readSeeds(internal::MappingReader& root)
+{
+    std::vector<SocketAddress> seeds;
+    for (const std::string& text : root.texts("seeds", false)) {
+        const auto address = parseAddress(text);
+        if (address)
+            seeds.push_back(*address);
+        else
+            root.note("seeds", ProblemReason::WrongType, "'" + text + "' is no IP number with a port");
+    }
+    return seeds;
+}
+
+Duration readMilliseconds(internal::MappingReader& root, const std::string& key, std::uint64_t least, std::uint64_t most, Duration fallback)
+{
+    const auto fallbackMs = std::chrono::duration_cast<std::chrono::milliseconds>(fallback).count();
+    return std::chrono::milliseconds(root.integer(key, least, most, static_cast<std::uint64_t>(fallbackMs)));
+}
+
+}
+
+std::variant<GatewaySettings, std::vector<DocumentProblem>> parseGatewaySettings(std::string_view yaml)
+{
+    std::vector<DocumentProblem> problems;
+    const std::optional<YAML::Node> document = internal::parseDocument(yaml, problems);
+    if (!document)
+        return problems;
+    internal::MappingReader root(*document, {}, 1, problems);
+    GatewaySettings settings;
+    settings.daemon = DaemonId(root.identifier("daemon"));
+    settings.failureDomain = FailureDomainId(root.identifier("failureDomain"));
+    settings.callers = readAddress(root, "callers");
+    settings.readiness = readAddress(root, "readiness");
+    settings.peers = readOptionalAddress(root, "peers");
+    settings.metrics = readOptionalAddress(root, "metrics");
+    settings.seeds = readSeeds(root);
+    settings.store = readAddress(root, "store");
+    internal::MappingReader budget = root.section("retryBudget", false);
+    settings.retryBudget.ratio = budget.number("ratio", 0, maximumRatio, settings.retryBudget.ratio);
+    settings.retryBudget.reserve = budget.number("reserve", 0, maximumReserve, settings.retryBudget.reserve);
+    budget.rejectUnknownKeys();
+    settings.stopTimeout = readMilliseconds(root, "stopTimeoutMs", minimumStopMs, maximumStopMs, settings.stopTimeout);
+    settings.stallTimeout = readMilliseconds(root, "stallTimeoutMs", minimumStallMs, maximumStallMs, settings.stallTimeout);
+    settings.logLevel = static_cast<LogLevel>(root.choice("logLevel", levelNames, static_cast<std::size_t>(LogLevel::Info)));
+    root.rejectUnknownKeys();
+    if (problems.empty())
+        return settings;
+    internal::sortProblems(problems);
+    return problems;
+}
+
+}
--- a/packages/Daemon/program/main.cpp
+++ b/packages/Daemon/program/main.cpp
@@ -1,5 +1,6 @@
 #include <filbertspoke/Daemon>
 #include <filbertspoke/Observability>
+#include <filbertspoke/PlatformAdapter>
 
 #include <CLI/CLI.hpp>
 
@@ -7,6 +8,8 @@
 #include <exception>
 #include <fstream>
 #include <iostream>
+#include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <variant>
@@ -18,6 +21,7 @@
 
 constexpr int exitFailure = 1;
 constexpr int exitMalformedSettings = 2;
+constexpr int exitMissingOption = 106; // as CLI11 ends for a required option
 
 void printProblems(const std::string& file, const std::vector<DocumentProblem>& problems)
 {
@@ -38,25 +42,39 @@
     return EXIT_SUCCESS;
 }
 
+int runGateway(const GatewaySettings& settings)
+{
+    LogWriter::open(std::cout, std::string(name(settings.logLevel)), settings.daemon);
+    try {
+        GatewayDaemon daemon(settings, { std::make_shared<PlatformCallerWire>(), std::make_shared<PlatformEngineWire>(), std::make_shared<PlatformStoreWire>() });
+        daemon.run();
+    } catch (const std::exception& error) {
+        LogWriter::write({ WriteLog::Level::Error, "failed", { { "reason", error.what() } } });
+        return exitFailure;
+    }
+    return EXIT_SUCCESS;
 }
 
-int main(int argc, char** argv)
+std::optional<std::string> readFile(const std::string& file)
 {
-    CLI::App app("filbertspoked: routes requests to pipelines of engines and to plain services", "filbertspoked");
-    std::string file;
-    bool checkOnly = false;
-    app.add_option("--settings", file, "YAML file with this daemon's settings; see docs/INTERFACES.md")->required();
-    app.add_flag("--check", checkOnly, "check the settings and exit: 0 when they are valid, 2 when not");
-    CLI11_PARSE(app, argc, argv);
-
     std::ifstream stream(file);
     if (!stream) {
         std::cerr << file << ": can't be read; name a readable file with --settings\n";
-        return exitMalformedSettings;
+        return std::nullopt;
     }
     std::ostringstream text;
     text << stream.rdbuf();
-    const auto parsed = parseSettings(text.str());
+    return text.str();
+}
+
+/** \brief Reads the settings with \a parse and, unless they are only to be checked, goes on with \a run. */
+template <typename Parse, typename Run>
+int checkAndRun(const std::string& file, bool checkOnly, Parse parse, Run run)
+{
+    const auto text = readFile(file);
+    if (!text)
+        return exitMalformedSettings;
+    const auto parsed = parse(*text);
     if (const auto* problems = std::get_if<std::vector<DocumentProblem>>(&parsed)) {
         printProblems(file, *problems);
         return exitMalformedSettings;
@@ -65,5 +83,29 @@
         std::cout << file << ": valid\n";
         return EXIT_SUCCESS;
     }
-    return runDaemon(std::get<Settings>(parsed));
+    return run(std::get<0>(parsed));
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    CLI::App app("filbertspoked: routes requests to pipelines of engines and to plain services", "filbertspoked");
+    std::string file;
+    bool checkOnly = false;
+    app.add_option("--settings", file, "YAML file with this daemon's settings; see docs/INTERFACES.md");
+    app.add_flag("--check", checkOnly, "check the settings and exit: 0 when they are valid, 2 when not");
+    CLI::App* gateway = app.add_subcommand("gateway", "forward requests whole to endpoints that the users' platform runs");
+    std::string gatewayFile;
+    gateway->add_option("--settings", gatewayFile, "YAML file with this gateway's settings; see docs/INTERFACES.md")->envname("FILBERTSPOKE_SETTINGS")->required();
+    gateway->add_flag("--check", checkOnly, "check the settings and exit: 0 when they are valid, 2 when not");
+    CLI11_PARSE(app, argc, argv);
+
+    if (gateway->parsed())
+        return checkAndRun(gatewayFile, checkOnly, parseGatewaySettings, runGateway);
+    if (file.empty()) {
+        std::cerr << "--settings is required\nRun with --help for more information.\n";
+        return exitMissingOption;
+    }
+    return checkAndRun(file, checkOnly, parseSettings, runDaemon);
 }
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
@@ -0,0 +1,41 @@
+#include <filbertspoke/Gateway>
+
+namespace filbertspoke {
+
+namespace {
+
+// Sends of one request, those that reached no endpoint included: what is left after a few fails for the same reason.
+constexpr std::uint32_t maximumSends = 4;
+// With less time left an answer would come too late.
+constexpr Duration leastTimeForRetry = std::chrono::milliseconds(30);
+
+}
+
+bool mayRetry(const AttemptState& state, AttemptEnd end)
+{
+    if (state.sends >= maximumSends || state.timeLeft < leastTimeForRetry)
+        return false;
+    switch (end) {
+    case AttemptEnd::NotSent:
+    case AttemptEnd::NotExecuted:
+        return state.possibleRuns < state.allowedRuns;
+    case AttemptEnd::Lost:
+    case AttemptEnd::ReportedFailure: {
+        const bool repeatable = state.kind == RouteKind::Idempotent || (state.kind == RouteKind::Stream && state.resumable);
+        return repeatable && state.possibleRuns < state.allowedRuns;
+    }
+    }
+    return false;
+}
+
+bool chargesBudget(AttemptEnd end)
+{
+    return end != AttemptEnd::NotSent;
+}
+
+bool certainlyNotRun(const AttemptState& state)
+{
+    return state.possibleRuns == 0;
+}
+
+}
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -0,0 +1,191 @@
+#include <filbertspoke/Gateway>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace {
+
+constexpr double bitsPerByte = 8;
+// Engines in one chain: the longest path that engines accept.
+constexpr std::size_t maximumStages = 32;
+// Time to hand a token on to an engine in the same failure domain, beside the work itself.
+constexpr double handOverMs = 0.3;
+// Price of a full engine beside an idle one, so that load spreads before queues grow.
+constexpr double crowdingFactor = 3;
+// Price of the shared link between failure domains, times the transfer itself: others wait for it.
+constexpr double crossingFactor = 3;
+
+struct StageTimes {
+    double prefillMs = 0;
+    double stepMs = 0;
+};
+
+StageTimes stageTimes(const EngineProfile& profile, const StageCandidate& stage, const ChainRequest& request, std::uint32_t layers)
+{
+    const double share = static_cast<double>(layers) / profile.layers;
+    const double contextThousands = (request.promptTokens + request.outputTokens / 2) / 1000;
+    const double perSequence = profile.stepMsPerSequence + profile.stepMsPerThousandContextTokens * contextThousands;
+    // Sequences are spread over the stages of their chains; this one's pass takes its part of them.
+    const double batch = 1 + stage.sequences * share;
+    const double pass = share * stage.accelerator.stepFactor * stage.slowness * (profile.stepMs + perSequence * batch);
+    const double waiting = std::min(1.0, stage.sequences * share) * pass / 2;
+    const double prefill = share * stage.accelerator.prefillFactor * stage.slowness * request.promptTokens / profile.prefillTokensPerMs;
+    return { prefill + pass + waiting, pass + waiting };
+}
+
+double crossingMs(const EngineProfile& profile, double tokens)
+{
+    if (profile.crossDomainMegabitsPerSecond <= 0)
+        return 0;
+    return tokens * profile.activationBytes * bitsPerByte / (profile.crossDomainMegabitsPerSecond * 1000);
+}
+
+/** \brief A partial chain that ends at a layer boundary in a failure domain. */
+struct Label {
+    double cost = std::numeric_limits<double>::infinity();
+    double firstTokenMs = 0;
+    double perTokenMs = 0;
+    std::size_t candidate = 0;
+    std::uint32_t previousLayer = 0;
+    FailureDomainId previousDomain;
+};
+
+class Search {
+public:
+    Search(const EngineProfile& profile, const std::vector<StageCandidate>& candidates, const ChainRequest& request)
+        : profile(profile)
+        , candidates(candidates)
+        , request(request)
+        , labels(profile.layers + 1)
+    {
+        for (const StageCandidate& candidate : candidates)
+            this->boundaries.insert(candidate.layers.first());
+        this->boundaries.insert(profile.layers);
+    }
+
+    /** \brief Makes the engine run all of its layers from where the chain enters it, so that it can't stand in the chain twice. */
+    void keepWhole(std::size_t candidate) { this->whole.insert(candidate); }
+
+    void run()
+    {
+        Label start;
+        start.cost = 0;
+        this->labels[0].emplace(this->request.origin, start);
+        for (std::uint32_t layer = 0; layer < this->profile.layers; ++layer) {
+            if (this->labels[layer].empty())
+                continue;
+            for (std::size_t index = 0; index < this->candidates.size(); ++index)
+                this->extend(layer, index);
+        }
+    }
+
+    /** \returns the candidates of the best chain with their layers, in order; empty without a chain */
+    std::vector<std::pair<std::size_t, LayerRange>> best(LayerChain& chain) const
+    {
+        const auto& ends = this->labels[this->profile.layers];
+        const auto end = std::min_element(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.second.cost < b.second.cost; });
+        std::vector<std::pair<std::size_t, LayerRange>> stages;
+        if (end == ends.end())
+            return stages;
+        chain.firstToken = std::chrono::microseconds(static_cast<std::int64_t>(end->second.firstTokenMs * 1000));
+        chain.perToken = std::chrono::microseconds(static_cast<std::int64_t>(end->second.perTokenMs * 1000));
+        std::uint32_t layer = this->profile.layers;
+        const Label* label = &end->second;
+        while (layer > 0) {
+            stages.emplace_back(label->candidate, LayerRange(label->previousLayer, layer));
+            layer = label->previousLayer;
+            label = &this->labels[layer].at(label->previousDomain);
+        }
+        std::reverse(stages.begin(), stages.end());
+        return stages;
+    }
+
+private:
+    void extend(std::uint32_t layer, std::size_t index)
+    {
+        const StageCandidate& candidate = this->candidates[index];
+        if (candidate.layers.first() > layer || candidate.layers.last() <= layer)
+            return;
+        this->relax(layer, candidate.layers.last(), index);
+        if (this->whole.contains(index))
+            return;
+        for (auto end = this->boundaries.upper_bound(layer); end != this->boundaries.end() && *end < candidate.layers.last(); ++end)
+            this->relax(layer, *end, index);
+    }
+
+    void relax(std::uint32_t from, std::uint32_t to, std::size_t index)
+    {
+        const StageCandidate& candidate = this->candidates[index];
+        const double need = (this->request.promptTokens + this->request.outputTokens) * (to - from);
+        if (need > candidate.freeTokenLayers)
+            return;
+        const StageTimes times = stageTimes(this->profile, candidate, this->request, to - from);
+        const double capacity = candidate.accelerator.memoryMegabytes - candidate.layers.size() * this->profile.layerMegabytes;
+        const double capacityTokenLayers = std::max(1.0, capacity / this->profile.kvMegabytesPerTokenLayer());
+        const double used = 1 - std::min(1.0, (candidate.freeTokenLayers - need) / capacityTokenLayers);
+        const double crowding = 1 + crowdingFactor * used * used;
+        for (const auto& [domain, label] : this->labels[from]) {
+            const bool crosses = from > 0 && domain != candidate.failureDomain;
+            const double crossPrefill = crosses ? crossingMs(this->profile, this->request.promptTokens) + this->profile.crossDomainDelayMs : 0;
+            const double crossStep = crosses ? crossingMs(this->profile, 1) + this->profile.crossDomainDelayMs : 0;
+            Label next;
+            next.firstTokenMs = label.firstTokenMs + times.prefillMs + handOverMs + crossPrefill;
+            next.perTokenMs = label.perTokenMs + times.stepMs + handOverMs + crossStep;
+            const double own = times.prefillMs + handOverMs + this->request.outputTokens * (times.stepMs + handOverMs);
+            const double crossing = crossPrefill + this->request.outputTokens * crossStep;
+            next.cost = label.cost + crowding * own + crossingFactor * crossing;
+            next.candidate = index;
+            next.previousLayer = from;
+            next.previousDomain = domain;
+            Label& slot = this->labels[to][candidate.failureDomain];
+            if (next.cost < slot.cost)
+                slot = next;
+        }
+    }
+
+    const EngineProfile& profile;
+    const std::vector<StageCandidate>& candidates;
+    const ChainRequest& request;
+    std::vector<std::map<FailureDomainId, Label>> labels; ///< by layer boundary
+    std::set<std::uint32_t> boundaries;
+    std::set<std::size_t> whole;
+};
+
+}
+
+std::optional<LayerChain> planLayerChain(const EngineProfile& profile, const std::vector<StageCandidate>& candidates, const ChainRequest& request)
+{
+    if (profile.layers == 0)
+        return std::nullopt;
+    std::set<std::size_t> whole;
+    // Each round keeps at least one more engine whole, so that the rounds end.
+    for (std::size_t round = 0; round <= candidates.size(); ++round) {
+        Search search(profile, candidates, request);
+        for (const std::size_t index : whole)
+            search.keepWhole(index);
+        search.run();
+        LayerChain chain;
+        const auto stages = search.best(chain);
+        if (stages.empty() || stages.size() > maximumStages)
+            return std::nullopt;
+        std::set<std::size_t> seen;
+        bool repeated = false;
+        for (const auto& [index, layers] : stages) {
+            if (!seen.insert(index).second) {
+                whole.insert(index);
+                repeated = true;
+            }
+            chain.stages.push_back({ candidates[index].endpoint, layers });
+        }
+        if (!repeated)
+            return chain;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
@@ -0,0 +1,63 @@
+#ifndef FILBERTSPOKE_CHAIN_PLANNER_H
+#define FILBERTSPOKE_CHAIN_PLANNER_H
+
+#include "EngineProfile.h"
+
+#include <filbertspoke/Core>
+
+#include <compare>
+#include <optional>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief An engine that a chain may pass through, with its state at the time of planning. */
+struct StageCandidate {
+    EndpointId endpoint;
+    LayerRange layers; ///< that it holds
+    FailureDomainId failureDomain;
+    AcceleratorProfile accelerator;
+    double sequences = 0; ///< in progress there
+    double freeTokenLayers = 0; ///< KV cache that is not set aside
+    double slowness = 1; ///< times the accelerator's usual step times, as observed
+
+    auto operator<=>(const StageCandidate&) const = default;
+};
+
+/** \brief One engine's part of a chain. */
+struct LayerStage {
+    EndpointId endpoint;
+    LayerRange layers;
+
+    auto operator<=>(const LayerStage&) const = default;
+};
+
+/** \brief Engines that run every layer once, in order, with what a generation on them is expected to take. */
+struct LayerChain {
+    std::vector<LayerStage> stages;
+    Duration firstToken {}; ///< prefill and one step
+    Duration perToken {}; ///< each further step
+
+    auto operator<=>(const LayerChain&) const = default;
+};
+
+/** \brief The generation that a chain is planned for. */
+struct ChainRequest {
+    FailureDomainId origin; ///< of the daemon
+    double promptTokens = 0;
+    double outputTokens = 0; ///< expected
+
+    auto operator<=>(const ChainRequest&) const = default;
+};
+
+/** \brief Finds the chain that finishes a generation earliest, with a price on crowded engines and on crossings
+ * between failure domains.
+ *
+ * The search is a shortest path over layer boundaries, in which an engine may also run a part of its layers.
+ * \returns nothing when no chain covers all layers with room for the request
+ */
+std::optional<LayerChain> planLayerChain(const EngineProfile&, const std::vector<StageCandidate>&, const ChainRequest&);
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -0,0 +1,215 @@
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cstdio>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+// A caller that takes no bytes for so long is treated as gone.
+constexpr Duration writeTimeout = std::chrono::seconds(10);
+// Unacknowledged bytes end the connection after this time.
+constexpr unsigned userTimeoutMs = 5000;
+
+CallerReadFailure readFailure(const beast::error_code& error, bool headerRead)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return headerRead ? CallerReadFailure::BodyTooLarge : CallerReadFailure::HeaderTooLarge;
+    if (error == http::error::body_limit)
+        return CallerReadFailure::BodyTooLarge;
+    if (error == http::error::end_of_stream || error == http::error::partial_message)
+        return CallerReadFailure::Closed;
+    if (error.category() == http::make_error_code(http::error::bad_method).category())
+        return CallerReadFailure::Malformed;
+    return CallerReadFailure::Closed;
+}
+
+std::string headText(unsigned status, const std::vector<HttpHeader>& headers, bool keepAlive)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ';
+    text.append(http::obsolete_reason(http::int_to_status(status))).append("\r\n");
+    for (const HttpHeader& header : headers)
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    if (!keepAlive)
+        text.append("Connection: close\r\n");
+    return text;
+}
+
+}
+
+class CallerConnection::State {
+public:
+    explicit State(tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool keepAlive = false;
+    bool bodyless = false; ///< the request asked for a head only
+    bool gone = false;
+    bool busy = false;
+    std::uint64_t watch = 0; ///< grows with each watch and unwatch, so that late handlers stop
+};
+
+CallerConnection::CallerConnection(tcp::socket socket)
+    : state(std::make_unique<State>(std::move(socket)))
+{
+    beast::error_code ignored;
+    auto& inner = this->state->stream.socket();
+    inner.set_option(tcp::no_delay(true), ignored);
+    ::setsockopt(inner.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+}
+
+CallerConnection::~CallerConnection() = default;
+
+asio::awaitable<std::variant<HttpRequest, CallerReadFailure>> CallerConnection::read(const ConnectionLimits& limits)
+{
+    State& state = *this->state;
+    const auto self = this->shared_from_this();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    state.stream.expires_after(limits.idleTimeout);
+    const auto [headError, headBytes] = co_await http::async_read_header(state.stream, state.buffer, parser, asTuple);
+    if (headError)
+        co_return readFailure(headError, false);
+    state.busy = true;
+    state.stream.expires_after(limits.headerTimeout);
+    const auto [bodyError, bodyBytes] = co_await http::async_read(state.stream, state.buffer, parser, asTuple);
+    if (bodyError) {
+        state.busy = false;
+        co_return readFailure(bodyError, true);
+    }
+    state.stream.expires_never();
+    state.keepAlive = parser.get().keep_alive();
+    state.bodyless = parser.get().method() == http::verb::head;
+    HttpRequest request;
+    request.method = std::string(parser.get().method_string());
+    request.target = std::string(parser.get().target());
+    for (const auto& field : parser.get())
+        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    request.body = std::move(parser.get().body());
+    co_return request;
+}
+
+bool CallerConnection::keepAlive() const
+{
+    return this->state->keepAlive;
+}
+
+void CallerConnection::watch(std::function<void()> onGone)
+{
+    State& state = *this->state;
+    const std::uint64_t epoch = ++state.watch;
+    state.stream.socket().async_wait(asio::socket_base::wait_read, [self = this->shared_from_this(), epoch, onGone = std::move(onGone)](beast::error_code error) {
+        State& watched = *self->state;
+        if (epoch != watched.watch || error)
+            return;
+        char byte = 0;
+        beast::error_code peekError;
+        watched.stream.socket().non_blocking(true, peekError);
+        watched.stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peekError);
+        // Bytes are the caller's next request; only an end or a reset says that it left.
+        if (!peekError || peekError == asio::error::would_block)
+            return;
+        watched.gone = true;
+        onGone();
+    });
+}
+
+void CallerConnection::unwatch()
+{
+    ++this->state->watch;
+    beast::error_code ignored;
+    this->state->stream.socket().cancel(ignored);
+}
+
+bool CallerConnection::gone() const
+{
+    return this->state->gone;
+}
+
+asio::awaitable<void> CallerConnection::respond(const HttpResponse& response, bool keepAlive)
+{
+    State& state = *this->state;
+    const auto self = this->shared_from_this();
+    std::string text = headText(response.status, response.headers, keepAlive);
+    if (response.status != 204 && response.status != 304)
+        text.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
+    text.append("\r\n");
+    if (!state.bodyless)
+        text.append(response.body);
+    state.stream.expires_after(writeTimeout);
+    const auto [error, bytes] = co_await asio::async_write(state.stream, asio::buffer(text), asTuple);
+    state.gone = state.gone || static_cast<bool>(error);
+    state.busy = false;
+}
+
+asio::awaitable<void> CallerConnection::startStream(unsigned status, const std::vector<HttpHeader>& headers, bool keepAlive)
+{
+    State& state = *this->state;
+    const auto self = this->shared_from_this();
+    const std::string text = headText(status, headers, keepAlive) + "Transfer-Encoding: chunked\r\n\r\n";
+    state.stream.expires_after(writeTimeout);
+    const auto [error, bytes] = co_await asio::async_write(state.stream, asio::buffer(text), asTuple);
+    state.gone = state.gone || static_cast<bool>(error);
+}
+
+asio::awaitable<void> CallerConnection::sendPart(std::string_view part)
+{
+    State& state = *this->state;
+    const auto self = this->shared_from_this();
+    std::array<char, 20> size {};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+    std::string text(size.data(), static_cast<std::size_t>(length));
+    text.append(part).append("\r\n");
+    state.stream.expires_after(writeTimeout);
+    const auto [error, bytes] = co_await asio::async_write(state.stream, asio::buffer(text), asTuple);
+    state.gone = state.gone || static_cast<bool>(error);
+}
+
+asio::awaitable<void> CallerConnection::endStream()
+{
+    State& state = *this->state;
+    const auto self = this->shared_from_this();
+    constexpr std::string_view lastChunk = "0\r\n\r\n";
+    state.stream.expires_after(writeTimeout);
+    const auto [error, bytes] = co_await asio::async_write(state.stream, asio::buffer(lastChunk), asTuple);
+    state.gone = state.gone || static_cast<bool>(error);
+    state.busy = false;
+}
+
+bool CallerConnection::busy() const
+{
+    return this->state->busy;
+}
+
+void CallerConnection::close()
+{
+    this->state->stream.close();
+}
+
+}
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerServer.cpp
@@ -0,0 +1,155 @@
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+// Before a configuration is known, callers are sent back for about one read of the store.
+constexpr Duration returnWithoutConfiguration = std::chrono::milliseconds(500);
+// A failed accept, mostly for lack of descriptors, is tried again after this time.
+constexpr Duration acceptPause = std::chrono::milliseconds(20);
+
+tcp::endpoint endpointOf(const SocketAddress& address)
+{
+    return { asio::ip::make_address(address.address), address.port };
+}
+
+}
+
+CallerServer::CallerServer(GatewayContext& context)
+    : context(context)
+    , acceptor(context.io, endpointOf(context.settings.callers))
+{
+}
+
+void CallerServer::start()
+{
+    asio::co_spawn(this->context.io, this->listen(), asio::detached);
+}
+
+void CallerServer::stopListening()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const auto& connection : this->connections) {
+        if (!connection->busy())
+            connection->close();
+    }
+}
+
+asio::awaitable<void> CallerServer::listen()
+{
+    while (this->acceptor.is_open()) {
+        auto [error, socket] = co_await this->acceptor.async_accept(asTuple);
+        if (error && this->acceptor.is_open()) {
+            logLine(WriteLog::Level::Warning, "accept-failed", { { "reason", error.message() } });
+            asio::steady_timer pause(this->context.io, acceptPause);
+            co_await pause.async_wait(asTuple);
+        }
+        if (!error)
+            asio::co_spawn(this->context.io, this->serve(std::make_shared<CallerConnection>(std::move(socket))), asio::detached);
+    }
+}
+
+asio::awaitable<void> CallerServer::serve(std::shared_ptr<CallerConnection> connection)
+{
+    this->connections.insert(connection);
+    bool open = true;
+    while (open) {
+        const ConnectionLimits limits = this->context.table ? this->context.table->limits() : ConnectionLimits {};
+        auto read = co_await connection->read(limits);
+        if (auto* request = std::get_if<HttpRequest>(&read)) {
+            ++this->context.requestsInProgress;
+            open = co_await this->handle(connection, std::move(*request));
+            --this->context.requestsInProgress;
+        } else {
+            co_await this->rejectUnread(connection, std::get<CallerReadFailure>(read));
+            open = false;
+        }
+    }
+    connection->close();
+    this->connections.erase(connection);
+}
+
+asio::awaitable<void> CallerServer::rejectUnread(std::shared_ptr<CallerConnection> connection, CallerReadFailure failure)
+{
+    if (failure == CallerReadFailure::Closed)
+        co_return;
+    const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431 : 413;
+    logLine(WriteLog::Level::Warning, "request-unreadable", { { "status", std::to_string(status) } });
+    co_await connection->respond({ status, {}, {} }, false);
+}
+
+asio::awaitable<bool> CallerServer::handle(std::shared_ptr<CallerConnection> connection, HttpRequest http)
+{
+    const TimePoint received = bootNow();
+    auto decoded = this->context.wires.caller->decodeRequest(std::move(http));
+    if (!decoded) {
+        logLine(WriteLog::Level::Warning, "request-malformed", { { "reason", decoded.error().message() } });
+        co_await connection->respond({ 400, {}, {} }, false);
+        co_return false;
+    }
+    co_await this->forward(connection, std::move(*decoded), received);
+    co_return connection->keepAlive() && !connection->gone() && !this->context.stopping;
+}
+
+asio::awaitable<void> CallerServer::refuse(std::shared_ptr<CallerConnection> connection, const Refusal& refusal, const CallerRequest& request)
+{
+    const HttpResponse response = this->context.wires.caller->encodeRefusal(refusal, request.id);
+    logLine(WriteLog::Level::Info, "request-refused", { { "request", request.id.str() }, { "host", request.host }, { "target", request.http.target }, { "reason", std::string(name(refusal.code())) }, { "status", std::to_string(response.status) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
+    co_await connection->respond(response, connection->keepAlive() && !this->context.stopping);
+}
+
+asio::awaitable<void> CallerServer::forward(std::shared_ptr<CallerConnection> connection, CallerRequest request, TimePoint received)
+{
+    const auto table = this->context.table;
+    if (!table || !this->context.registryKnown) {
+        co_await this->refuse(connection, Refusal(ErrorCode::ConfigurationUnavailable, Ran::No).retryAfter(returnWithoutConfiguration), request);
+        co_return;
+    }
+    const Route* route = table->findRoute(request.host, request.http.target);
+    if (!route) {
+        co_await this->refuse(connection, Refusal(ErrorCode::UnknownPath, Ran::No), request);
+        co_return;
+    }
+    std::optional<AccountId> account;
+    if (table->hasAccounts() && !route->keyExempt) {
+        const ForwardedAccount* holder = table->findAccount(request.accountKey);
+        if (!holder) {
+            co_await this->refuse(connection, Refusal(ErrorCode::UnknownAccount, Ran::No), request);
+            co_return;
+        }
+        account = holder->account;
+    }
+    const auto service = chooseService(*route, this->context.draw());
+    if (!service) {
+        co_await this->refuse(connection, Refusal(ErrorCode::NoEndpoint, Ran::No).retryAfter(returnWithoutConfiguration), request);
+        co_return;
+    }
+    this->context.retryBudget(*service).firstAttempt();
+    ForwardTask task(this->context, connection, std::move(request), *route, *service, account, received);
+    connection->watch([&task] {
+        if (task.upstream)
+            task.upstream->close();
+        task.context.waiters.wakeAll();
+    });
+    if (route->kind == RouteKind::Stream)
+        co_await forwardStream(task);
+    else
+        co_await forwardCall(task);
+    connection->unwatch();
+}
+
+}
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerServer.h
@@ -0,0 +1,40 @@
+#ifndef FILBERTSPOKE_CALLER_SERVER_H
+#define FILBERTSPOKE_CALLER_SERVER_H
+
+#include "CallerConnection.h"
+#include "GatewayContext.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <set>
+
+namespace filbertspoke {
+
+/** \brief Takes callers' connections and their requests, and finds for each request its route. */
+class CallerServer {
+public:
+    /** \throws boost::system::system_error when the address can't be bound */
+    explicit CallerServer(GatewayContext&);
+
+    void start();
+    /** \brief Takes no further connections and closes those without a request in progress. */
+    void stopListening();
+
+private:
+    boost::asio::awaitable<void> listen();
+    boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>);
+    boost::asio::awaitable<bool> handle(std::shared_ptr<CallerConnection>, HttpRequest);
+    boost::asio::awaitable<void> forward(std::shared_ptr<CallerConnection>, CallerRequest, TimePoint received);
+    boost::asio::awaitable<void> refuse(std::shared_ptr<CallerConnection>, const Refusal&, const CallerRequest&);
+    boost::asio::awaitable<void> rejectUnread(std::shared_ptr<CallerConnection>, CallerReadFailure);
+
+    GatewayContext& context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::set<std::shared_ptr<CallerConnection>> connections;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -0,0 +1,271 @@
+#include <filbertspoke/Proxy>
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Part of the target for the first event that a generation may wait for room; the rest is for the prefill.
+constexpr double waitingFraction = 0.6;
+// Waiting generations look for room at least this often, as other daemons' work ends unseen.
+constexpr Duration waitStep = std::chrono::milliseconds(40);
+// Silence before the first event and between events after which a chain is given up, as multiples of what is expected.
+constexpr int firstEventFactor = 4;
+constexpr Duration leastFirstEventTimeout = std::chrono::milliseconds(800);
+constexpr int gapFactor = 4;
+constexpr Duration leastGapTimeout = std::chrono::milliseconds(700);
+// A caller's output estimate is right at the median only: room is set aside for somewhat more.
+constexpr double outputMargin = 1.2;
+
+double expectedOutput(const CallerRequest& request, const EngineProfile& profile)
+{
+    const double estimate = request.expectedOutputTokens.value_or(profile.usualOutputTokens) * outputMargin;
+    return request.maximumOutputTokens > 0 ? std::min(estimate, request.maximumOutputTokens) : estimate;
+}
+
+/** \brief A stream's progress, over all the chains that served it. */
+class StreamRun {
+public:
+    explicit StreamRun(ForwardTask& task)
+        : task(task)
+        , lastEventId(task.request.lastEventId)
+    {
+    }
+
+    asio::awaitable<void> run();
+
+private:
+    asio::awaitable<std::optional<LayerChain>> awaitChain();
+    std::optional<LayerChain> planChain() const;
+    StageCandidate stageCandidate(const EndpointRecord&, const EngineProfile&) const;
+    std::optional<ForwardOrder> orderFor(const LayerChain&) const;
+    void reserve(const LayerChain&, bool begin);
+    asio::awaitable<AttemptResult> attempt(const ForwardOrder&, const LayerChain&);
+    asio::awaitable<AttemptResult> pump(const UpstreamPointer&, const LayerChain&);
+    asio::awaitable<std::optional<AttemptResult>> passOn(std::vector<StreamEvent>);
+    asio::awaitable<void> end(bool complete);
+    const EngineProfile* profile() const;
+
+    ForwardTask& task;
+    std::optional<std::uint64_t> lastEventId; ///< that the caller has
+    bool headSent = false;
+    bool firstEventSent = false;
+    double reservedTokens = 0;
+};
+
+const EngineProfile* StreamRun::profile() const
+{
+    const ForwardedService* service = this->task.context.table->findService(this->task.service);
+    return service && service->engine ? &*service->engine : nullptr;
+}
+
+StageCandidate StreamRun::stageCandidate(const EndpointRecord& record, const EngineProfile& profile) const
+{
+    StageCandidate candidate;
+    candidate.endpoint = record.endpoint.id;
+    candidate.layers = record.endpoint.layers;
+    candidate.failureDomain = record.endpoint.failureDomain;
+    const auto accelerator = profile.accelerators.find(record.endpoint.accelerator);
+    if (accelerator != profile.accelerators.end())
+        candidate.accelerator = accelerator->second;
+    const WorkInProgress load = this->task.context.loads.total(record.endpoint.id);
+    const double memory = candidate.accelerator.memoryMegabytes - candidate.layers.size() * profile.layerMegabytes;
+    candidate.sequences = load.requests;
+    candidate.freeTokenLayers = memory / profile.kvMegabytesPerTokenLayer() - load.tokenLayers;
+    return candidate;
+}
+
+std::optional<LayerChain> StreamRun::planChain() const
+{
+    const EngineProfile* engine = this->profile();
+    if (!engine)
+        return std::nullopt;
+    std::vector<StageCandidate> candidates;
+    for (const EndpointRecord* record : this->task.context.registry.candidates(this->task.service, bootNow())) {
+        if (!record->endpoint.layers.empty() && !this->task.avoided.contains(record->endpoint.id))
+            candidates.push_back(this->stageCandidate(*record, *engine));
+    }
+    ChainRequest request;
+    request.origin = this->task.context.settings.failureDomain;
+    request.promptTokens = this->task.request.promptTokens;
+    request.outputTokens = expectedOutput(this->task.request, *engine);
+    return planLayerChain(*engine, candidates, request);
+}
+
+asio::awaitable<std::optional<LayerChain>> StreamRun::awaitChain()
+{
+    const auto patience = Duration(static_cast<Duration::rep>(static_cast<double>(this->task.route.targetLatency.count()) * waitingFraction));
+    const TimePoint limit = std::min(this->task.deadline, bootNow() + patience);
+    while (!this->task.caller->gone()) {
+        if (auto chain = this->planChain())
+            co_return chain;
+        const Duration left = limit - bootNow();
+        if (left <= Duration::zero())
+            break;
+        co_await this->task.context.waiters.wait(std::min(left, waitStep));
+    }
+    co_return std::nullopt;
+}
+
+std::optional<ForwardOrder> StreamRun::orderFor(const LayerChain& chain) const
+{
+    ForwardOrder order;
+    order.timeLeft = this->task.timeLeft();
+    order.account = this->task.account;
+    order.lastEventId = this->lastEventId;
+    for (const LayerStage& stage : chain.stages) {
+        const EndpointRecord* record = this->task.context.registry.find(stage.endpoint);
+        if (!record)
+            return std::nullopt;
+        order.stages.push_back({ stage.endpoint, record->endpoint.address, stage.layers });
+    }
+    return order;
+}
+
+void StreamRun::reserve(const LayerChain& chain, bool begin)
+{
+    for (const LayerStage& stage : chain.stages) {
+        const WorkInProgress load { 1, this->reservedTokens * stage.layers.size() };
+        if (begin)
+            this->task.context.loads.begin(stage.endpoint, load);
+        else
+            this->task.context.loads.end(stage.endpoint, load);
+    }
+    if (!begin)
+        this->task.context.waiters.wakeOne();
+}
+
+asio::awaitable<std::optional<AttemptResult>> StreamRun::passOn(std::vector<StreamEvent> events)
+{
+    std::string text;
+    for (StreamEvent& event : events) {
+        if (event.id && this->lastEventId && *event.id != *this->lastEventId + 1)
+            co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "event-out-of-order" };
+        if (event.id)
+            this->lastEventId = event.id;
+        text += event.text;
+    }
+    if (text.empty())
+        co_return std::nullopt;
+    if (!this->firstEventSent) {
+        this->firstEventSent = true;
+        this->task.context.metrics.observeFirstToken(bootNow() - this->task.received);
+    }
+    co_await this->task.caller->sendPart(text);
+    co_return std::nullopt;
+}
+
+asio::awaitable<AttemptResult> StreamRun::pump(const UpstreamPointer& connection, const LayerChain& chain)
+{
+    const Duration gapTimeout = std::max<Duration>(leastGapTimeout, this->task.route.targetGap * gapFactor);
+    const Duration firstTimeout = std::max({ leastFirstEventTimeout, gapTimeout, chain.firstToken * firstEventFactor });
+    EventStream events;
+    Result<BodyProgress> ended = BodyProgress::More;
+    bool first = true;
+    while (*ended == BodyProgress::More) {
+        std::string bytes;
+        ended = co_await connection->readBody(bytes, std::min(first ? firstTimeout : gapTimeout, this->task.timeLeft()));
+        if (this->task.caller->gone())
+            co_return AttemptResult {};
+        if (!ended)
+            co_return AttemptResult { AttemptEnd::Lost, isTimeout(ended.error()) ? EndpointFault::Silent : EndpointFault::Broken, {}, isTimeout(ended.error()) ? "stalled" : "broken-off" };
+        first = first && bytes.empty();
+        if (auto failure = co_await this->passOn(events.feed(bytes)))
+            co_return *failure;
+    }
+    if (events.midEvent())
+        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "ended-within-event" };
+    this->task.context.pool.giveBack(this->orderFor(chain) ? this->orderFor(chain)->stages.front().address : SocketAddress {}, connection);
+    co_return AttemptResult {};
+}
+
+asio::awaitable<AttemptResult> StreamRun::attempt(const ForwardOrder& order, const LayerChain& chain)
+{
+    AttemptResult result;
+    const UpstreamPointer connection = co_await this->task.open(order, result);
+    if (!connection)
+        co_return result;
+    const Duration timeout = std::max<Duration>(leastFirstEventTimeout, chain.firstToken * firstEventFactor);
+    const Result<EndpointReply> reply = co_await this->task.readReply(connection, std::min(timeout, this->task.timeLeft()));
+    if (this->task.caller->gone())
+        co_return AttemptResult {};
+    if (!reply)
+        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+    if (auto failure = this->task.judge(*reply)) {
+        std::string body;
+        Result<BodyProgress> ended = BodyProgress::More;
+        while (ended && *ended == BodyProgress::More)
+            ended = co_await connection->readBody(body, std::min<Duration>(leastGapTimeout, this->task.timeLeft()));
+        if (ended)
+            this->task.context.pool.giveBack(order.stages.front().address, connection);
+        co_return *failure;
+    }
+    if (!this->headSent) {
+        this->headSent = true;
+        co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
+    }
+    co_return co_await this->pump(connection, chain);
+}
+
+asio::awaitable<void> StreamRun::end(bool complete)
+{
+    this->task.caller->unwatch();
+    if (complete) {
+        co_await this->task.caller->endStream();
+        this->task.logEnd("answered", 200);
+        co_return;
+    }
+    if (!this->headSent) {
+        co_await this->task.giveUp(ErrorCode::NoPipeline);
+        co_return;
+    }
+    // The caller must see that the stream is not whole.
+    this->task.logEnd("broken-off", 0);
+    this->task.caller->close();
+}
+
+asio::awaitable<void> StreamRun::run()
+{
+    while (!this->task.caller->gone()) {
+        const std::optional<LayerChain> chain = co_await this->awaitChain();
+        const auto order = chain ? this->orderFor(*chain) : std::nullopt;
+        if (!order)
+            break;
+        this->reservedTokens = this->task.request.promptTokens + expectedOutput(this->task.request, *this->profile());
+        logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain->stages.size()) }, { "first", chain->stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain->firstToken) }, { "perTokenUs", std::to_string(chain->perToken.count()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
+        this->reserve(*chain, true);
+        const AttemptResult result = co_await this->attempt(*order, *chain);
+        this->reserve(*chain, false);
+        this->task.upstream = nullptr;
+        if (!result.failure) {
+            for (const LayerStage& stage : chain->stages)
+                this->task.context.registry.noteSuccess(stage.endpoint);
+            if (!this->task.caller->gone()) {
+                co_await this->end(true);
+                co_return;
+            }
+            break;
+        }
+        if (this->task.caller->gone() || !this->task.noteFailure(result, chain->stages.front().endpoint))
+            break;
+    }
+    if (this->task.caller->gone()) {
+        this->task.logEnd("caller-gone", 0);
+        co_return;
+    }
+    co_await this->end(false);
+}
+
+}
+
+asio::awaitable<void> forwardStream(ForwardTask& task)
+{
+    StreamRun run(task);
+    co_await run.run();
+}
+
+}
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -0,0 +1,150 @@
+#include <filbertspoke/Proxy>
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A connection within a site is there within a few milliseconds; packets that are lost are sent again after 200 ms.
+constexpr Duration connectTimeout = std::chrono::milliseconds(300);
+// A caller is sent back for about as long as an engine needs to finish a usual generation.
+constexpr Duration shortestReturn = std::chrono::milliseconds(300);
+constexpr Duration returnSpread = std::chrono::milliseconds(700);
+// Answers to other requests that are dropped before the connection is given up.
+constexpr int maximumLateReplies = 2;
+// A body that belongs to another request's answer is read and dropped within this time.
+constexpr Duration lateBodyTimeout = std::chrono::milliseconds(200);
+
+TimePoint deadlineOf(const CallerRequest& request, const Route& route, TimePoint received)
+{
+    return received + std::min(request.timeLimit.value_or(route.timeout), route.timeout);
+}
+
+}
+
+ForwardTask::ForwardTask(GatewayContext& context, std::shared_ptr<CallerConnection> caller, CallerRequest request, const Route& route, ServiceId service, std::optional<AccountId> account, TimePoint received)
+    : context(context)
+    , caller(std::move(caller))
+    , request(std::move(request))
+    , route(route)
+    , service(std::move(service))
+    , account(std::move(account))
+    , received(received)
+    , deadline(deadlineOf(this->request, this->route, received))
+{
+}
+
+AttemptState ForwardTask::attemptState() const
+{
+    AttemptState state;
+    state.kind = this->route.kind;
+    state.resumable = this->route.resumable;
+    state.allowedRuns = this->route.attempts;
+    state.possibleRuns = this->possibleRuns;
+    state.sends = this->sends;
+    state.timeLeft = this->timeLeft();
+    return state;
+}
+
+bool ForwardTask::noteFailure(const AttemptResult& result, const EndpointId& first)
+{
+    const EndpointId blamed = result.blamed.value_or(first);
+    this->avoided.insert(blamed);
+    this->context.registry.noteFault(blamed, result.fault, bootNow());
+    if (*result.failure == AttemptEnd::Lost || *result.failure == AttemptEnd::ReportedFailure)
+        ++this->possibleRuns;
+    const AttemptState state = this->attemptState();
+    bool retry = mayRetry(state, *result.failure);
+    if (retry && chargesBudget(*result.failure))
+        retry = this->context.retryBudget(this->service).takeRetry();
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "sends", std::to_string(this->sends) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" } });
+    this->context.metrics.count({ "attempts_failed_total", result.reason });
+    return retry;
+}
+
+asio::awaitable<void> ForwardTask::giveUp(ErrorCode reason)
+{
+    if (this->caller->gone()) {
+        this->logEnd("caller-gone", 0);
+        co_return;
+    }
+    const bool notRun = certainlyNotRun(this->attemptState());
+    Refusal refusal(notRun ? reason : ErrorCode::EndpointFailed, notRun ? Ran::No : Ran::Unknown);
+    if (notRun)
+        refusal = refusal.retryAfter(shortestReturn + Duration(static_cast<Duration::rep>(this->context.draw() * static_cast<double>(returnSpread.count()))));
+    const HttpResponse response = this->context.wires.caller->encodeRefusal(refusal, this->request.id);
+    this->logEnd(std::string(name(refusal.code())), response.status);
+    co_await this->caller->respond(response, this->keepAlive());
+}
+
+void ForwardTask::logEnd(const std::string& outcome, unsigned status) const
+{
+    logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->sends) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
+    this->context.metrics.count({ "requests_total", outcome });
+}
+
+asio::awaitable<UpstreamPointer> ForwardTask::open(const ForwardOrder& order, AttemptResult& result)
+{
+    const SocketAddress& address = order.stages.front().address;
+    const HttpRequest message = this->context.wires.caller->encodeForward(this->request, order);
+    ++this->sends;
+    UpstreamPointer connection = this->context.pool.takeIdle(address);
+    if (!connection) {
+        connection = this->context.pool.make(address);
+        this->upstream = connection;
+        const std::error_code error = co_await connection->connect(std::min(connectTimeout, this->timeLeft()));
+        if (error) {
+            result = { AttemptEnd::NotSent, EndpointFault::Unreachable, {}, "connect" };
+            co_return nullptr;
+        }
+    }
+    this->upstream = connection;
+    const std::error_code error = co_await connection->send(message, this->timeLeft());
+    // A failed write may still have delivered the whole request, and its answer may be waiting.
+    if (error)
+        result.reason = "write";
+    co_return connection;
+}
+
+asio::awaitable<Result<EndpointReply>> ForwardTask::readReply(const UpstreamPointer& connection, Duration timeout)
+{
+    const TimePoint limit = bootNow() + timeout;
+    for (int late = 0; late <= maximumLateReplies; ++late) {
+        const Result<ResponseHead> head = co_await connection->readHead(std::max<Duration>(limit - bootNow(), std::chrono::milliseconds(1)));
+        if (!head)
+            co_return head.error();
+        EndpointReply reply = this->context.wires.caller->decodeReply(head->status, head->headers);
+        const bool interim = head->status < 200;
+        if (!interim && (!reply.id || *reply.id == this->request.id))
+            co_return reply;
+        if (!interim)
+            logLine(WriteLog::Level::Warning, "late-answer-dropped", { { "request", this->request.id.str() }, { "answers", reply.id ? reply.id->str() : "" } });
+        std::string dropped;
+        Result<BodyProgress> ended = BodyProgress::More;
+        while (ended && *ended == BodyProgress::More)
+            ended = co_await connection->readBody(dropped, lateBodyTimeout);
+        if (!ended)
+            co_return ended.error();
+    }
+    co_return make_error_code(ErrorCode::MalformedMessage);
+}
+
+std::optional<AttemptResult> ForwardTask::judge(const EndpointReply& reply) const
+{
+    std::optional<EndpointId> blamed;
+    if (reply.faultAt)
+        blamed = this->context.registry.findByAddress(*reply.faultAt);
+    if (reply.notExecuted)
+        return AttemptResult { AttemptEnd::NotExecuted, blamed || reply.status == 421 ? EndpointFault::Unreachable : EndpointFault::Failed, blamed, "not-executed-" + std::to_string(reply.status) };
+    if (!reply.sealed || !reply.id)
+        return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, blamed, "not-authentic" };
+    if (reply.status >= 500)
+        return AttemptResult { AttemptEnd::ReportedFailure, EndpointFault::Failed, blamed, "status-" + std::to_string(reply.status) };
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -0,0 +1,76 @@
+#ifndef FILBERTSPOKE_FORWARD_TASK_H
+#define FILBERTSPOKE_FORWARD_TASK_H
+
+#include "CallerConnection.h"
+#include "GatewayContext.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace filbertspoke {
+
+/** \brief How one attempt at an endpoint went. */
+struct AttemptResult {
+    std::optional<AttemptEnd> failure; ///< empty when the caller got the answer, or left
+    EndpointFault fault = EndpointFault::Broken;
+    std::optional<EndpointId> blamed; ///< the endpoint to avoid; without one, the first of the attempt
+    std::string reason; ///< for the log
+
+    bool operator==(const AttemptResult&) const = default;
+};
+
+/** \brief A request on its way, and what the ways of forwarding share. */
+class ForwardTask {
+public:
+    ForwardTask(GatewayContext&, std::shared_ptr<CallerConnection>, CallerRequest, const Route&, ServiceId, std::optional<AccountId>, TimePoint received);
+
+    Duration timeLeft() const { return this->deadline - bootNow(); }
+    AttemptState attemptState() const;
+    /** \brief Counts an attempt that ended without an answer.
+     * \returns whether another endpoint may be asked */
+    bool noteFailure(const AttemptResult&, const EndpointId& first);
+
+    /** \brief Answers a request that is given up: with a refusal if it certainly has not run, else with a failure. */
+    boost::asio::awaitable<void> giveUp(ErrorCode reason);
+    /** \brief Writes the line that ends the request's trace. */
+    void logEnd(const std::string& outcome, unsigned status) const;
+
+    /** \brief Sends the request, on a kept connection if there is one.
+     * \returns the connection, or nothing when no byte reached the endpoint */
+    boost::asio::awaitable<UpstreamPointer> open(const ForwardOrder&, AttemptResult&);
+    /** \brief Reads heads until one answers this request; late answers to others are dropped. */
+    boost::asio::awaitable<Result<EndpointReply>> readReply(const UpstreamPointer&, Duration timeout);
+
+    /** \returns what the reply says went wrong, or nothing for one that can be passed on */
+    std::optional<AttemptResult> judge(const EndpointReply&) const;
+
+    bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
+
+    GatewayContext& context;
+    std::shared_ptr<CallerConnection> caller;
+    const CallerRequest request;
+    const Route route;
+    const ServiceId service;
+    const std::optional<AccountId> account;
+    const TimePoint received;
+    const TimePoint deadline;
+    UpstreamPointer upstream; ///< of the attempt in progress
+    std::set<EndpointId> avoided; ///< endpoints at which attempts failed
+    std::uint32_t sends = 0;
+    std::uint32_t possibleRuns = 0;
+};
+
+/** \brief Forwards a call to a replica of a plain service and its answer to the caller. */
+boost::asio::awaitable<void> forwardCall(ForwardTask&);
+
+/** \brief Forwards a generation to a chain of engines and its events to the caller; goes on with another chain
+ * behind the last event that the caller got, when a chain breaks. */
+boost::asio::awaitable<void> forwardStream(ForwardTask&);
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -0,0 +1,69 @@
+#ifndef FILBERTSPOKE_GATEWAY_CONTEXT_H
+#define FILBERTSPOKE_GATEWAY_CONTEXT_H
+
+#include "CallerWire.h"
+#include "CapacityWaiters.h"
+#include "EngineWire.h"
+#include "StoreWire.h"
+#include "UpstreamPool.h"
+
+#include <filbertspoke/Configuration>
+#include <filbertspoke/Gateway>
+#include <filbertspoke/Observability>
+#include <filbertspoke/Routing>
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace filbertspoke {
+
+/** \brief The translations that a gateway works through. */
+struct GatewayWires {
+    std::shared_ptr<const CallerWire> caller;
+    std::shared_ptr<const EngineWire> engine;
+    std::shared_ptr<const StoreWire> store;
+};
+
+/** \brief What the parts of one gateway share, all on one thread. */
+class GatewayContext {
+public:
+    GatewayContext(boost::asio::io_context&, GatewaySettings, GatewayWires);
+
+    /** \returns the budget of retries at the service */
+    RetryBudget& retryBudget(const ServiceId&);
+    /** \returns a number in [0, 1) */
+    double draw();
+    /** \brief Takes a newer configuration; an older or equal one changes nothing.
+     * \returns whether it came into force */
+    bool takeTable(ForwardingTable, const std::string& source);
+
+    boost::asio::io_context& io;
+    const GatewaySettings settings;
+    const GatewayWires wires;
+    std::shared_ptr<const ForwardingTable> table; ///< in force; empty until one is known
+    EndpointRegistry registry;
+    bool registryKnown = false;
+    LoadBook loads;
+    CapacityWaiters waiters;
+    UpstreamPool pool;
+    Metrics metrics;
+    Random random;
+    bool stopping = false;
+    unsigned requestsInProgress = 0;
+
+private:
+    std::map<ServiceId, RetryBudget> budgets;
+};
+
+/** \brief Writes a log line. */
+void logLine(WriteLog::Level, const std::string& event, std::vector<std::pair<std::string, std::string>> fields);
+
+/** \returns whole milliseconds as text, for log lines */
+std::string milliseconds(Duration);
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -0,0 +1,130 @@
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <optional>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Duration housekeepingPause = std::chrono::milliseconds(500);
+constexpr Duration stopPollPause = std::chrono::milliseconds(20);
+// The balancer takes a daemon out of rotation after two missed checks, a second apart; a third covers a late one.
+constexpr Duration rotationTime = std::chrono::milliseconds(3000);
+// The process ends this much before it would be killed.
+constexpr Duration killMargin = std::chrono::milliseconds(300);
+
+HttpAddress httpAddress(const SocketAddress& address)
+{
+    return { address.address, address.port };
+}
+
+}
+
+class GatewayDaemon::State {
+public:
+    State(const GatewaySettings& settings, const GatewayWires& wires)
+        : context(this->io, settings, wires)
+        , follower(this->context)
+        , orderer(this->context)
+        , callers(this->context)
+        , readiness(this->io, httpAddress(settings.readiness), [this](const HttpRequest& request) { return this->answerOperator(request); })
+        , signals(this->io, SIGTERM, SIGINT)
+    {
+        if (settings.metrics)
+            this->metricsServer.emplace(this->io, httpAddress(*settings.metrics), [this](const HttpRequest& request) { return this->answerOperator(request); });
+    }
+
+    void run()
+    {
+        this->follower.start();
+        this->orderer.start();
+        this->callers.start();
+        asio::co_spawn(this->io, this->housekeep(), asio::detached);
+        asio::co_spawn(this->io, this->awaitStop(), asio::detached);
+        this->io.run();
+    }
+
+private:
+    bool ready() const { return !this->context.stopping && this->context.table && this->context.registryKnown; }
+
+    asio::awaitable<std::optional<HttpResponse>> answerOperator(const HttpRequest& request)
+    {
+        if (this->context.wires.caller->asksReadiness(request))
+            co_return HttpResponse { this->ready() ? 200U : 503U, {}, {} };
+        if (targetPath(request) == "/metrics")
+            co_return HttpResponse { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->context.metrics.page() };
+        co_return HttpResponse { 404, {}, {} };
+    }
+
+    asio::awaitable<void> housekeep()
+    {
+        asio::steady_timer timer(this->io);
+        while (true) {
+            timer.expires_after(housekeepingPause);
+            co_await timer.async_wait(asTuple);
+            const TimePoint now = bootNow();
+            this->context.pool.expire(now);
+            this->context.loads.expire(now);
+            this->context.registry.expire(now);
+        }
+    }
+
+    asio::awaitable<void> awaitStop()
+    {
+        const auto [error, signal] = co_await this->signals.async_wait(asTuple);
+        const TimePoint asked = bootNow();
+        this->context.stopping = true;
+        this->orderer.stop();
+        logLine(WriteLog::Level::Info, "stopping", { { "signal", std::to_string(signal) }, { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
+        asio::steady_timer timer(this->io);
+        bool listening = true;
+        while (bootNow() - asked < this->context.settings.stopTimeout - killMargin) {
+            timer.expires_after(stopPollPause);
+            co_await timer.async_wait(asTuple);
+            if (listening && bootNow() - asked >= rotationTime) {
+                listening = false;
+                this->callers.stopListening();
+            }
+            if (!listening && this->context.requestsInProgress == 0)
+                break;
+        }
+        logLine(WriteLog::Level::Info, "stopped", { { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
+        this->io.stop();
+    }
+
+    asio::io_context io { 1 };
+    GatewayContext context;
+    StoreFollower follower;
+    LayerOrderer orderer;
+    CallerServer callers;
+    HttpServer readiness;
+    std::optional<HttpServer> metricsServer;
+    asio::signal_set signals;
+};
+
+GatewayDaemon::GatewayDaemon(const GatewaySettings& settings, const GatewayWires& wires)
+    : state(std::make_unique<State>(settings, wires))
+{
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+void GatewayDaemon::run()
+{
+    logLine(WriteLog::Level::Info, "started", {});
+    this->state->run();
+}
+
+}
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.h
@@ -0,0 +1,18 @@
+#ifndef FILBERTSPOKE_HTTP_EXCHANGE_H
+#define FILBERTSPOKE_HTTP_EXCHANGE_H
+
+#include <filbertspoke/Http>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace filbertspoke {
+
+/** \brief Sends a request on a client connection and waits for its outcome. */
+boost::asio::awaitable<HttpOutcome> exchange(HttpConnection&, HttpRequest, Duration timeout);
+
+/** \returns the response with status 200, or nothing; \a reason then says why not */
+const HttpResponse* successfulResponse(const HttpOutcome&, std::string& reason);
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -0,0 +1,184 @@
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How long the store holds a read of the configuration that has nothing new; short enough to notice a silent
+// connection within the time in which a change has to be in force.
+constexpr Duration configurationWait = std::chrono::milliseconds(1000);
+// Endpoints write every second or so, so that a read always finds something: reads are paced instead. A quarter of
+// the time within which a leaving endpoint must get no more work.
+constexpr Duration endpointsPause = std::chrono::milliseconds(400);
+// Answer time of the store beside the wait: a hundred times its usual one.
+constexpr Duration answerTimeout = std::chrono::milliseconds(500);
+// Pause before the store is asked again after a failure.
+constexpr Duration failurePause = std::chrono::milliseconds(200);
+
+asio::awaitable<void> sleep(asio::io_context& io, Duration duration)
+{
+    asio::steady_timer timer(io, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+}
+
+void StoreFollower::start()
+{
+    asio::co_spawn(this->context.io, this->follow(StoreCollection::Configuration), asio::detached);
+    asio::co_spawn(this->context.io, this->follow(StoreCollection::Endpoints), asio::detached);
+}
+
+void StoreFollower::noteReachable(bool reachable, const std::string& reason)
+{
+    if (reachable == this->storeReachable)
+        return;
+    this->storeReachable = reachable;
+    logLine(reachable ? WriteLog::Level::Info : WriteLog::Level::Warning, reachable ? "store-regained" : "store-lost", { { "reason", reason } });
+    if (reachable)
+        this->context.registry.registryReturned(bootNow());
+}
+
+asio::awaitable<Result<HttpResponse>> StoreFollower::ask(HttpConnection& connection, HttpRequest request, Duration timeout)
+{
+    this->context.metrics.count({ "store_calls_total", "" });
+    HttpOutcome outcome = co_await exchange(connection, std::move(request), timeout);
+    if (auto* failure = std::get_if<HttpFailure>(&outcome)) {
+        connection.close();
+        this->noteReachable(false, failure->error.message());
+        co_return failure->error;
+    }
+    auto response = std::get<HttpResponse>(std::move(outcome));
+    const bool refused = response.status == 429 || response.status >= 500;
+    this->noteReachable(!refused, "status " + std::to_string(response.status));
+    if (refused)
+        co_return make_error_code(ErrorCode::PlatformUnavailable);
+    co_return response;
+}
+
+asio::awaitable<std::optional<LogOffset>> StoreFollower::readSnapshot(HttpConnection& connection, StoreCollection collection)
+{
+    std::vector<StoreRecord> records;
+    std::optional<std::string> after;
+    std::optional<LogOffset> next;
+    while (true) {
+        const auto response = co_await this->ask(connection, this->context.wires.store->encodeSnapshot(collection, after), answerTimeout);
+        if (!response)
+            co_return std::nullopt;
+        const auto page = this->context.wires.store->decodeSnapshot(*response);
+        if (!page) {
+            logLine(WriteLog::Level::Warning, "store-answer-unreadable", { { "reason", page.error().message() }, { "status", std::to_string(response->status) } });
+            co_return std::nullopt;
+        }
+        // Pages are not read at one moment: changes since the first one are read again.
+        if (!next)
+            next = page->next;
+        records.insert(records.end(), page->records.begin(), page->records.end());
+        if (!page->more || page->records.empty())
+            break;
+        after = page->records.back().key;
+    }
+    this->applySnapshot(collection, records);
+    co_return next;
+}
+
+asio::awaitable<std::error_code> StoreFollower::readChanges(HttpConnection& connection, StoreCollection collection, LogOffset& next)
+{
+    const Duration wait = collection == StoreCollection::Configuration ? configurationWait : Duration::zero();
+    const auto response = co_await this->ask(connection, this->context.wires.store->encodeFollow(collection, next, wait), wait + answerTimeout);
+    if (!response)
+        co_return response.error();
+    const auto page = this->context.wires.store->decodeFollow(*response, next);
+    if (!page)
+        co_return page.error();
+    this->apply(collection, page->records);
+    next = page->next;
+    co_return std::error_code {};
+}
+
+asio::awaitable<void> StoreFollower::follow(StoreCollection collection)
+{
+    HttpConnection connection(this->context.io, { this->context.settings.store.address, this->context.settings.store.port }, {});
+    std::optional<LogOffset> next;
+    while (true) {
+        std::error_code error;
+        if (!next)
+            next = co_await this->readSnapshot(connection, collection);
+        else
+            error = co_await this->readChanges(connection, collection, *next);
+        if (error == ErrorCode::LogTruncated)
+            next.reset();
+        if (!next || error)
+            co_await sleep(this->context.io, failurePause);
+        else if (collection == StoreCollection::Endpoints)
+            co_await sleep(this->context.io, endpointsPause);
+    }
+}
+
+std::optional<RegisteredEndpoint> StoreFollower::readEndpoint(const StoreRecord& record)
+{
+    const auto endpoint = this->context.wires.store->decodeEndpoint(record);
+    if (endpoint)
+        return *endpoint;
+    logLine(WriteLog::Level::Warning, "endpoint-entry-unreadable", { { "key", record.key }, { "reason", endpoint.error().message() } });
+    return std::nullopt;
+}
+
+void StoreFollower::applyConfiguration(const StoreRecord& record)
+{
+    auto table = this->context.wires.store->decodeConfiguration(record);
+    if (!table)
+        logLine(WriteLog::Level::Error, "configuration-unreadable", { { "key", record.key }, { "reason", table.error().message() } });
+    else if (*table)
+        this->context.takeTable(std::move(**table), "store");
+}
+
+void StoreFollower::applySnapshot(StoreCollection collection, const std::vector<StoreRecord>& records)
+{
+    if (collection == StoreCollection::Configuration) {
+        this->apply(collection, records);
+        return;
+    }
+    std::vector<RegisteredEndpoint> endpoints;
+    for (const StoreRecord& record : records) {
+        if (auto endpoint = record.value ? this->readEndpoint(record) : std::nullopt)
+            endpoints.push_back(std::move(*endpoint));
+    }
+    this->context.registry.replaceAll(endpoints, bootNow());
+    this->context.registryKnown = true;
+    logLine(WriteLog::Level::Info, "endpoints-read", { { "endpoints", std::to_string(endpoints.size()) } });
+}
+
+void StoreFollower::apply(StoreCollection collection, const std::vector<StoreRecord>& records)
+{
+    const TimePoint now = bootNow();
+    for (const StoreRecord& record : records) {
+        if (collection == StoreCollection::Configuration) {
+            this->applyConfiguration(record);
+            continue;
+        }
+        const EndpointId id(record.key);
+        if (!record.value) {
+            if (this->context.registry.remove(id, now))
+                logLine(WriteLog::Level::Info, "endpoint-removed", { { "endpoint", record.key } });
+        } else if (const auto endpoint = this->readEndpoint(record)) {
+            if (this->context.registry.update(*endpoint, now))
+                logLine(WriteLog::Level::Info, "endpoint-changed", { { "endpoint", record.key }, { "service", endpoint->service.str() }, { "draining", endpoint->draining ? "yes" : "no" }, { "firstLayer", std::to_string(endpoint->layers.first()) }, { "lastLayer", std::to_string(endpoint->layers.last()) } });
+        }
+    }
+    this->context.registry.expire(now);
+    if (!records.empty())
+        this->context.waiters.wakeOne();
+}
+
+}
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
@@ -0,0 +1,39 @@
+#ifndef FILBERTSPOKE_STORE_FOLLOWER_H
+#define FILBERTSPOKE_STORE_FOLLOWER_H
+
+#include "GatewayContext.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace filbertspoke {
+
+/** \brief Keeps the configuration and the endpoints as the platform's store has them. */
+class StoreFollower {
+public:
+    explicit StoreFollower(GatewayContext& context)
+        : context(context)
+    {
+    }
+
+    void start();
+    /** \returns whether the last exchange with the store succeeded */
+    bool reachable() const { return this->storeReachable; }
+
+private:
+    boost::asio::awaitable<void> follow(StoreCollection);
+    boost::asio::awaitable<std::optional<LogOffset>> readSnapshot(HttpConnection&, StoreCollection);
+    boost::asio::awaitable<std::error_code> readChanges(HttpConnection&, StoreCollection, LogOffset& next);
+    boost::asio::awaitable<Result<HttpResponse>> ask(HttpConnection&, HttpRequest, Duration timeout);
+    void apply(StoreCollection, const std::vector<StoreRecord>&);
+    void applySnapshot(StoreCollection, const std::vector<StoreRecord>&);
+    void applyConfiguration(const StoreRecord&);
+    std::optional<RegisteredEndpoint> readEndpoint(const StoreRecord&);
+    void noteReachable(bool reachable, const std::string& reason);
+
+    GatewayContext& context;
+    bool storeReachable = true;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -0,0 +1,180 @@
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t bodyChunkBytes = 16 * 1024;
+constexpr std::size_t maximumHeaderBytes = 64 * 1024;
+// Unacknowledged bytes end the connection after this time, so that a host that fell silent is noticed.
+constexpr unsigned userTimeoutMs = 2000;
+
+std::string requestText(const HttpRequest& request)
+{
+    std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const HttpHeader& header : request.headers)
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    text.append("\r\n").append(request.body);
+    return text;
+}
+
+}
+
+bool isTimeout(const std::error_code& error)
+{
+    return error == std::error_code(beast::error_code(beast::error::timeout));
+}
+
+class UpstreamConnection::State {
+public:
+    State(asio::io_context& context, SocketAddress address)
+        : stream(context)
+        , address(std::move(address))
+    {
+    }
+
+    beast::tcp_stream stream;
+    SocketAddress address;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::array<char, bodyChunkBytes> chunk {};
+    bool skipsBody = false; ///< the request asked for a head only
+    bool usable = false;
+};
+
+UpstreamConnection::UpstreamConnection(asio::io_context& context, SocketAddress address)
+    : state(std::make_shared<State>(context, std::move(address)))
+{
+}
+
+UpstreamConnection::~UpstreamConnection()
+{
+    this->close();
+}
+
+asio::awaitable<std::error_code> UpstreamConnection::connect(Duration timeout)
+{
+    const auto state = this->state;
+    beast::error_code error;
+    const auto ip = asio::ip::make_address(state->address.address, error);
+    if (error)
+        co_return error;
+    state->stream.expires_after(timeout);
+    const auto [connectError] = co_await state->stream.async_connect(tcp::endpoint(ip, state->address.port), asTuple);
+    if (connectError)
+        co_return connectError;
+    state->stream.socket().set_option(tcp::no_delay(true), error);
+    ::setsockopt(state->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    state->usable = true;
+    co_return std::error_code {};
+}
+
+asio::awaitable<std::error_code> UpstreamConnection::send(const HttpRequest& request, Duration timeout)
+{
+    const auto state = this->state;
+    const std::string text = requestText(request);
+    state->skipsBody = request.method == "HEAD";
+    state->parser.reset();
+    state->stream.expires_after(timeout);
+    const auto [error, bytes] = co_await asio::async_write(state->stream, asio::buffer(text), asTuple);
+    co_return error;
+}
+
+asio::awaitable<Result<ResponseHead>> UpstreamConnection::readHead(Duration timeout)
+{
+    const auto state = this->state;
+    auto& parser = state->parser.emplace();
+    parser.header_limit(maximumHeaderBytes);
+    parser.body_limit(boost::none);
+    parser.skip(state->skipsBody);
+    state->stream.expires_after(timeout);
+    const auto [error, bytes] = co_await http::async_read_header(state->stream, state->buffer, parser, asTuple);
+    if (error) {
+        state->usable = false;
+        co_return std::error_code(error);
+    }
+    ResponseHead head;
+    head.status = parser.get().result_int();
+    for (const auto& field : parser.get())
+        head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    co_return head;
+}
+
+asio::awaitable<Result<BodyProgress>> UpstreamConnection::readBody(std::string& body, Duration timeout)
+{
+    const auto state = this->state;
+    auto& parser = *state->parser;
+    if (parser.is_done())
+        co_return BodyProgress::Ended;
+    auto& content = parser.get().body();
+    content.data = state->chunk.data();
+    content.size = state->chunk.size();
+    state->stream.expires_after(timeout);
+    const auto [error, bytes] = co_await http::async_read_some(state->stream, state->buffer, parser, asTuple);
+    body.append(state->chunk.data(), state->chunk.size() - content.size);
+    if (error && error != http::error::need_buffer) {
+        state->usable = false;
+        co_return std::error_code(error);
+    }
+    co_return parser.is_done() ? BodyProgress::Ended : BodyProgress::More;
+}
+
+bool UpstreamConnection::reusable()
+{
+    if (!this->state->usable || !this->state->parser || !this->state->parser->is_done() || !this->state->parser->keep_alive() || this->state->buffer.size() > 0)
+        return false;
+    char byte = 0;
+    beast::error_code error;
+    auto& socket = this->state->stream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+std::optional<Duration> UpstreamConnection::keepAlive() const
+{
+    constexpr std::string_view parameter = "timeout=";
+    if (!this->state->parser)
+        return std::nullopt;
+    const std::string_view value = this->state->parser->get()[http::field::keep_alive];
+    const std::size_t start = value.find(parameter);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    unsigned seconds = 0;
+    const auto [rest, error] = std::from_chars(value.data() + start + parameter.size(), value.data() + value.size(), seconds);
+    if (error != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+void UpstreamConnection::close()
+{
+    this->state->usable = false;
+    this->state->stream.close();
+}
+
+}
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamPool.cpp
@@ -0,0 +1,62 @@
+#include <filbertspoke/Proxy>
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace {
+
+// Where an endpoint doesn't say how long it keeps a connection; most keep them for longer.
+constexpr Duration defaultIdleTime = std::chrono::seconds(4);
+// Closed this much before the endpoint does, so that a request doesn't cross the endpoint's own close.
+constexpr Duration closeMargin = std::chrono::milliseconds(700);
+constexpr std::size_t maximumIdlePerEndpoint = 32;
+
+}
+
+UpstreamPointer UpstreamPool::takeIdle(const SocketAddress& address)
+{
+    const auto entry = this->idleByAddress.find(address);
+    if (entry == this->idleByAddress.end())
+        return nullptr;
+    const TimePoint now = bootNow();
+    while (!entry->second.empty()) {
+        Idle idle = std::move(entry->second.back());
+        entry->second.pop_back();
+        if (now < idle.closesAt && idle.connection->reusable())
+            return idle.connection;
+    }
+    return nullptr;
+}
+
+UpstreamPointer UpstreamPool::make(const SocketAddress& address)
+{
+    return std::make_shared<UpstreamConnection>(this->context, address);
+}
+
+void UpstreamPool::giveBack(const SocketAddress& address, UpstreamPointer connection)
+{
+    auto& idle = this->idleByAddress[address];
+    if (!connection->reusable() || idle.size() >= maximumIdlePerEndpoint) {
+        connection->close();
+        return;
+    }
+    const Duration kept = std::min<Duration>(connection->keepAlive().value_or(defaultIdleTime), std::chrono::seconds(60));
+    idle.push_back({ std::move(connection), bootNow() + std::max<Duration>(kept - closeMargin, Duration::zero()) });
+}
+
+void UpstreamPool::expire(TimePoint now)
+{
+    for (auto entry = this->idleByAddress.begin(); entry != this->idleByAddress.end();) {
+        std::erase_if(entry->second, [now](const Idle& idle) { return idle.closesAt <= now; });
+        entry = entry->second.empty() ? this->idleByAddress.erase(entry) : std::next(entry);
+    }
+}
+
+void UpstreamPool::clear()
+{
+    this->idleByAddress.clear();
+}
+
+}
