--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -3524,4 +3524,913 @@
   out << ")";
 }
 
+
+EndpointWork::~EndpointWork() noexcept {
+}
+
+
+void EndpointWork::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointWork::__set_requests(const double val) {
+  this->requests = val;
+}
+
+void EndpointWork::__set_tokenLayers(const double val) {
+  this->tokenLayers = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointWork& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointWork::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_endpoint = false;
+  bool isset_requests = false;
+  bool isset_tokenLayers = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          isset_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requests);
+          isset_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokenLayers);
+          isset_tokenLayers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_endpoint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_requests)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tokenLayers)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t EndpointWork::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointWork");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokenLayers", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->tokenLayers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointWork &a, EndpointWork &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.requests, b.requests);
+  swap(a.tokenLayers, b.tokenLayers);
+}
+
+EndpointWork::EndpointWork(const EndpointWork& other108) {
+  endpoint = other108.endpoint;
+  requests = other108.requests;
+  tokenLayers = other108.tokenLayers;
+}
+EndpointWork::EndpointWork(EndpointWork&& other109) noexcept {
+  endpoint = std::move(other109.endpoint);
+  requests = other109.requests;
+  tokenLayers = other109.tokenLayers;
+}
+EndpointWork& EndpointWork::operator=(const EndpointWork& other110) {
+  endpoint = other110.endpoint;
+  requests = other110.requests;
+  tokenLayers = other110.tokenLayers;
+  return *this;
+}
+EndpointWork& EndpointWork::operator=(EndpointWork&& other111) noexcept {
+  endpoint = std::move(other111.endpoint);
+  requests = other111.requests;
+  tokenLayers = other111.tokenLayers;
+  return *this;
+}
+void EndpointWork::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointWork(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "tokenLayers=" << to_string(tokenLayers);
+  out << ")";
+}
+
+
+RegistryEntry::~RegistryEntry() noexcept {
+}
+
+
+void RegistryEntry::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void RegistryEntry::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void RegistryEntry::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void RegistryEntry::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void RegistryEntry::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void RegistryEntry::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void RegistryEntry::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void RegistryEntry::__set_accelerator(const std::string& val) {
+  this->accelerator = val;
+}
+
+void RegistryEntry::__set_firstLayer(const int32_t val) {
+  this->firstLayer = val;
+}
+
+void RegistryEntry::__set_lastLayer(const int32_t val) {
+  this->lastLayer = val;
+}
+
+void RegistryEntry::__set_heartbeat(const int64_t val) {
+  this->heartbeat = val;
+}
+
+void RegistryEntry::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegistryEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegistryEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_serviceName = false;
+  bool isset_address = false;
+  bool isset_port = false;
+  bool isset_failureDomain = false;
+  bool isset_draining = false;
+  bool isset_slots = false;
+  bool isset_accelerator = false;
+  bool isset_firstLayer = false;
+  bool isset_lastLayer = false;
+  bool isset_heartbeat = false;
+  bool isset_startedAtMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          isset_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          isset_failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          isset_draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          isset_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->accelerator);
+          isset_accelerator = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->firstLayer);
+          isset_firstLayer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lastLayer);
+          isset_lastLayer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heartbeat);
+          isset_heartbeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          isset_startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_port)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_failureDomain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_draining)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slots)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_accelerator)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_firstLayer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lastLayer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_heartbeat)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_startedAtMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RegistryEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegistryEntry");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accelerator", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->accelerator);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("firstLayer", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->firstLayer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastLayer", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->lastLayer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->heartbeat);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegistryEntry &a, RegistryEntry &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.serviceName, b.serviceName);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.draining, b.draining);
+  swap(a.slots, b.slots);
+  swap(a.accelerator, b.accelerator);
+  swap(a.firstLayer, b.firstLayer);
+  swap(a.lastLayer, b.lastLayer);
+  swap(a.heartbeat, b.heartbeat);
+  swap(a.startedAtMs, b.startedAtMs);
+}
+
+RegistryEntry::RegistryEntry(const RegistryEntry& other112) {
+  id = other112.id;
+  serviceName = other112.serviceName;
+  address = other112.address;
+  port = other112.port;
+  failureDomain = other112.failureDomain;
+  draining = other112.draining;
+  slots = other112.slots;
+  accelerator = other112.accelerator;
+  firstLayer = other112.firstLayer;
+  lastLayer = other112.lastLayer;
+  heartbeat = other112.heartbeat;
+  startedAtMs = other112.startedAtMs;
+}
+RegistryEntry::RegistryEntry(RegistryEntry&& other113) noexcept {
+  id = std::move(other113.id);
+  serviceName = std::move(other113.serviceName);
+  address = std::move(other113.address);
+  port = other113.port;
+  failureDomain = std::move(other113.failureDomain);
+  draining = other113.draining;
+  slots = other113.slots;
+  accelerator = std::move(other113.accelerator);
+  firstLayer = other113.firstLayer;
+  lastLayer = other113.lastLayer;
+  heartbeat = other113.heartbeat;
+  startedAtMs = other113.startedAtMs;
+}
+RegistryEntry& RegistryEntry::operator=(const RegistryEntry& other114) {
+  id = other114.id;
+  serviceName = other114.serviceName;
+  address = other114.address;
+  port = other114.port;
+  failureDomain = other114.failureDomain;
+  draining = other114.draining;
+  slots = other114.slots;
+  accelerator = other114.accelerator;
+  firstLayer = other114.firstLayer;
+  lastLayer = other114.lastLayer;
+  heartbeat = other114.heartbeat;
+  startedAtMs = other114.startedAtMs;
+  return *this;
+}
+RegistryEntry& RegistryEntry::operator=(RegistryEntry&& other115) noexcept {
+  id = std::move(other115.id);
+  serviceName = std::move(other115.serviceName);
+  address = std::move(other115.address);
+  port = other115.port;
+  failureDomain = std::move(other115.failureDomain);
+  draining = other115.draining;
+  slots = other115.slots;
+  accelerator = std::move(other115.accelerator);
+  firstLayer = other115.firstLayer;
+  lastLayer = other115.lastLayer;
+  heartbeat = other115.heartbeat;
+  startedAtMs = other115.startedAtMs;
+  return *this;
+}
+void RegistryEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegistryEntry(";
+  out << "id=" << to_string(id);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "accelerator=" << to_string(accelerator);
+  out << ", " << "firstLayer=" << to_string(firstLayer);
+  out << ", " << "lastLayer=" << to_string(lastLayer);
+  out << ", " << "heartbeat=" << to_string(heartbeat);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ")";
+}
+
+
+GatewayWord::~GatewayWord() noexcept {
+}
+
+
+void GatewayWord::__set_daemon(const std::string& val) {
+  this->daemon = val;
+}
+
+void GatewayWord::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void GatewayWord::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void GatewayWord::__set_configurationVersion(const int64_t val) {
+  this->configurationVersion = val;
+}
+
+void GatewayWord::__set_work(const std::vector<EndpointWork> & val) {
+  this->work = val;
+}
+
+void GatewayWord::__set_peers(const std::vector<std::string> & val) {
+  this->peers = val;
+}
+
+void GatewayWord::__set_wantsEndpoints(const bool val) {
+  this->wantsEndpoints = val;
+}
+
+void GatewayWord::__set_configurationKey(const std::string& val) {
+  this->configurationKey = val;
+__isset.configurationKey = true;
+}
+
+void GatewayWord::__set_configurationDocument(const std::string& val) {
+  this->configurationDocument = val;
+__isset.configurationDocument = true;
+}
+
+void GatewayWord::__set_endpoints(const std::vector<RegistryEntry> & val) {
+  this->endpoints = val;
+__isset.endpoints = true;
+}
+std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GatewayWord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_daemon = false;
+  bool isset_address = false;
+  bool isset_port = false;
+  bool isset_configurationVersion = false;
+  bool isset_work = false;
+  bool isset_peers = false;
+  bool isset_wantsEndpoints = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->daemon);
+          isset_daemon = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          isset_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          isset_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configurationVersion);
+          isset_configurationVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->work.clear();
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->work.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
+            {
+              xfer += this->work[_i120].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_work = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->peers.clear();
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->peers.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
+              xfer += iprot->readString(this->peers[_i125]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsEndpoints);
+          isset_wantsEndpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->configurationKey);
+          this->__isset.configurationKey = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->configurationDocument);
+          this->__isset.configurationDocument = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endpoints.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->endpoints.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
+            {
+              xfer += this->endpoints[_i130].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_daemon)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_port)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_configurationVersion)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_work)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_peers)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_wantsEndpoints)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GatewayWord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GatewayWord");
+
+  xfer += oprot->writeFieldBegin("daemon", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->daemon);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configurationVersion", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->configurationVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
+    std::vector<EndpointWork> ::const_iterator _iter131;
+    for (_iter131 = this->work.begin(); _iter131 != this->work.end(); ++_iter131)
+    {
+      xfer += (*_iter131).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
+    std::vector<std::string> ::const_iterator _iter132;
+    for (_iter132 = this->peers.begin(); _iter132 != this->peers.end(); ++_iter132)
+    {
+      xfer += oprot->writeString((*_iter132));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wantsEndpoints", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->wantsEndpoints);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.configurationKey) {
+    xfer += oprot->writeFieldBegin("configurationKey", ::apache::thrift::protocol::T_STRING, 8);
+    xfer += oprot->writeString(this->configurationKey);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.configurationDocument) {
+    xfer += oprot->writeFieldBegin("configurationDocument", ::apache::thrift::protocol::T_STRING, 9);
+    xfer += oprot->writeBinary(this->configurationDocument);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endpoints) {
+    xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+      std::vector<RegistryEntry> ::const_iterator _iter133;
+      for (_iter133 = this->endpoints.begin(); _iter133 != this->endpoints.end(); ++_iter133)
+      {
+        xfer += (*_iter133).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GatewayWord &a, GatewayWord &b) {
+  using ::std::swap;
+  swap(a.daemon, b.daemon);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.configurationVersion, b.configurationVersion);
+  swap(a.work, b.work);
+  swap(a.peers, b.peers);
+  swap(a.wantsEndpoints, b.wantsEndpoints);
+  swap(a.configurationKey, b.configurationKey);
+  swap(a.configurationDocument, b.configurationDocument);
+  swap(a.endpoints, b.endpoints);
+  swap(a.__isset, b.__isset);
+}
+
+GatewayWord::GatewayWord(const GatewayWord& other134) {
+  daemon = other134.daemon;
+  address = other134.address;
+  port = other134.port;
+  configurationVersion = other134.configurationVersion;
+  work = other134.work;
+  peers = other134.peers;
+  wantsEndpoints = other134.wantsEndpoints;
+  configurationKey = other134.configurationKey;
+  configurationDocument = other134.configurationDocument;
+  endpoints = other134.endpoints;
+  __isset = other134.__isset;
+}
+GatewayWord::GatewayWord(GatewayWord&& other135) noexcept {
+  daemon = std::move(other135.daemon);
+  address = std::move(other135.address);
+  port = other135.port;
+  configurationVersion = other135.configurationVersion;
+  work = std::move(other135.work);
+  peers = std::move(other135.peers);
+  wantsEndpoints = other135.wantsEndpoints;
+  configurationKey = std::move(other135.configurationKey);
+  configurationDocument = std::move(other135.configurationDocument);
+  endpoints = std::move(other135.endpoints);
+  __isset = other135.__isset;
+}
+GatewayWord& GatewayWord::operator=(const GatewayWord& other136) {
+  daemon = other136.daemon;
+  address = other136.address;
+  port = other136.port;
+  configurationVersion = other136.configurationVersion;
+  work = other136.work;
+  peers = other136.peers;
+  wantsEndpoints = other136.wantsEndpoints;
+  configurationKey = other136.configurationKey;
+  configurationDocument = other136.configurationDocument;
+  endpoints = other136.endpoints;
+  __isset = other136.__isset;
+  return *this;
+}
+GatewayWord& GatewayWord::operator=(GatewayWord&& other137) noexcept {
+  daemon = std::move(other137.daemon);
+  address = std::move(other137.address);
+  port = other137.port;
+  configurationVersion = other137.configurationVersion;
+  work = std::move(other137.work);
+  peers = std::move(other137.peers);
+  wantsEndpoints = other137.wantsEndpoints;
+  configurationKey = std::move(other137.configurationKey);
+  configurationDocument = std::move(other137.configurationDocument);
+  endpoints = std::move(other137.endpoints);
+  __isset = other137.__isset;
+  return *this;
+}
+void GatewayWord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GatewayWord(";
+  out << "daemon=" << to_string(daemon);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "configurationVersion=" << to_string(configurationVersion);
+  out << ", " << "work=" << to_string(work);
+  out << ", " << "peers=" << to_string(peers);
+  out << ", " << "wantsEndpoints=" << to_string(wantsEndpoints);
+  out << ", " << "configurationKey="; (__isset.configurationKey ? (out << to_string(configurationKey)) : (out << "<null>"));
+  out << ", " << "configurationDocument="; (__isset.configurationDocument ? (out << to_string(configurationDocument)) : (out << "<null>"));
+  out << ", " << "endpoints="; (__isset.endpoints ? (out << to_string(endpoints)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -88,6 +88,12 @@
 
 class PeerFrame;
 
+class EndpointWork;
+
+class RegistryEntry;
+
+class GatewayWord;
+
 
 /**
  * A daemon as others reach it.
@@ -1282,6 +1288,275 @@
 
 std::ostream& operator<<(std::ostream& out, const PeerFrame& obj);
 
+
+/**
+ * Work that a gateway has in progress at an endpoint.
+ */
+class EndpointWork : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointWork(const EndpointWork&);
+  EndpointWork(EndpointWork&&) noexcept;
+  EndpointWork& operator=(const EndpointWork&);
+  EndpointWork& operator=(EndpointWork&&) noexcept;
+  EndpointWork() noexcept
+               : endpoint(),
+                 requests(0),
+                 tokenLayers(0) {
+  }
+
+  virtual ~EndpointWork() noexcept;
+  std::string endpoint;
+  double requests;
+  double tokenLayers;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_requests(const double val);
+
+  void __set_tokenLayers(const double val);
+
+  bool operator == (const EndpointWork & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(tokenLayers == rhs.tokenLayers))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointWork &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointWork & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointWork &a, EndpointWork &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointWork& obj);
+
+
+/**
+ * An endpoint as the platform's registry has it.
+ */
+class RegistryEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegistryEntry(const RegistryEntry&);
+  RegistryEntry(RegistryEntry&&) noexcept;
+  RegistryEntry& operator=(const RegistryEntry&);
+  RegistryEntry& operator=(RegistryEntry&&) noexcept;
+  RegistryEntry() noexcept
+                : id(),
+                  serviceName(),
+                  address(),
+                  port(0),
+                  failureDomain(),
+                  draining(0),
+                  slots(0),
+                  accelerator(),
+                  firstLayer(0),
+                  lastLayer(0),
+                  heartbeat(0),
+                  startedAtMs(0) {
+  }
+
+  virtual ~RegistryEntry() noexcept;
+  std::string id;
+  std::string serviceName;
+  std::string address;
+  int32_t port;
+  std::string failureDomain;
+  bool draining;
+  int32_t slots;
+  std::string accelerator;
+  int32_t firstLayer;
+  int32_t lastLayer;
+  int64_t heartbeat;
+  int64_t startedAtMs;
+
+  void __set_id(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_draining(const bool val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_accelerator(const std::string& val);
+
+  void __set_firstLayer(const int32_t val);
+
+  void __set_lastLayer(const int32_t val);
+
+  void __set_heartbeat(const int64_t val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  bool operator == (const RegistryEntry & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(accelerator == rhs.accelerator))
+      return false;
+    if (!(firstLayer == rhs.firstLayer))
+      return false;
+    if (!(lastLayer == rhs.lastLayer))
+      return false;
+    if (!(heartbeat == rhs.heartbeat))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const RegistryEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegistryEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegistryEntry &a, RegistryEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const RegistryEntry& obj);
+
+typedef struct _GatewayWord__isset {
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false) {}
+  bool configurationKey :1;
+  bool configurationDocument :1;
+  bool endpoints :1;
+} _GatewayWord__isset;
+
+/**
+ * What a gateway tells another one of itself; the answer is the other one's word.
+ */
+class GatewayWord : public virtual ::apache::thrift::TBase {
+ public:
+
+  GatewayWord(const GatewayWord&);
+  GatewayWord(GatewayWord&&) noexcept;
+  GatewayWord& operator=(const GatewayWord&);
+  GatewayWord& operator=(GatewayWord&&) noexcept;
+  GatewayWord() noexcept
+              : daemon(),
+                address(),
+                port(0),
+                configurationVersion(0),
+                wantsEndpoints(0),
+                configurationKey(),
+                configurationDocument() {
+  }
+
+  virtual ~GatewayWord() noexcept;
+  std::string daemon;
+  std::string address;
+  int32_t port;
+  int64_t configurationVersion;
+  std::vector<EndpointWork>  work;
+  std::vector<std::string>  peers;
+  bool wantsEndpoints;
+  std::string configurationKey;
+  std::string configurationDocument;
+  std::vector<RegistryEntry>  endpoints;
+
+  _GatewayWord__isset __isset;
+
+  void __set_daemon(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_configurationVersion(const int64_t val);
+
+  void __set_work(const std::vector<EndpointWork> & val);
+
+  void __set_peers(const std::vector<std::string> & val);
+
+  void __set_wantsEndpoints(const bool val);
+
+  void __set_configurationKey(const std::string& val);
+
+  void __set_configurationDocument(const std::string& val);
+
+  void __set_endpoints(const std::vector<RegistryEntry> & val);
+
+  bool operator == (const GatewayWord & rhs) const
+  {
+    if (!(daemon == rhs.daemon))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(configurationVersion == rhs.configurationVersion))
+      return false;
+    if (!(work == rhs.work))
+      return false;
+    if (!(peers == rhs.peers))
+      return false;
+    if (!(wantsEndpoints == rhs.wantsEndpoints))
+      return false;
+    if (__isset.configurationKey != rhs.__isset.configurationKey)
+      return false;
+    else if (__isset.configurationKey && !(configurationKey == rhs.configurationKey))
+      return false;
+    if (__isset.configurationDocument != rhs.__isset.configurationDocument)
+      return false;
+    else if (__isset.configurationDocument && !(configurationDocument == rhs.configurationDocument))
+      return false;
+    if (__isset.endpoints != rhs.__isset.endpoints)
+      return false;
+    else if (__isset.endpoints && !(endpoints == rhs.endpoints))
+      return false;
+    return true;
+  }
+  bool operator != (const GatewayWord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GatewayWord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GatewayWord &a, GatewayWord &b);
+
+std::ostream& operator<<(std::ostream& out, const GatewayWord& obj);
+
 }} // namespace
 
 #endif
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -165,3 +165,40 @@
   1: required string sender
   2: required PeerMessage message
 }
+
+/** Work that a gateway has in progress at an endpoint. */
+struct EndpointWork {
+  1: required string endpoint
+  2: required double requests
+  3: required double tokenLayers
+}
+
+/** An endpoint as the platform's registry has it. */
+struct RegistryEntry {
+  1: required string id
+  2: required string serviceName
+  3: required string address
+  4: required i32 port
+  5: required string failureDomain
+  6: required bool draining
+  7: required i32 slots
+  8: required string accelerator
+  9: required i32 firstLayer
+  10: required i32 lastLayer
+  11: required i64 heartbeat
+  12: required i64 startedAtMs
+}
+
+/** What a gateway tells another one of itself; the answer is the other one's word. */
+struct GatewayWord {
+  1: required string daemon
+  2: required string address
+  3: required i32 port
+  4: required i64 configurationVersion
+  5: required list<EndpointWork> work
+  6: required list<string> peers
+  7: required bool wantsEndpoints
+  8: optional string configurationKey
+  9: optional binary configurationDocument
+  10: optional list<RegistryEntry> endpoints
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerServer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerServer.cpp
@@ -89,7 +89,8 @@
         co_return;
     const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431 : 413;
     logLine(WriteLog::Level::Warning, "request-unreadable", { { "status", std::to_string(status) } });
-    co_await connection->respond({ status, {}, {} }, false);
+    const HttpResponse response = emptyResponse(status);
+    co_await connection->respond(response, false);
 }
 
 asio::awaitable<bool> CallerServer::handle(std::shared_ptr<CallerConnection> connection, HttpRequest http)
@@ -98,7 +99,8 @@
     auto decoded = this->context.wires.caller->decodeRequest(std::move(http));
     if (!decoded) {
         logLine(WriteLog::Level::Warning, "request-malformed", { { "reason", decoded.error().message() } });
-        co_await connection->respond({ 400, {}, {} }, false);
+        const HttpResponse response = emptyResponse(400);
+        co_await connection->respond(response, false);
         co_return false;
     }
     co_await this->forward(connection, std::move(*decoded), received);
@@ -116,26 +118,30 @@
 {
     const auto table = this->context.table;
     if (!table || !this->context.registryKnown) {
-        co_await this->refuse(connection, Refusal(ErrorCode::ConfigurationUnavailable, Ran::No).retryAfter(returnWithoutConfiguration), request);
+        const Refusal refusal = Refusal(ErrorCode::ConfigurationUnavailable, Ran::No).retryAfter(returnWithoutConfiguration);
+        co_await this->refuse(connection, refusal, request);
         co_return;
     }
     const Route* route = table->findRoute(request.host, request.http.target);
     if (!route) {
-        co_await this->refuse(connection, Refusal(ErrorCode::UnknownPath, Ran::No), request);
+        const Refusal refusal(ErrorCode::UnknownPath, Ran::No);
+        co_await this->refuse(connection, refusal, request);
         co_return;
     }
     std::optional<AccountId> account;
     if (table->hasAccounts() && !route->keyExempt) {
         const ForwardedAccount* holder = table->findAccount(request.accountKey);
         if (!holder) {
-            co_await this->refuse(connection, Refusal(ErrorCode::UnknownAccount, Ran::No), request);
+            const Refusal refusal(ErrorCode::UnknownAccount, Ran::No);
+            co_await this->refuse(connection, refusal, request);
             co_return;
         }
         account = holder->account;
     }
     const auto service = chooseService(*route, this->context.draw());
     if (!service) {
-        co_await this->refuse(connection, Refusal(ErrorCode::NoEndpoint, Ran::No).retryAfter(returnWithoutConfiguration), request);
+        const Refusal refusal = Refusal(ErrorCode::NoEndpoint, Ran::No).retryAfter(returnWithoutConfiguration);
+        co_await this->refuse(connection, refusal, request);
         co_return;
     }
     this->context.retryBudget(*service).firstAttempt();
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -26,13 +26,18 @@
     return std::uniform_real_distribution<double>(0, 1)(this->random);
 }
 
-bool GatewayContext::takeTable(ForwardingTable table, const std::string& source)
+void GatewayContext::takeDocument(const ConfigurationDocument& document, const std::string& source)
 {
-    if (this->table && table.version() <= this->table->version())
-        return false;
-    logLine(WriteLog::Level::Info, "configuration-in-force", { { "version", std::to_string(table.version()) }, { "before", this->table ? std::to_string(this->table->version()) : "none" }, { "source", source } });
-    this->table = std::make_shared<const ForwardingTable>(std::move(table));
-    return true;
+    auto decoded = this->wires.store->decodeConfiguration({ document.key, document.text });
+    if (!decoded) {
+        logLine(WriteLog::Level::Error, "configuration-unreadable", { { "key", document.key }, { "source", source }, { "reason", decoded.error().message() } });
+        return;
+    }
+    if (!*decoded || (this->table && (*decoded)->version() <= this->table->version()))
+        return;
+    logLine(WriteLog::Level::Info, "configuration-in-force", { { "version", std::to_string((*decoded)->version()) }, { "before", this->table ? std::to_string(this->table->version()) : "none" }, { "source", source } });
+    this->table = std::make_shared<const ForwardingTable>(std::move(**decoded));
+    this->document = document;
 }
 
 void logLine(WriteLog::Level level, const std::string& event, std::vector<std::pair<std::string, std::string>> fields)
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -36,14 +36,15 @@
     RetryBudget& retryBudget(const ServiceId&);
     /** \returns a number in [0, 1) */
     double draw();
-    /** \brief Takes a newer configuration; an older or equal one changes nothing.
-     * \returns whether it came into force */
-    bool takeTable(ForwardingTable, const std::string& source);
+    /** \brief Puts a configuration in force if it is newer than the one that is.
+     * \param source who gave it, for the log */
+    void takeDocument(const ConfigurationDocument&, const std::string& source);
 
     boost::asio::io_context& io;
     const GatewaySettings settings;
     const GatewayWires wires;
     std::shared_ptr<const ForwardingTable> table; ///< in force; empty until one is known
+    ConfigurationDocument document; ///< from which the table was read
     EndpointRegistry registry;
     bool registryKnown = false;
     LoadBook loads;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -42,6 +42,8 @@
         , readiness(this->io, httpAddress(settings.readiness), [this](const HttpRequest& request) { return this->answerOperator(request); })
         , signals(this->io, SIGTERM, SIGINT)
     {
+        if (settings.peers)
+            this->peers.emplace(this->context, this->follower);
         if (settings.metrics)
             this->metricsServer.emplace(this->io, httpAddress(*settings.metrics), [this](const HttpRequest& request) { return this->answerOperator(request); });
     }
@@ -50,6 +52,8 @@
     {
         this->follower.start();
         this->orderer.start();
+        if (this->peers)
+            this->peers->start();
         this->callers.start();
         asio::co_spawn(this->io, this->housekeep(), asio::detached);
         asio::co_spawn(this->io, this->awaitStop(), asio::detached);
@@ -62,10 +66,13 @@
     asio::awaitable<std::optional<HttpResponse>> answerOperator(const HttpRequest& request)
     {
         if (this->context.wires.caller->asksReadiness(request))
-            co_return HttpResponse { this->ready() ? 200U : 503U, {}, {} };
-        if (targetPath(request) == "/metrics")
-            co_return HttpResponse { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->context.metrics.page() };
-        co_return HttpResponse { 404, {}, {} };
+            co_return emptyResponse(this->ready() ? 200 : 503);
+        if (targetPath(request) != "/metrics")
+            co_return emptyResponse(404);
+        HttpResponse response = emptyResponse(200);
+        response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+        response.body = this->context.metrics.page();
+        co_return response;
     }
 
     asio::awaitable<void> housekeep()
@@ -109,6 +116,7 @@
     StoreFollower follower;
     LayerOrderer orderer;
     CallerServer callers;
+    std::optional<PeerExchange> peers;
     HttpServer readiness;
     std::optional<HttpServer> metricsServer;
     asio::signal_set signals;
--- a/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.cpp
@@ -19,6 +19,13 @@
     co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(HttpOutcome)>(start, asio::use_awaitable);
 }
 
+HttpResponse emptyResponse(unsigned status)
+{
+    HttpResponse response;
+    response.status = status;
+    return response;
+}
+
 const HttpResponse* successfulResponse(const HttpOutcome& outcome, std::string& reason)
 {
     const auto* response = std::get_if<HttpResponse>(&outcome);
--- a/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.h
@@ -10,6 +10,9 @@
 /** \brief Sends a request on a client connection and waits for its outcome. */
 boost::asio::awaitable<HttpOutcome> exchange(HttpConnection&, HttpRequest, Duration timeout);
 
+/** \returns a response without headers and body */
+HttpResponse emptyResponse(unsigned status);
+
 /** \returns the response with status 200, or nothing; \a reason then says why not */
 const HttpResponse* successfulResponse(const HttpOutcome&, std::string& reason);
 
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -134,15 +134,6 @@
     return std::nullopt;
 }
 
-void StoreFollower::applyConfiguration(const StoreRecord& record)
-{
-    auto table = this->context.wires.store->decodeConfiguration(record);
-    if (!table)
-        logLine(WriteLog::Level::Error, "configuration-unreadable", { { "key", record.key }, { "reason", table.error().message() } });
-    else if (*table)
-        this->context.takeTable(std::move(**table), "store");
-}
-
 void StoreFollower::applySnapshot(StoreCollection collection, const std::vector<StoreRecord>& records)
 {
     if (collection == StoreCollection::Configuration) {
@@ -164,7 +155,8 @@
     const TimePoint now = bootNow();
     for (const StoreRecord& record : records) {
         if (collection == StoreCollection::Configuration) {
-            this->applyConfiguration(record);
+            if (record.value)
+                this->context.takeDocument({ record.key, *record.value }, "store");
             continue;
         }
         const EndpointId id(record.key);
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
@@ -26,7 +26,6 @@
     boost::asio::awaitable<Result<HttpResponse>> ask(HttpConnection&, HttpRequest, Duration timeout);
     void apply(StoreCollection, const std::vector<StoreRecord>&);
     void applySnapshot(StoreCollection, const std::vector<StoreRecord>&);
-    void applyConfiguration(const StoreRecord&);
     std::optional<RegisteredEndpoint> readEndpoint(const StoreRecord&);
     void noteReachable(bool reachable, const std::string& reason);
 
