--- a/packages/Daemon/program/main.cpp
+++ b/packages/Daemon/program/main.cpp
@@ -29,7 +29,7 @@
         std::cerr << file << ':' << problem.line << ": " << problem.key << ": " << problem.sentence << '\n';
 }
 
-int runDaemon(const Settings& settings)
+int runDaemon(const Settings& settings, const SettingsFile&)
 {
     LogWriter::open(std::cout, std::string(name(settings.logLevel())), settings.daemon());
     try {
@@ -42,11 +42,11 @@
     return EXIT_SUCCESS;
 }
 
-int runGateway(const GatewaySettings& settings)
+int runGateway(const GatewaySettings& settings, const SettingsFile& file)
 {
     LogWriter::open(std::cout, std::string(name(settings.logLevel)), settings.daemon);
     try {
-        GatewayDaemon daemon(settings, { std::make_shared<PlatformCallerWire>(), std::make_shared<PlatformEngineWire>(), std::make_shared<PlatformStoreWire>() });
+        GatewayDaemon daemon(settings, { std::make_shared<PlatformCallerWire>(), std::make_shared<PlatformEngineWire>(), std::make_shared<PlatformStoreWire>() }, file);
         daemon.run();
     } catch (const std::exception& error) {
         LogWriter::write({ WriteLog::Level::Error, "failed", { { "reason", error.what() } } });
@@ -83,7 +83,7 @@
         std::cout << file << ": valid\n";
         return EXIT_SUCCESS;
     }
-    return run(std::get<0>(parsed));
+    return run(std::get<0>(parsed), SettingsFile { file, *text });
 }
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -41,7 +41,7 @@
     void takeDocument(const ConfigurationDocument&, const std::string& source);
 
     boost::asio::io_context& io;
-    const GatewaySettings settings;
+    GatewaySettings settings; ///< replaced as a whole when their file changes
     const GatewayWires wires;
     std::shared_ptr<const ForwardingTable> table; ///< in force; empty until one is known
     ConfigurationDocument document; ///< from which the table was read
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <optional>
+#include <utility>
 
 namespace filbertspoke {
 
@@ -34,12 +35,13 @@
 
 class GatewayDaemon::State {
 public:
-    State(const GatewaySettings& settings, const GatewayWires& wires)
+    State(const GatewaySettings& settings, const GatewayWires& wires, SettingsFile file)
         : context(this->io, settings, wires)
         , follower(this->context)
         , orderer(this->context)
         , callers(this->context)
         , readiness(this->io, httpAddress(settings.readiness), [this](const HttpRequest& request) { return this->answerOperator(request); })
+        , settingsWatcher(this->context, std::move(file.path), std::move(file.text))
         , signals(this->io, SIGTERM, SIGINT)
     {
         if (settings.peers)
@@ -55,6 +57,7 @@
         if (this->peers)
             this->peers->start();
         this->callers.start();
+        this->settingsWatcher.start();
         asio::co_spawn(this->io, this->housekeep(), asio::detached);
         asio::co_spawn(this->io, this->awaitStop(), asio::detached);
         this->io.run();
@@ -119,11 +122,12 @@
     std::optional<PeerExchange> peers;
     HttpServer readiness;
     std::optional<HttpServer> metricsServer;
+    SettingsWatcher settingsWatcher;
     asio::signal_set signals;
 };
 
-GatewayDaemon::GatewayDaemon(const GatewaySettings& settings, const GatewayWires& wires)
-    : state(std::make_unique<State>(settings, wires))
+GatewayDaemon::GatewayDaemon(const GatewaySettings& settings, const GatewayWires& wires, SettingsFile file)
+    : state(std::make_unique<State>(settings, wires, std::move(file)))
 {
 }
 
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/SettingsWatcher.cpp
@@ -0,0 +1,86 @@
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Duration pollPause = std::chrono::seconds(1);
+
+/** \returns whether sockets would have to be opened anew, which only a restart does */
+bool listensElsewhere(const GatewaySettings& a, const GatewaySettings& b)
+{
+    return a.callers != b.callers || a.readiness != b.readiness || a.peers != b.peers || a.metrics != b.metrics;
+}
+
+}
+
+SettingsWatcher::SettingsWatcher(GatewayContext& context, std::string file, std::string text)
+    : context(context)
+    , file(std::move(file))
+    , text(std::move(text))
+    , hangup(context.io, SIGHUP)
+{
+}
+
+void SettingsWatcher::start()
+{
+    asio::co_spawn(this->context.io, this->awaitHangup(), asio::detached);
+    asio::co_spawn(this->context.io, this->poll(), asio::detached);
+}
+
+asio::awaitable<void> SettingsWatcher::awaitHangup()
+{
+    while (true) {
+        const auto [error, signal] = co_await this->hangup.async_wait(asTuple);
+        if (error)
+            co_return;
+        this->reload(true);
+    }
+}
+
+asio::awaitable<void> SettingsWatcher::poll()
+{
+    asio::steady_timer timer(this->context.io);
+    while (true) {
+        timer.expires_after(pollPause);
+        co_await timer.async_wait(asTuple);
+        this->reload(false);
+    }
+}
+
+void SettingsWatcher::reload(bool asked)
+{
+    std::ifstream stream(this->file);
+    std::ostringstream read;
+    read << stream.rdbuf();
+    if (!asked && (!stream || read.str() == this->text))
+        return;
+    this->text = read.str();
+    auto parsed = parseGatewaySettings(this->text);
+    if (const auto* problems = std::get_if<std::vector<DocumentProblem>>(&parsed)) {
+        for (const DocumentProblem& problem : *problems)
+            logLine(WriteLog::Level::Error, "settings-rejected", { { "file", this->file }, { "problem", describe(problem) } });
+        return;
+    }
+    auto& settings = std::get<GatewaySettings>(parsed);
+    if (listensElsewhere(settings, this->context.settings))
+        logLine(WriteLog::Level::Warning, "settings-need-restart", { { "reason", "an address to listen on has changed" } });
+    logLine(WriteLog::Level::Info, "settings-reloaded", { { "changed", settings == this->context.settings ? "no" : "yes" } });
+    this->context.settings = std::move(settings);
+}
+
+}
