Lost engines: reports name them, streams and peers learn of them, a new endpoint takes over its address

Cause: after a crash the first engine of a chain was blamed, whichever was lost; 121 requests in a second went to an address that a new engine had taken over; streams ended 300 ms after a loss when no other chain had room. Change: a stalled stream asks its first engine what it waits for; the engine that is to blame is avoided by all daemons, and its other silent streams move at once; a started stream waits for a chain until its caller would leave.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -16,22 +16,34 @@
 constexpr double faultSmoothing = 0.1;
 // A rate of faults above which an endpoint that answers in between is left alone as well.
 constexpr double tolerableFaultRate = 0.25;
+// A failure domain counts as cut off when so many of its endpoints were unreachable lately and none answered since.
+constexpr std::size_t unreachableForDomain = 3;
+constexpr Duration domainMemory = std::chrono::milliseconds(1500);
+
+EndpointRecord newRecord(const RegisteredEndpoint& endpoint)
+{
+    EndpointRecord record;
+    record.endpoint = endpoint;
+    return record;
+}
 
 }
 
-bool EndpointRegistry::update(const RegisteredEndpoint& endpoint, TimePoint now)
+bool EndpointRegistry::update(const RegisteredEndpoint& endpoint)
 {
-    auto [entry, added] = this->byId.try_emplace(endpoint.id, EndpointRecord { endpoint, {}, {}, 0, 0 });
-    if (added)
-        return true;
+    auto [entry, added] = this->byId.try_emplace(endpoint.id, newRecord(endpoint));
     EndpointRecord& record = entry->second;
+    if (added) {
+        this->removeOthersAt(endpoint.address, record);
+        return this->byId.contains(endpoint.id);
+    }
     if (endpoint.startedAtMs < record.endpoint.startedAtMs)
         return false;
     const bool restarted = endpoint.startedAtMs > record.endpoint.startedAtMs;
     if (!restarted && endpoint.heartbeat < record.endpoint.heartbeat)
         return false;
     if (restarted) {
-        record = EndpointRecord { endpoint, {}, {}, 0, 0 };
+        record = newRecord(endpoint);
         return true;
     }
     RegisteredEndpoint merged = endpoint;
@@ -42,10 +54,25 @@
     const bool changed = before != merged || record.removedAt;
     record.endpoint = merged;
     record.removedAt.reset();
-    (void)now;
     return changed;
 }
 
+void EndpointRegistry::removeOthersAt(const SocketAddress& address, const EndpointRecord& newest)
+{
+    // An address belongs to the endpoint that started last; the entry of the one before it has yet to expire.
+    const RegisteredEndpoint latest = newest.endpoint;
+    bool superseded = false;
+    std::erase_if(this->byId, [&](const auto& entry) {
+        const RegisteredEndpoint& other = entry.second.endpoint;
+        if (other.address != address || other.id == latest.id)
+            return false;
+        superseded = superseded || other.startedAtMs > latest.startedAtMs;
+        return other.startedAtMs <= latest.startedAtMs;
+    });
+    if (superseded)
+        this->byId.erase(latest.id);
+}
+
 bool EndpointRegistry::remove(const EndpointId& id, TimePoint now)
 {
     const auto entry = this->byId.find(id);
@@ -66,7 +93,7 @@
     std::set<EndpointId> listed;
     for (const RegisteredEndpoint& endpoint : endpoints) {
         listed.insert(endpoint.id);
-        this->update(endpoint, now);
+        this->update(endpoint);
     }
     std::vector<EndpointId> missing;
     for (const auto& [id, record] : this->byId) {
@@ -95,10 +122,16 @@
     if (entry == this->byId.end())
         return;
     EndpointRecord& record = entry->second;
-    ++record.faultsInRow;
+    const bool known = record.avoidedUntil && now < *record.avoidedUntil;
     record.faultRate += faultSmoothing * (1 - record.faultRate);
+    record.lastFault = fault;
+    // Requests that were on their way together fail together, and say the same thing once.
+    if (!known)
+        ++record.faultsInRow;
     const bool certain = fault == EndpointFault::Unreachable || fault == EndpointFault::Silent;
-    if (!certain && record.faultsInRow < 2 && record.faultRate < tolerableFaultRate)
+    if (fault == EndpointFault::Unreachable)
+        this->unreachable[record.endpoint.failureDomain].insert_or_assign(id, now);
+    if (known || (!certain && record.faultsInRow < 2 && record.faultRate < tolerableFaultRate))
         return;
     const auto doublings = std::min<std::uint32_t>(record.faultsInRow - 1, 4);
     record.avoidedUntil = now + std::min<Duration>(firstAvoidance * (1 << doublings), longestAvoidance);
@@ -109,9 +142,38 @@
     const auto entry = this->byId.find(id);
     if (entry == this->byId.end())
         return;
-    entry->second.faultsInRow = 0;
-    entry->second.faultRate -= faultSmoothing * entry->second.faultRate;
-    entry->second.avoidedUntil.reset();
+    EndpointRecord& record = entry->second;
+    record.faultsInRow = 0;
+    record.lastFault.reset();
+    record.faultRate -= faultSmoothing * record.faultRate;
+    record.avoidedUntil.reset();
+    record.hearsayUntil.reset();
+    this->unreachable.erase(record.endpoint.failureDomain);
+}
+
+void EndpointRegistry::noteHearsay(const EndpointId& id, Duration remaining, TimePoint now)
+{
+    const auto entry = this->byId.find(id);
+    if (entry != this->byId.end())
+        entry->second.hearsayUntil = now + std::min(remaining, longestAvoidance);
+}
+
+bool EndpointRegistry::isAvoided(const EndpointRecord& record, TimePoint now) const
+{
+    if (ownAvoidance(record, now) || (record.hearsayUntil && now < *record.hearsayUntil))
+        return true;
+    const auto domain = this->unreachable.find(record.endpoint.failureDomain);
+    if (domain == this->unreachable.end())
+        return false;
+    const auto recent = std::count_if(domain->second.begin(), domain->second.end(), [now](const auto& entry) { return now - entry.second < domainMemory; });
+    return static_cast<std::size_t>(recent) >= unreachableForDomain;
+}
+
+std::optional<Duration> EndpointRegistry::ownAvoidance(const EndpointRecord& record, TimePoint now)
+{
+    if (!record.avoidedUntil || *record.avoidedUntil <= now)
+        return std::nullopt;
+    return *record.avoidedUntil - now;
 }
 
 const EndpointRecord* EndpointRegistry::find(const EndpointId& id) const
@@ -141,8 +203,7 @@
     for (const auto& [id, record] : this->byId) {
         if (record.endpoint.service != service || !takesWork(record, now))
             continue;
-        const bool avoid = record.avoidedUntil && now < *record.avoidedUntil;
-        (avoid ? avoided : sound).push_back(&record);
+        (this->isAvoided(record, now) ? avoided : sound).push_back(&record);
     }
     return sound.empty() ? avoided : sound;
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -25,6 +25,8 @@
     RegisteredEndpoint endpoint;
     std::optional<TimePoint> removedAt; ///< the registry dropped it, in the time in which entries may come back
     std::optional<TimePoint> avoidedUntil; ///< own evidence speaks against it until then
+    std::optional<TimePoint> hearsayUntil; ///< other daemons' evidence speaks against it until then
+    std::optional<EndpointFault> lastFault; ///< since the last success
     std::uint32_t faultsInRow = 0;
     double faultRate = 0; ///< smoothed share of exchanges that went wrong
 };
@@ -37,7 +39,7 @@
 public:
     /** \brief Takes an entry that an endpoint wrote; older words of the same endpoint change nothing.
      * \returns whether what is known changed beyond the heartbeat */
-    bool update(const RegisteredEndpoint&, TimePoint now);
+    bool update(const RegisteredEndpoint&);
 
     /** \brief Takes the removal of an entry.
      * \returns whether the endpoint was known */
@@ -54,11 +56,17 @@
 
     void noteFault(const EndpointId&, EndpointFault, TimePoint now);
     void noteSuccess(const EndpointId&);
+    /** \brief Takes another daemon's word that an endpoint is better left alone for a while. */
+    void noteHearsay(const EndpointId&, Duration remaining, TimePoint now);
+    /** \returns whether own or other daemons' evidence speaks against the endpoint, or against its failure domain */
+    bool isAvoided(const EndpointRecord&, TimePoint now) const;
 
     /** \returns the record, or nullptr */
     const EndpointRecord* find(const EndpointId&) const;
     /** \returns the id of the endpoint of \a service at the address, or nothing */
     std::optional<EndpointId> findByAddress(const SocketAddress&) const;
+    /** \returns the time for which the endpoint is still left alone by this daemon's own evidence, or nothing */
+    static std::optional<Duration> ownAvoidance(const EndpointRecord&, TimePoint now);
     /** \returns whether the endpoint may get new work at all, whatever the evidence */
     static bool takesWork(const EndpointRecord&, TimePoint now);
     /** \returns the service's endpoints that may get new work; the avoided ones only when there is no other */
@@ -67,7 +75,13 @@
     const std::map<EndpointId, EndpointRecord>& records() const { return this->byId; }
 
 private:
+    /** \brief Endpoints of a failure domain that were unreachable since the last success with any of them. */
+    using UnreachableEndpoints = std::map<EndpointId, TimePoint>;
+
+    void removeOthersAt(const SocketAddress&, const EndpointRecord& newest);
+
     std::map<EndpointId, EndpointRecord> byId;
+    std::map<FailureDomainId, UnreachableEndpoints> unreachable;
     std::optional<TimePoint> returnedAt; ///< of the registry's last return
 };
 
--- a/packages/Gateway/filbertspoke/src/Gateway/GatewayWord.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GatewayWord.h
@@ -22,12 +22,21 @@
     auto operator<=>(const ConfigurationDocument&) const = default;
 };
 
+/** \brief An endpoint that a gateway leaves alone, by its own evidence. */
+struct AvoidedEndpoint {
+    EndpointId endpoint;
+    Duration remaining {};
+
+    auto operator<=>(const AvoidedEndpoint&) const = default;
+};
+
 /** \brief What a gateway tells another one of itself. */
 struct GatewayWord {
     DaemonId daemon;
     SocketAddress address; ///< where other gateways reach it
     std::uint64_t configurationVersion = 0; ///< in force there; 0 for none
     WorkByEndpoint work; ///< that it has in progress
+    std::vector<AvoidedEndpoint> avoided;
     std::vector<SocketAddress> peers; ///< that it knows
     bool wantsEndpoints = false; ///< it can't read the registry itself
     std::optional<ConfigurationDocument> configuration; ///< for a receiver that has an older one
--- a/packages/Peer/filbertspoke/src/Peer/GatewayWordFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GatewayWordFrame.cpp
@@ -84,6 +84,8 @@
         if (auto address = parseSocketText(peer))
             word.peers.push_back(std::move(*address));
     }
+    for (const wire::AvoidedEndpoint& avoided : message.avoided)
+        word.avoided.push_back({ EndpointId(avoided.endpoint), Duration(avoided.remainingMicroseconds) });
     word.wantsEndpoints = message.wantsEndpoints;
     if (message.__isset.configurationKey && message.__isset.configurationDocument)
         word.configuration = ConfigurationDocument { std::move(message.configurationKey), std::move(message.configurationDocument) };
@@ -113,6 +115,13 @@
     }
     for (const SocketAddress& peer : word.peers)
         message.peers.push_back(socketText(peer));
+    message.__isset.avoided = !word.avoided.empty();
+    for (const AvoidedEndpoint& avoided : word.avoided) {
+        wire::AvoidedEndpoint entry;
+        entry.endpoint = avoided.endpoint.str();
+        entry.remainingMicroseconds = avoided.remaining.count();
+        message.avoided.push_back(std::move(entry));
+    }
     message.wantsEndpoints = word.wantsEndpoints;
     if (word.configuration) {
         message.__set_configurationKey(word.configuration->key);
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4048,6 +4048,130 @@
 }
 
 
+AvoidedEndpoint::~AvoidedEndpoint() noexcept {
+}
+
+
+void AvoidedEndpoint::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void AvoidedEndpoint::__set_remainingMicroseconds(const int64_t val) {
+  this->remainingMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const AvoidedEndpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AvoidedEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_endpoint = false;
+  bool isset_remainingMicroseconds = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          isset_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingMicroseconds);
+          isset_remainingMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_endpoint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_remainingMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AvoidedEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AvoidedEndpoint");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMicroseconds", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->remainingMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AvoidedEndpoint &a, AvoidedEndpoint &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.remainingMicroseconds, b.remainingMicroseconds);
+}
+
+AvoidedEndpoint::AvoidedEndpoint(const AvoidedEndpoint& other116) {
+  endpoint = other116.endpoint;
+  remainingMicroseconds = other116.remainingMicroseconds;
+}
+AvoidedEndpoint::AvoidedEndpoint(AvoidedEndpoint&& other117) noexcept {
+  endpoint = std::move(other117.endpoint);
+  remainingMicroseconds = other117.remainingMicroseconds;
+}
+AvoidedEndpoint& AvoidedEndpoint::operator=(const AvoidedEndpoint& other118) {
+  endpoint = other118.endpoint;
+  remainingMicroseconds = other118.remainingMicroseconds;
+  return *this;
+}
+AvoidedEndpoint& AvoidedEndpoint::operator=(AvoidedEndpoint&& other119) noexcept {
+  endpoint = std::move(other119.endpoint);
+  remainingMicroseconds = other119.remainingMicroseconds;
+  return *this;
+}
+void AvoidedEndpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AvoidedEndpoint(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "remainingMicroseconds=" << to_string(remainingMicroseconds);
+  out << ")";
+}
+
+
 GatewayWord::~GatewayWord() noexcept {
 }
 
@@ -4094,6 +4218,11 @@
   this->endpoints = val;
 __isset.endpoints = true;
 }
+
+void GatewayWord::__set_avoided(const std::vector<AvoidedEndpoint> & val) {
+  this->avoided = val;
+__isset.avoided = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -4165,14 +4294,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->work.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->work.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->work[_i120].read(iprot);
+              xfer += this->work[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4185,14 +4314,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->peers.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->peers.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += iprot->readString(this->peers[_i125]);
+              xfer += iprot->readString(this->peers[_i129]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4229,14 +4358,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->endpoints.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->endpoints.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->endpoints[_i130].read(iprot);
+              xfer += this->endpoints[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4245,6 +4374,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->avoided.clear();
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->avoided.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
+            {
+              xfer += this->avoided[_i139].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.avoided = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4295,10 +4444,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter131;
-    for (_iter131 = this->work.begin(); _iter131 != this->work.end(); ++_iter131)
+    std::vector<EndpointWork> ::const_iterator _iter140;
+    for (_iter140 = this->work.begin(); _iter140 != this->work.end(); ++_iter140)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4307,10 +4456,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter132;
-    for (_iter132 = this->peers.begin(); _iter132 != this->peers.end(); ++_iter132)
+    std::vector<std::string> ::const_iterator _iter141;
+    for (_iter141 = this->peers.begin(); _iter141 != this->peers.end(); ++_iter141)
     {
-      xfer += oprot->writeString((*_iter132));
+      xfer += oprot->writeString((*_iter141));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4334,10 +4483,23 @@
     xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-      std::vector<RegistryEntry> ::const_iterator _iter133;
-      for (_iter133 = this->endpoints.begin(); _iter133 != this->endpoints.end(); ++_iter133)
+      std::vector<RegistryEntry> ::const_iterator _iter142;
+      for (_iter142 = this->endpoints.begin(); _iter142 != this->endpoints.end(); ++_iter142)
+      {
+        xfer += (*_iter142).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.avoided) {
+    xfer += oprot->writeFieldBegin("avoided", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->avoided.size()));
+      std::vector<AvoidedEndpoint> ::const_iterator _iter143;
+      for (_iter143 = this->avoided.begin(); _iter143 != this->avoided.end(); ++_iter143)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter143).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4360,61 +4522,66 @@
   swap(a.configurationKey, b.configurationKey);
   swap(a.configurationDocument, b.configurationDocument);
   swap(a.endpoints, b.endpoints);
+  swap(a.avoided, b.avoided);
   swap(a.__isset, b.__isset);
 }
 
-GatewayWord::GatewayWord(const GatewayWord& other134) {
-  daemon = other134.daemon;
-  address = other134.address;
-  port = other134.port;
-  configurationVersion = other134.configurationVersion;
-  work = other134.work;
-  peers = other134.peers;
-  wantsEndpoints = other134.wantsEndpoints;
-  configurationKey = other134.configurationKey;
-  configurationDocument = other134.configurationDocument;
-  endpoints = other134.endpoints;
-  __isset = other134.__isset;
-}
-GatewayWord::GatewayWord(GatewayWord&& other135) noexcept {
-  daemon = std::move(other135.daemon);
-  address = std::move(other135.address);
-  port = other135.port;
-  configurationVersion = other135.configurationVersion;
-  work = std::move(other135.work);
-  peers = std::move(other135.peers);
-  wantsEndpoints = other135.wantsEndpoints;
-  configurationKey = std::move(other135.configurationKey);
-  configurationDocument = std::move(other135.configurationDocument);
-  endpoints = std::move(other135.endpoints);
-  __isset = other135.__isset;
-}
-GatewayWord& GatewayWord::operator=(const GatewayWord& other136) {
-  daemon = other136.daemon;
-  address = other136.address;
-  port = other136.port;
-  configurationVersion = other136.configurationVersion;
-  work = other136.work;
-  peers = other136.peers;
-  wantsEndpoints = other136.wantsEndpoints;
-  configurationKey = other136.configurationKey;
-  configurationDocument = other136.configurationDocument;
-  endpoints = other136.endpoints;
-  __isset = other136.__isset;
+GatewayWord::GatewayWord(const GatewayWord& other144) {
+  daemon = other144.daemon;
+  address = other144.address;
+  port = other144.port;
+  configurationVersion = other144.configurationVersion;
+  work = other144.work;
+  peers = other144.peers;
+  wantsEndpoints = other144.wantsEndpoints;
+  configurationKey = other144.configurationKey;
+  configurationDocument = other144.configurationDocument;
+  endpoints = other144.endpoints;
+  avoided = other144.avoided;
+  __isset = other144.__isset;
+}
+GatewayWord::GatewayWord(GatewayWord&& other145) noexcept {
+  daemon = std::move(other145.daemon);
+  address = std::move(other145.address);
+  port = other145.port;
+  configurationVersion = other145.configurationVersion;
+  work = std::move(other145.work);
+  peers = std::move(other145.peers);
+  wantsEndpoints = other145.wantsEndpoints;
+  configurationKey = std::move(other145.configurationKey);
+  configurationDocument = std::move(other145.configurationDocument);
+  endpoints = std::move(other145.endpoints);
+  avoided = std::move(other145.avoided);
+  __isset = other145.__isset;
+}
+GatewayWord& GatewayWord::operator=(const GatewayWord& other146) {
+  daemon = other146.daemon;
+  address = other146.address;
+  port = other146.port;
+  configurationVersion = other146.configurationVersion;
+  work = other146.work;
+  peers = other146.peers;
+  wantsEndpoints = other146.wantsEndpoints;
+  configurationKey = other146.configurationKey;
+  configurationDocument = other146.configurationDocument;
+  endpoints = other146.endpoints;
+  avoided = other146.avoided;
+  __isset = other146.__isset;
   return *this;
 }
-GatewayWord& GatewayWord::operator=(GatewayWord&& other137) noexcept {
-  daemon = std::move(other137.daemon);
-  address = std::move(other137.address);
-  port = other137.port;
-  configurationVersion = other137.configurationVersion;
-  work = std::move(other137.work);
-  peers = std::move(other137.peers);
-  wantsEndpoints = other137.wantsEndpoints;
-  configurationKey = std::move(other137.configurationKey);
-  configurationDocument = std::move(other137.configurationDocument);
-  endpoints = std::move(other137.endpoints);
-  __isset = other137.__isset;
+GatewayWord& GatewayWord::operator=(GatewayWord&& other147) noexcept {
+  daemon = std::move(other147.daemon);
+  address = std::move(other147.address);
+  port = other147.port;
+  configurationVersion = other147.configurationVersion;
+  work = std::move(other147.work);
+  peers = std::move(other147.peers);
+  wantsEndpoints = other147.wantsEndpoints;
+  configurationKey = std::move(other147.configurationKey);
+  configurationDocument = std::move(other147.configurationDocument);
+  endpoints = std::move(other147.endpoints);
+  avoided = std::move(other147.avoided);
+  __isset = other147.__isset;
   return *this;
 }
 void GatewayWord::printTo(std::ostream& out) const {
@@ -4430,6 +4597,7 @@
   out << ", " << "configurationKey="; (__isset.configurationKey ? (out << to_string(configurationKey)) : (out << "<null>"));
   out << ", " << "configurationDocument="; (__isset.configurationDocument ? (out << to_string(configurationDocument)) : (out << "<null>"));
   out << ", " << "endpoints="; (__isset.endpoints ? (out << to_string(endpoints)) : (out << "<null>"));
+  out << ", " << "avoided="; (__isset.avoided ? (out << to_string(avoided)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -92,6 +92,8 @@
 
 class RegistryEntry;
 
+class AvoidedEndpoint;
+
 class GatewayWord;
 
 
@@ -1450,11 +1452,60 @@
 
 std::ostream& operator<<(std::ostream& out, const RegistryEntry& obj);
 
+
+/**
+ * An endpoint that a gateway leaves alone after faults of its own.
+ */
+class AvoidedEndpoint : public virtual ::apache::thrift::TBase {
+ public:
+
+  AvoidedEndpoint(const AvoidedEndpoint&);
+  AvoidedEndpoint(AvoidedEndpoint&&) noexcept;
+  AvoidedEndpoint& operator=(const AvoidedEndpoint&);
+  AvoidedEndpoint& operator=(AvoidedEndpoint&&) noexcept;
+  AvoidedEndpoint() noexcept
+                  : endpoint(),
+                    remainingMicroseconds(0) {
+  }
+
+  virtual ~AvoidedEndpoint() noexcept;
+  std::string endpoint;
+  int64_t remainingMicroseconds;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_remainingMicroseconds(const int64_t val);
+
+  bool operator == (const AvoidedEndpoint & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(remainingMicroseconds == rhs.remainingMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const AvoidedEndpoint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AvoidedEndpoint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AvoidedEndpoint &a, AvoidedEndpoint &b);
+
+std::ostream& operator<<(std::ostream& out, const AvoidedEndpoint& obj);
+
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
+  bool avoided :1;
 } _GatewayWord__isset;
 
 /**
@@ -1488,6 +1539,7 @@
   std::string configurationKey;
   std::string configurationDocument;
   std::vector<RegistryEntry>  endpoints;
+  std::vector<AvoidedEndpoint>  avoided;
 
   _GatewayWord__isset __isset;
 
@@ -1511,6 +1563,8 @@
 
   void __set_endpoints(const std::vector<RegistryEntry> & val);
 
+  void __set_avoided(const std::vector<AvoidedEndpoint> & val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1539,6 +1593,10 @@
       return false;
     else if (__isset.endpoints && !(endpoints == rhs.endpoints))
       return false;
+    if (__isset.avoided != rhs.__isset.avoided)
+      return false;
+    else if (__isset.avoided && !(avoided == rhs.avoided))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -189,6 +189,12 @@
   12: required i64 startedAtMs
 }
 
+/** An endpoint that a gateway leaves alone after faults of its own. */
+struct AvoidedEndpoint {
+  1: required string endpoint
+  2: required i64 remainingMicroseconds
+}
+
 /** What a gateway tells another one of itself; the answer is the other one's word. */
 struct GatewayWord {
   1: required string daemon
@@ -201,4 +207,5 @@
   8: optional string configurationKey
   9: optional binary configurationDocument
   10: optional list<RegistryEntry> endpoints
+  11: optional list<AvoidedEndpoint> avoided
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -15,9 +15,16 @@
 constexpr Duration waitStep = std::chrono::milliseconds(40);
 // Silence before the first event and between events after which a chain is given up, as multiples of what is expected.
 constexpr int firstEventFactor = 4;
-constexpr Duration leastFirstEventTimeout = std::chrono::milliseconds(800);
-constexpr int gapFactor = 4;
-constexpr Duration leastGapTimeout = std::chrono::milliseconds(700);
+constexpr Duration leastFirstEventTimeout = std::chrono::milliseconds(300);
+constexpr int gapFactor = 2;
+constexpr Duration leastGapTimeout = std::chrono::milliseconds(400);
+// Callers leave a stream that is silent for two seconds; a started one is carried on until shortly before.
+constexpr Duration callerPatience = std::chrono::milliseconds(1900);
+// A report that tells which engine of a chain is missing is there within a few milliseconds.
+constexpr Duration reportTimeout = std::chrono::milliseconds(200);
+// A stream that is silent for so long when one of its engines comes under suspicion takes that for the cause; well
+// above the time between two events.
+constexpr Duration silenceUnderSuspicion = std::chrono::milliseconds(150);
 // A caller's output estimate is right at the median only: room is set aside for somewhat more.
 constexpr double outputMargin = 1.2;
 
@@ -47,6 +54,8 @@
     asio::awaitable<AttemptResult> attempt(const ForwardOrder&, const LayerChain&);
     asio::awaitable<AttemptResult> pump(const UpstreamPointer&, const LayerChain&);
     asio::awaitable<std::optional<AttemptResult>> passOn(std::vector<StreamEvent>);
+    asio::awaitable<AttemptResult> diagnose(AttemptResult, const ForwardOrder&);
+    std::uint64_t watchEngines(const LayerChain&);
     asio::awaitable<void> end(bool complete);
     const EngineProfile* profile() const;
 
@@ -54,6 +63,8 @@
     std::optional<std::uint64_t> lastEventId; ///< that the caller has
     bool headSent = false;
     bool firstEventSent = false;
+    std::optional<EndpointId> lostEngine; ///< because of which the attempt in progress was ended
+    TimePoint lastProgress = bootNow(); ///< of the last event, or of the request's arrival
     double reservedTokens = 0;
 };
 
@@ -99,7 +110,7 @@
 asio::awaitable<std::optional<LayerChain>> StreamRun::awaitChain()
 {
     const auto patience = Duration(static_cast<Duration::rep>(static_cast<double>(this->task.route.targetLatency.count()) * waitingFraction));
-    const TimePoint limit = std::min(this->task.deadline, bootNow() + patience);
+    const TimePoint limit = std::min(this->task.deadline, this->headSent ? this->lastProgress + callerPatience : bootNow() + patience);
     while (!this->task.caller->gone()) {
         if (auto chain = this->planChain())
             co_return chain;
@@ -147,6 +158,7 @@
             co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "event-out-of-order" };
         if (event.id)
             this->lastEventId = event.id;
+        this->lastProgress = bootNow();
         text += event.text;
     }
     if (text.empty())
@@ -159,6 +171,48 @@
     co_return std::nullopt;
 }
 
+std::uint64_t StreamRun::watchEngines(const LayerChain& chain)
+{
+    std::vector<EndpointId> engines;
+    for (const LayerStage& stage : chain.stages)
+        engines.push_back(stage.endpoint);
+    return this->task.context.streams.add(std::move(engines), [this](const EndpointId& engine) {
+        if (bootNow() - this->lastProgress < silenceUnderSuspicion || !this->task.upstream)
+            return;
+        this->lostEngine = engine;
+        this->task.upstream->close();
+    });
+}
+
+asio::awaitable<AttemptResult> StreamRun::diagnose(AttemptResult result, const ForwardOrder& order)
+{
+    const ForwardStage& first = order.stages.front();
+    HttpConnection connection(this->task.context.io, { first.address.address, first.address.port }, { reportTimeout, reportTimeout });
+    const HttpOutcome outcome = co_await exchange(connection, this->task.context.wires.engine->encodeReportRequest(first.endpoint), reportTimeout);
+    const HttpResponse* response = successfulResponse(outcome, result.reason);
+    const auto report = response ? this->task.context.wires.engine->decodeReport(*response) : Result<EngineReport>(make_error_code(ErrorCode::EndpointUnreachable));
+    if (!report) {
+        result.fault = EndpointFault::Unreachable;
+        result.blamed = first.endpoint;
+        result.reason = "first-stage-unreachable";
+        co_return result;
+    }
+    result.fault = EndpointFault::Failed;
+    result.reason = "stalled";
+    for (const StalledRequest& stalled : report->stalled) {
+        for (const ForwardStage& stage : order.stages) {
+            if (stage.address != stalled.waitsFor)
+                continue;
+            result.fault = EndpointFault::Unreachable;
+            result.blamed = stage.endpoint;
+            result.reason = "stage-unreachable";
+            if (stalled.request == this->task.request.id)
+                co_return result;
+        }
+    }
+    co_return result;
+}
+
 asio::awaitable<AttemptResult> StreamRun::pump(const UpstreamPointer& connection, const LayerChain& chain)
 {
     const Duration gapTimeout = std::max<Duration>(leastGapTimeout, this->task.route.targetGap * gapFactor);
@@ -193,8 +247,13 @@
     const Result<EndpointReply> reply = co_await this->task.readReply(connection, std::min(timeout, this->task.timeLeft()));
     if (this->task.caller->gone())
         co_return AttemptResult {};
-    if (!reply)
-        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+    if (!reply) {
+        result = { AttemptEnd::Lost, EndpointFault::Broken, {}, "no-answer" };
+        if (isTimeout(reply.error()))
+            result = co_await this->diagnose(result, order);
+        connection->close();
+        co_return result;
+    }
     if (auto failure = this->task.judge(*reply)) {
         std::string body;
         Result<BodyProgress> ended = BodyProgress::More;
@@ -208,7 +267,13 @@
         this->headSent = true;
         co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
     }
-    co_return co_await this->pump(connection, chain);
+    result = co_await this->pump(connection, chain);
+    if (result.failure && result.fault == EndpointFault::Silent) {
+        // The engines stop at once, so that no work goes on beside the next run.
+        connection->close();
+        result = co_await this->diagnose(result, order);
+    }
+    co_return result;
 }
 
 asio::awaitable<void> StreamRun::end(bool complete)
@@ -238,8 +303,13 @@
         this->reservedTokens = this->task.request.promptTokens + expectedOutput(this->task.request, *this->profile());
         logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain->stages.size()) }, { "first", chain->stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain->firstToken) }, { "perTokenUs", std::to_string(chain->perToken.count()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
         this->reserve(*chain, true);
-        const AttemptResult result = co_await this->attempt(*order, *chain);
+        this->lostEngine.reset();
+        const std::uint64_t watch = this->watchEngines(*chain);
+        AttemptResult result = co_await this->attempt(*order, *chain);
+        this->task.context.streams.remove(watch);
         this->reserve(*chain, false);
+        if (result.failure && this->lostEngine)
+            result = { result.failure, EndpointFault::Failed, this->lostEngine, "engine-lost" };
         this->task.upstream = nullptr;
         if (!result.failure) {
             for (const LayerStage& stage : chain->stages)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -55,6 +55,8 @@
     const EndpointId blamed = result.blamed.value_or(first);
     this->avoided.insert(blamed);
     this->context.registry.noteFault(blamed, result.fault, bootNow());
+    if (result.fault == EndpointFault::Unreachable)
+        this->context.streams.suspect(blamed);
     if (*result.failure == AttemptEnd::Lost || *result.failure == AttemptEnd::ReportedFailure)
         ++this->possibleRuns;
     const AttemptState state = this->attemptState();
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "CapacityWaiters.h"
 #include "EngineWire.h"
 #include "StoreWire.h"
+#include "StreamWatch.h"
 #include "UpstreamPool.h"
 
 #include <filbertspoke/Configuration>
@@ -49,6 +50,7 @@
     bool registryKnown = false;
     LoadBook loads;
     CapacityWaiters waiters;
+    StreamWatch streams;
     UpstreamPool pool;
     Metrics metrics;
     Random random;
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -64,6 +64,11 @@
         if (peer.reachable)
             word.peers.push_back(known);
     }
+    const TimePoint now = bootNow();
+    for (const auto& [id, record] : this->context.registry.records()) {
+        if (const auto remaining = EndpointRegistry::ownAvoidance(record, now))
+            word.avoided.push_back({ id, *remaining });
+    }
     const bool current = this->follower.reachable() && this->context.registryKnown;
     word.wantsEndpoints = !current;
     const auto peer = this->peers.find(address);
@@ -91,6 +96,10 @@
     }
     const TimePoint now = bootNow();
     this->context.loads.notePeer(word.daemon, std::move(word.work), now);
+    for (const AvoidedEndpoint& avoided : word.avoided) {
+        this->context.registry.noteHearsay(avoided.endpoint, avoided.remaining, now);
+        this->context.streams.suspect(avoided.endpoint);
+    }
     if (word.configuration)
         this->context.takeDocument(*word.configuration, word.daemon.str());
     const bool current = this->follower.reachable() && this->context.registryKnown;
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -164,8 +164,8 @@
             if (this->context.registry.remove(id, now))
                 logLine(WriteLog::Level::Info, "endpoint-removed", { { "endpoint", record.key } });
         } else if (const auto endpoint = this->readEndpoint(record)) {
-            if (this->context.registry.update(*endpoint, now))
-                logLine(WriteLog::Level::Info, "endpoint-changed", { { "endpoint", record.key }, { "service", endpoint->service.str() }, { "draining", endpoint->draining ? "yes" : "no" }, { "firstLayer", std::to_string(endpoint->layers.first()) }, { "lastLayer", std::to_string(endpoint->layers.last()) } });
+            if (this->context.registry.update(*endpoint))
+                logLine(WriteLog::Level::Info, "endpoint-changed", { { "endpoint", record.key }, { "service", endpoint->service.str() }, { "domain", endpoint->failureDomain.str() }, { "draining", endpoint->draining ? "yes" : "no" }, { "firstLayer", std::to_string(endpoint->layers.first()) }, { "lastLayer", std::to_string(endpoint->layers.last()) } });
         }
     }
     this->context.registry.expire(now);
