Chains cross between failure domains only when they have to; repairs keep room at every engine

Change: the price of an engine rises steeply only when it is nearly full; a crossing costs ten times its transfer; gaps are filled with as much room left as can be, and boundaries move from tight to roomy engines.

--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
@@ -18,16 +18,23 @@
     switch (end) {
     case AttemptEnd::NotSent:
     case AttemptEnd::NotExecuted:
-        return state.possibleRuns < state.allowedRuns;
+        return state.countedRuns < state.allowedRuns;
     case AttemptEnd::Lost:
     case AttemptEnd::ReportedFailure: {
         const bool repeatable = state.kind == RouteKind::Idempotent || (state.kind == RouteKind::Stream && state.resumable);
-        return repeatable && state.possibleRuns < state.allowedRuns;
+        return repeatable && state.countedRuns < state.allowedRuns;
     }
     }
     return false;
 }
 
+bool countsAsRun(RouteKind kind, AttemptEnd end, bool answerBegun)
+{
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::NotExecuted)
+        return false;
+    return kind != RouteKind::Stream || answerBegun || end == AttemptEnd::ReportedFailure;
+}
+
 bool chargesBudget(AttemptEnd end)
 {
     return end != AttemptEnd::NotSent;
--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
@@ -23,6 +23,7 @@
     bool resumable = false;
     std::uint32_t allowedRuns = 1; ///< the route's attempts
     std::uint32_t possibleRuns = 0; ///< attempts that ran or may have run, the last one included
+    std::uint32_t countedRuns = 0; ///< of these, the ones that count against the route's attempts
     std::uint32_t sends = 0; ///< all attempts, the last one included
     Duration timeLeft {};
 
@@ -35,6 +36,11 @@
 /** \returns whether a retry after \a end is charged to the retry budget: the endpoint has seen the request */
 bool chargesBudget(AttemptEnd end);
 
+/** \returns whether an attempt counts against the route's attempts: a generation that gave no event has hardly begun,
+ * while of other requests nobody can tell
+ * \param answerBegun some of the answer arrived */
+bool countsAsRun(RouteKind, AttemptEnd, bool answerBegun);
+
 /** \returns whether the request certainly has not run, so that the caller may be told to come back */
 bool certainlyNotRun(const AttemptState&);
 
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -1,6 +1,7 @@
 #include <filbertspoke/Gateway>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <set>
@@ -16,9 +17,10 @@
 // Time to hand a token on to an engine in the same failure domain, beside the work itself.
 constexpr double handOverMs = 0.3;
 // Price of a full engine beside an idle one, so that load spreads before queues grow.
-constexpr double crowdingFactor = 3;
+constexpr double crowdingFactor = 2;
+constexpr double crowdingExponent = 6;
 // Price of the shared link between failure domains, times the transfer itself: others wait for it.
-constexpr double crossingFactor = 3;
+constexpr double crossingFactor = 10;
 
 struct StageTimes {
     double prefillMs = 0;
@@ -128,7 +130,7 @@
         const double capacity = candidate.accelerator.memoryMegabytes - candidate.layers.size() * this->profile.layerMegabytes;
         const double capacityTokenLayers = std::max(1.0, capacity / this->profile.kvMegabytesPerTokenLayer());
         const double used = 1 - std::min(1.0, (candidate.freeTokenLayers - need) / capacityTokenLayers);
-        const double crowding = 1 + crowdingFactor * used * used;
+        const double crowding = 1 + crowdingFactor * std::pow(used, crowdingExponent);
         for (const auto& [domain, label] : this->labels[from]) {
             const bool crosses = from > 0 && domain != candidate.failureDomain;
             const double crossPrefill = crosses ? crossingMs(this->profile, this->request.promptTokens) + this->profile.crossDomainDelayMs : 0;
@@ -174,12 +176,16 @@
         if (stages.empty() || stages.size() > maximumStages)
             return std::nullopt;
         std::set<std::size_t> seen;
+        std::optional<std::size_t> previous;
         bool repeated = false;
         for (const auto& [index, layers] : stages) {
             if (!seen.insert(index).second) {
                 whole.insert(index);
                 repeated = true;
             }
+            if (previous && candidates[*previous].failureDomain != candidates[index].failureDomain)
+                ++chain.crossings;
+            previous = index;
             chain.stages.push_back({ candidates[index].endpoint, layers });
         }
         if (!repeated)
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
@@ -37,6 +37,7 @@
     std::vector<LayerStage> stages;
     Duration firstToken {}; ///< prefill and one step
     Duration perToken {}; ///< each further step
+    std::uint32_t crossings = 0; ///< between failure domains
 
     auto operator<=>(const LayerChain&) const = default;
 };
--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
@@ -17,6 +17,9 @@
 // Engines whose steps take less than this part of the slowest one's belong to the fast part of a copy.
 constexpr double fastFraction = 0.5;
 
+// A boundary moves when the engine that takes a layer over still has so many times the room of the other.
+constexpr double balanceFactor = 1.3;
+
 using Pool = std::vector<PlaceableEngine>;
 
 /** \brief Sizes of layers and KV cache, in megabytes. */
@@ -34,7 +37,11 @@
         return static_cast<std::uint32_t>(engine.accelerator.memoryMegabytes / (this->layer + sequences * this->sequence));
     }
 
-    double megabytes(std::uint32_t layers) const { return layers * this->layer; }
+    /** \returns the megabytes of KV cache for each of \a layers layers that the engine has room for */
+    double room(const PlaceableEngine& engine, std::uint32_t layers) const
+    {
+        return layers == 0 ? 0 : engine.accelerator.memoryMegabytes / layers - this->layer;
+    }
 
 private:
     double layer;
@@ -167,7 +174,7 @@
     return true;
 }
 
-/** \brief Fills gaps of a pool that holds layers already. */
+/** \brief Changes to a pool that holds layers already. */
 class Repair {
 public:
     Repair(const EngineProfile& profile, Pool pool)
@@ -177,28 +184,67 @@
     {
     }
 
-    std::vector<LayerAssignment> run()
+    /** \brief Fills all gaps, such that every engine that changes keeps room for so many sequences.
+     * \returns whether no gap is left */
+    bool fillGaps(double sequences)
     {
         while (true) {
-            const std::vector<LayerRange> open = gaps(copiesByLayer(this->pool, this->profile.layers));
-            if (open.empty() || !this->fill(open.front()))
-                break;
+            const std::vector<LayerRange> open = gaps(this->copies());
+            if (open.empty())
+                return true;
+            if (!this->fill(open.front(), sequences))
+                return false;
+        }
+    }
+
+    /** \brief Gives engines that hold nothing the layers with the fewest copies. */
+    void useEmpty()
+    {
+        while (PlaceableEngine* engine = this->pickEmpty()) {
+            const std::uint32_t size = std::min(this->profile.layers, this->sizes.fitting(*engine, wantedSequences));
+            if (size == 0)
+                return;
+            this->assign(*engine, this->leastCovered(size));
+        }
+    }
+
+    /** \brief Moves one boundary between engines of which one is much shorter of room than the other: the roomier one
+     * takes layers over first, and in a later call the other one gives them up. */
+    void balance()
+    {
+        if (this->giveUpOverlap())
+            return;
+        PlaceableEngine* tight = this->tightest();
+        if (!tight || tight->layers.size() < 2)
+            return;
+        for (PlaceableEngine& engine : this->pool) {
+            if (engine.layers.empty() || &engine == tight)
+                continue;
+            const bool before = engine.layers.last() == tight->layers.first();
+            const bool behind = engine.layers.first() == tight->layers.last();
+            const double shared = this->sizes.room(engine, engine.layers.size() + 1);
+            if ((!before && !behind) || shared < balanceFactor * this->sizes.room(*tight, tight->layers.size()))
+                continue;
+            const LayerRange grown = before ? LayerRange(engine.layers.first(), engine.layers.last() + 1) : LayerRange(engine.layers.first() - 1, engine.layers.last());
+            this->assign(engine, grown);
+            return;
         }
-        this->useEmpty();
-        return this->assignments;
     }
 
+    const std::vector<LayerAssignment>& changes() const { return this->assignments; }
+
 private:
-    bool fill(const LayerRange& gap)
+    std::vector<std::uint32_t> copies() const { return copiesByLayer(this->pool, this->profile.layers); }
+
+    bool fill(const LayerRange& gap, double sequences)
     {
         PlaceableEngine* engine = this->pickEmpty();
         if (!engine)
             engine = this->pickRedundant();
-        if (engine) {
-            const std::uint32_t size = std::min(gap.size(), this->sizes.fitting(*engine, leastSequences));
-            return size > 0 && this->assign(*engine, LayerRange(gap.first(), gap.first() + size));
-        }
-        return this->extendNeighbour(gap);
+        if (!engine)
+            return this->extendNeighbour(gap, sequences);
+        const std::uint32_t size = std::min(gap.size(), this->sizes.fitting(*engine, sequences));
+        return size > 0 && this->assign(*engine, LayerRange(gap.first(), gap.first() + size));
     }
 
     PlaceableEngine* pickEmpty()
@@ -213,21 +259,22 @@
 
     PlaceableEngine* pickRedundant()
     {
-        const auto copies = copiesByLayer(this->pool, this->profile.layers);
+        const auto copies = this->copies();
+        PlaceableEngine* best = nullptr;
         for (PlaceableEngine& engine : this->pool) {
-            if (isRedundant(engine, copies))
-                return &engine;
+            if (isRedundant(engine, copies) && (!best || best->accelerator.memoryMegabytes < engine.accelerator.memoryMegabytes))
+                best = &engine;
         }
-        return nullptr;
+        return best;
     }
 
-    bool extendNeighbour(const LayerRange& gap)
+    bool extendNeighbour(const LayerRange& gap, double sequences)
     {
         PlaceableEngine* best = nullptr;
         std::uint32_t bestRoom = 0;
         for (PlaceableEngine& engine : this->pool) {
             const bool touches = engine.layers.last() == gap.first() || engine.layers.first() == gap.last();
-            const std::uint32_t most = this->sizes.fitting(engine, leastSequences);
+            const std::uint32_t most = this->sizes.fitting(engine, sequences);
             if (engine.layers.empty() || !touches || most <= engine.layers.size())
                 continue;
             if (most - engine.layers.size() > bestRoom) {
@@ -243,29 +290,53 @@
         return this->assign(*best, LayerRange(best->layers.first() - added, best->layers.last()));
     }
 
-    /** \brief Gives engines that hold nothing the layers with the fewest copies. */
-    void useEmpty()
+    LayerRange leastCovered(std::uint32_t size) const
     {
-        const auto open = gaps(copiesByLayer(this->pool, this->profile.layers));
-        while (PlaceableEngine* engine = open.empty() ? this->pickEmpty() : nullptr) {
-            const std::uint32_t size = std::min(this->profile.layers, this->sizes.fitting(*engine, wantedSequences));
-            if (size == 0)
-                return;
-            const auto copies = copiesByLayer(this->pool, this->profile.layers);
-            std::uint32_t best = 0;
-            std::uint32_t bestSum = UINT32_MAX;
-            for (std::uint32_t first = 0; first + size <= this->profile.layers; ++first) {
-                std::uint32_t sum = 0;
-                for (std::uint32_t layer = first; layer < first + size; ++layer)
-                    sum += copies[layer];
-                // The last layers stand on the slowest engines, which need help first.
-                if (sum <= bestSum) {
-                    bestSum = sum;
-                    best = first;
-                }
+        const auto copies = this->copies();
+        std::uint32_t best = 0;
+        std::uint32_t bestSum = UINT32_MAX;
+        for (std::uint32_t first = 0; first + size <= this->profile.layers; ++first) {
+            std::uint32_t sum = 0;
+            for (std::uint32_t layer = first; layer < first + size; ++layer)
+                sum += copies[layer];
+            // The last layers stand on the slowest engines, which need help first.
+            if (sum <= bestSum) {
+                bestSum = sum;
+                best = first;
             }
-            this->assign(*engine, LayerRange(best, best + size));
         }
+        return LayerRange(best, best + size);
+    }
+
+    /** \returns the engine with the least room that no other engine relieves */
+    PlaceableEngine* tightest()
+    {
+        const auto copies = this->copies();
+        PlaceableEngine* best = nullptr;
+        for (PlaceableEngine& engine : this->pool) {
+            if (engine.layers.empty() || isRedundant(engine, copies))
+                continue;
+            if (!best || this->sizes.room(engine, engine.layers.size()) < this->sizes.room(*best, best->layers.size()))
+                best = &engine;
+        }
+        return best;
+    }
+
+    /** \brief Takes layers that a neighbour holds as well from the engine with the least room. */
+    bool giveUpOverlap()
+    {
+        PlaceableEngine* tight = this->tightest();
+        if (!tight)
+            return false;
+        const auto copies = this->copies();
+        std::uint32_t first = tight->layers.first();
+        std::uint32_t last = tight->layers.last();
+        while (first < last && copies[first] > 1)
+            ++first;
+        while (last > first && copies[last - 1] > 1)
+            --last;
+        const LayerRange kept(first, last);
+        return !kept.empty() && kept != tight->layers && this->assign(*tight, kept);
     }
 
     bool assign(PlaceableEngine& engine, const LayerRange& layers)
@@ -282,6 +353,24 @@
     std::vector<LayerAssignment> assignments;
 };
 
+/** \brief Repairs a pool, with as much room left at every engine as can be. */
+std::vector<LayerAssignment> repair(const EngineProfile& profile, const Pool& pool)
+{
+    std::vector<LayerAssignment> best;
+    for (double sequences = wantedSequences; sequences >= leastSequences; sequences /= 2) {
+        Repair attempt(profile, pool);
+        const bool whole = attempt.fillGaps(sequences);
+        if (whole) {
+            attempt.useEmpty();
+            if (attempt.changes().empty())
+                attempt.balance();
+            return attempt.changes();
+        }
+        best = attempt.changes();
+    }
+    return best;
+}
+
 /** \brief Failure domains that can hold a copy stand alone; the others are taken together. */
 std::vector<Pool> poolsOf(const EngineProfile& profile, const std::vector<PlaceableEngine>& engines)
 {
@@ -309,7 +398,7 @@
     std::vector<LayerAssignment> assignments;
     for (Pool& pool : poolsOf(profile, engines)) {
         const bool fresh = std::all_of(pool.begin(), pool.end(), [](const PlaceableEngine& engine) { return engine.layers.empty(); });
-        const auto changes = fresh ? placeAnew(profile, pool) : Repair(profile, pool).run();
+        const auto changes = fresh ? placeAnew(profile, pool) : repair(profile, pool);
         assignments.insert(assignments.end(), changes.begin(), changes.end());
     }
     return assignments;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -64,6 +64,7 @@
     bool headSent = false;
     bool firstEventSent = false;
     std::optional<EndpointId> lostEngine; ///< because of which the attempt in progress was ended
+    std::uint32_t eventsInAttempt = 0;
     TimePoint lastProgress = bootNow(); ///< of the last event, or of the request's arrival
     double reservedTokens = 0;
 };
@@ -159,6 +160,7 @@
         if (event.id)
             this->lastEventId = event.id;
         this->lastProgress = bootNow();
+        ++this->eventsInAttempt;
         text += event.text;
     }
     if (text.empty())
@@ -220,6 +222,7 @@
     EventStream events;
     Result<BodyProgress> ended = BodyProgress::More;
     bool first = true;
+    TimePoint firstEventAt;
     while (*ended == BodyProgress::More) {
         std::string bytes;
         ended = co_await connection->readBody(bytes, std::min(first ? firstTimeout : gapTimeout, this->task.timeLeft()));
@@ -227,12 +230,17 @@
             co_return AttemptResult {};
         if (!ended)
             co_return AttemptResult { AttemptEnd::Lost, isTimeout(ended.error()) ? EndpointFault::Silent : EndpointFault::Broken, {}, isTimeout(ended.error()) ? "stalled" : "broken-off" };
-        first = first && bytes.empty();
+        if (first && !bytes.empty()) {
+            first = false;
+            firstEventAt = bootNow();
+        }
         if (auto failure = co_await this->passOn(events.feed(bytes)))
             co_return *failure;
     }
     if (events.midEvent())
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "ended-within-event" };
+    if (this->eventsInAttempt > 1)
+        logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", std::to_string(chain.perToken.count() * this->profile()->tokensPerEvent) } });
     this->task.context.pool.giveBack(this->orderFor(chain) ? this->orderFor(chain)->stages.front().address : SocketAddress {}, connection);
     co_return AttemptResult {};
 }
@@ -301,15 +309,17 @@
         if (!order)
             break;
         this->reservedTokens = this->task.request.promptTokens + expectedOutput(this->task.request, *this->profile());
-        logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain->stages.size()) }, { "first", chain->stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain->firstToken) }, { "perTokenUs", std::to_string(chain->perToken.count()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
+        logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain->stages.size()) }, { "first", chain->stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain->firstToken) }, { "perTokenUs", std::to_string(chain->perToken.count()) }, { "crossings", std::to_string(chain->crossings) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
         this->reserve(*chain, true);
         this->lostEngine.reset();
+        this->eventsInAttempt = 0;
         const std::uint64_t watch = this->watchEngines(*chain);
         AttemptResult result = co_await this->attempt(*order, *chain);
         this->task.context.streams.remove(watch);
         this->reserve(*chain, false);
         if (result.failure && this->lostEngine)
             result = { result.failure, EndpointFault::Failed, this->lostEngine, "engine-lost" };
+        result.answerBegun = this->eventsInAttempt > 0;
         this->task.upstream = nullptr;
         if (!result.failure) {
             for (const LayerStage& stage : chain->stages)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -45,6 +45,7 @@
     state.resumable = this->route.resumable;
     state.allowedRuns = this->route.attempts;
     state.possibleRuns = this->possibleRuns;
+    state.countedRuns = this->countedRuns;
     state.sends = this->sends;
     state.timeLeft = this->timeLeft();
     return state;
@@ -59,6 +60,8 @@
         this->context.streams.suspect(blamed);
     if (*result.failure == AttemptEnd::Lost || *result.failure == AttemptEnd::ReportedFailure)
         ++this->possibleRuns;
+    if (countsAsRun(this->route.kind, *result.failure, result.answerBegun))
+        ++this->countedRuns;
     const AttemptState state = this->attemptState();
     bool retry = mayRetry(state, *result.failure);
     if (retry && chargesBudget(*result.failure))
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -19,6 +19,7 @@
     EndpointFault fault = EndpointFault::Broken;
     std::optional<EndpointId> blamed; ///< the endpoint to avoid; without one, the first of the attempt
     std::string reason; ///< for the log
+    bool answerBegun = false; ///< some of the answer arrived
 
     bool operator==(const AttemptResult&) const = default;
 };
@@ -62,6 +63,7 @@
     std::set<EndpointId> avoided; ///< endpoints at which attempts failed
     std::uint32_t sends = 0;
     std::uint32_t possibleRuns = 0;
+    std::uint32_t countedRuns = 0;
 };
 
 /** \brief Forwards a call to a replica of a plain service and its answer to the caller. */
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -66,7 +66,8 @@
     }
     const TimePoint now = bootNow();
     for (const auto& [id, record] : this->context.registry.records()) {
-        if (const auto remaining = EndpointRegistry::ownAvoidance(record, now))
+        const auto remaining = EndpointRegistry::ownAvoidance(record, now);
+        if (remaining && record.lastFault == EndpointFault::Unreachable)
             word.avoided.push_back({ id, *remaining });
     }
     const bool current = this->follower.reachable() && this->context.registryKnown;
