--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
@@ -40,7 +40,7 @@
 
 std::optional<SocketAddress> readOptionalAddress(internal::MappingReader& root, const std::string& key)
 {
-    if (!root.has(key) || root.text(key, "").empty())
+    if (!root.has(key))
         return std::nullopt;
     return readAddress(root, key);
 }
--- /dev/null
+++ b/packages/Daemon/tests/Gateway.cpp
@@ -0,0 +1,280 @@
+// A gateway process before stand-ins of the users' platform.
+#include <filbertspoke/PlatformTesting>
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <string>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture : GatewayScene {
+    Fixture() { this->start(); }
+
+    std::size_t requestsAt(const std::vector<std::string>& ids) const
+    {
+        std::size_t count = 0;
+        for (const std::string& id : ids)
+            count += this->replicas.at(id)->requests().size();
+        return count;
+    }
+
+    const HttpRequest& requestAt(const std::vector<std::string>& ids) const
+    {
+        for (const std::string& id : ids) {
+            if (!this->replicas.at(id)->requests().empty())
+                return this->replicas.at(id)->requests().front();
+        }
+        throw std::runtime_error("no request arrived");
+    }
+};
+
+const std::vector<std::string> applications { "app-1", "app-2" };
+const std::vector<std::string> firstEngines { "engine-a1", "engine-b1" };
+
+/** \returns the ids of the events in a stream, in order */
+std::string eventIds(const std::string& received)
+{
+    std::string ids;
+    for (std::size_t at = received.find("id: "); at != std::string::npos; at = received.find("id: ", at + 1))
+        ids += received.substr(at + 4, received.find('\n', at) - at - 4) + " ";
+    return ids;
+}
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+ReplicaScript breaking(const HttpRequest& request, ReplicaScript::End end)
+{
+    ReplicaScript script;
+    script.pieces = { streamHead(request), eventChunk(1), eventChunk(2), "10\r\nid: 3\nda" };
+    script.end = end;
+    return script;
+}
+
+}
+
+BOOST_FIXTURE_TEST_CASE(callIsForwardedWithItsAccountAndWithoutItsKey, Fixture)
+{
+    const auto caller = this->call("POST", "/book/x");
+    const std::string received = this->answer(*caller, "served");
+    BOOST_TEST(has(received, "HTTP/1.1 200"));
+    BOOST_TEST(has(received, "Server-Seal: seal"));
+    const HttpRequest& forwarded = this->requestAt(applications);
+    BOOST_TEST(findHeader(forwarded.headers, "Tenant") == "gold");
+    BOOST_TEST(findHeader(forwarded.headers, "Key").empty());
+    BOOST_TEST(forwarded.body == "body");
+}
+
+BOOST_FIXTURE_TEST_CASE(unknownKeysAndPathsAreRefused, Fixture)
+{
+    BOOST_TEST(has(this->answer(*this->call("POST", "/book/x", "", "stolen"), "\r\n\r\n"), "HTTP/1.1 401"));
+    BOOST_TEST(has(this->answer(*this->call("GET", "/nowhere/"), "\r\n\r\n"), "HTTP/1.1 404"));
+    BOOST_TEST(this->requestsAt(applications) == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(malformedRequestIsRefusedAndTheConnectionClosed, Fixture)
+{
+    RawCaller caller(this->context, this->callers, "NONSENSE\r\n\r\n");
+    BOOST_TEST(this->await([&] { return caller.closed(); }));
+    BOOST_TEST(has(caller.received(), "HTTP/1.1 400"));
+}
+
+BOOST_FIXTURE_TEST_CASE(bookingWhoseAnswerIsLostIsNotRepeated, Fixture)
+{
+    for (const std::string& id : applications)
+        this->replicas.at(id)->setAnswer([](const HttpRequest&) { return ReplicaScript { {}, 5ms, ReplicaScript::End::Reset }; });
+    BOOST_TEST(has(this->answer(*this->call("POST", "/book/x"), "\r\n\r\n"), "HTTP/1.1 502"));
+    BOOST_TEST(this->requestsAt(applications) == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(bookingThatDidNotRunGoesToAnotherReplica, Fixture)
+{
+    bool shed = false;
+    for (const std::string& id : applications) {
+        this->replicas.at(id)->setAnswer([&shed](const HttpRequest& request) {
+            ReplicaScript script;
+            script.pieces = { shed ? wholeAnswer(request, 200, "served") : "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+            shed = true;
+            return script;
+        });
+    }
+    BOOST_TEST(has(this->answer(*this->call("POST", "/book/x"), "served"), "HTTP/1.1 200"));
+    BOOST_TEST(this->requestsAt(applications) == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(lookUpWhoseAnswerIsLostIsRepeated, Fixture)
+{
+    bool lost = false;
+    for (const std::string& id : applications) {
+        this->replicas.at(id)->setAnswer([&lost](const HttpRequest& request) {
+            ReplicaScript script;
+            if (!lost)
+                script.end = ReplicaScript::End::Reset;
+            else
+                script.pieces = { wholeAnswer(request, 200, "served") };
+            lost = true;
+            return script;
+        });
+    }
+    BOOST_TEST(has(this->answer(*this->call("GET", "/stock/x"), "served"), "HTTP/1.1 200"));
+}
+
+BOOST_FIXTURE_TEST_CASE(answerToAnotherRequestIsDropped, Fixture)
+{
+    for (const std::string& id : applications) {
+        this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
+            ReplicaScript script;
+            HttpRequest other;
+            other.headers = { { "Attempt-Id", "another" } };
+            script.pieces = { wholeAnswer(other, 200, "not yours"), wholeAnswer(request, 200, "served") };
+            return script;
+        });
+    }
+    const std::string received = this->answer(*this->call("POST", "/book/x"), "served");
+    BOOST_TEST(has(received, "served"));
+    BOOST_TEST(!has(received, "not yours"));
+}
+
+BOOST_FIXTURE_TEST_CASE(answerWithoutSealIsNotPassedOn, Fixture)
+{
+    for (const std::string& id : applications)
+        this->replicas.at(id)->setAnswer([](const HttpRequest&) { return ReplicaScript { { "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged" }, 5ms, ReplicaScript::End::Keep }; });
+    const std::string received = this->answer(*this->call("POST", "/book/x"), "\r\n\r\n");
+    BOOST_TEST(has(received, "HTTP/1.1 502"));
+    BOOST_TEST(!has(received, "forged"));
+}
+
+BOOST_FIXTURE_TEST_CASE(streamRunsThroughEveryLayerInOrder, Fixture)
+{
+    const std::string received = this->answer(*this->call("POST", "/chat/x"), "0\r\n\r\n");
+    BOOST_TEST(eventIds(received) == "1 2 3 4 5 6 ");
+    const std::string chain(findHeader(this->requestAt(firstEngines).headers, "Hop-Count"));
+    BOOST_TEST(has(chain, "=0-4,"));
+    BOOST_TEST(has(chain, "=4-8"));
+}
+
+BOOST_FIXTURE_TEST_CASE(brokenStreamGoesOnBehindTheLastEvent, Fixture)
+{
+    int runs = 0;
+    for (const std::string& id : firstEngines) {
+        const auto whole = [](const HttpRequest& request) {
+            ReplicaScript script;
+            script.pieces = { streamHead(request) };
+            for (int event = std::stoi(std::string(findHeader(request.headers, "Last-Event-Id"))) + 1; event <= 6; ++event)
+                script.pieces.push_back(eventChunk(event));
+            script.pieces.push_back(lastChunk());
+            return script;
+        };
+        this->replicas.at(id)->setAnswer([&runs, whole](const HttpRequest& request) { return ++runs == 1 ? breaking(request, ReplicaScript::End::Reset) : whole(request); });
+    }
+    const std::string received = this->answer(*this->call("POST", "/chat/x"), "0\r\n\r\n");
+    BOOST_TEST(eventIds(received) == "1 2 3 4 5 6 ");
+    BOOST_TEST(this->requestsAt(firstEngines) == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(streamThatCannotGoOnDoesNotLookComplete, Fixture)
+{
+    for (const std::string& id : firstEngines) {
+        this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return ReplicaScript { {}, 5ms, ReplicaScript::End::Reset };
+            ReplicaScript script = breaking(request, ReplicaScript::End::Reset);
+            if (!findHeader(request.headers, "Last-Event-Id").empty())
+                script.pieces = { streamHead(request), eventChunk(3) };
+            return script;
+        });
+    }
+    const auto caller = this->call("POST", "/chat/x");
+    BOOST_TEST(this->await([&] { return caller->closed(); }));
+    BOOST_TEST(!has(caller->received(), "0\r\n\r\n"));
+    BOOST_TEST(!has(caller->received(), "id: 3\nda\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(silentStreamGoesOnElsewhere, Fixture)
+{
+    int runs = 0;
+    for (const std::string& id : firstEngines) {
+        this->replicas.at(id)->setAnswer([&runs](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return ReplicaScript { {}, 5ms, ReplicaScript::End::Silence };
+            if (++runs == 1)
+                return breaking(request, ReplicaScript::End::Silence);
+            ReplicaScript script;
+            script.pieces = { streamHead(request), eventChunk(3), eventChunk(4), lastChunk() };
+            return script;
+        });
+    }
+    const std::string received = this->answer(*this->call("POST", "/chat/x"), "0\r\n\r\n");
+    BOOST_TEST(eventIds(received) == "1 2 3 4 ");
+}
+
+BOOST_FIXTURE_TEST_CASE(workStopsWhenTheCallerLeaves, Fixture)
+{
+    for (const std::string& id : firstEngines)
+        this->replicas.at(id)->setAnswer([](const HttpRequest& request) { return ReplicaScript { { streamHead(request), eventChunk(1) }, 5ms, ReplicaScript::End::Silence }; });
+    const auto caller = this->call("POST", "/chat/x");
+    BOOST_TEST(this->await([&] { return has(caller->received(), "id: 1"); }));
+    caller->leave();
+    BOOST_TEST(this->await([&] { return this->replicas.at("engine-a1")->abandoned() + this->replicas.at("engine-b1")->abandoned() == 1; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(drainingReplicaGetsNoNewWork, Fixture)
+{
+    this->putEndpoint("app-1", "draining");
+    const auto asksOnlyTheOther = [&] {
+        const std::size_t before = this->replicas.at("app-1")->requests().size();
+        for (int call = 0; call < 6; ++call)
+            this->answer(*this->call("POST", "/book/x"), "served");
+        return this->replicas.at("app-1")->requests().size() == before;
+    };
+    BOOST_TEST(this->await(asksOnlyTheOther));
+}
+
+BOOST_FIXTURE_TEST_CASE(newConfigurationComesIntoForce, Fixture)
+{
+    this->putConfiguration(2, "nowhere");
+    BOOST_TEST(this->await([&] { return has(this->answer(*this->call("POST", "/book/x"), "\r\n\r\n"), "HTTP/1.1 503"); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(gatewayWithoutStoreLearnsFromItsPeer, Fixture)
+{
+    this->startSecondWithoutStore();
+    this->callers = this->secondCallers;
+    BOOST_TEST(has(this->answer(*this->call("POST", "/book/x"), "served"), "HTTP/1.1 200"));
+}
+
+BOOST_FIXTURE_TEST_CASE(outageOfTheStoreDisturbsNobody, Fixture)
+{
+    this->store.setAway(true);
+    for (int call = 0; call < 5; ++call)
+        BOOST_TEST(has(this->answer(*this->call("POST", "/book/x"), "served"), "HTTP/1.1 200"));
+}
+
+BOOST_FIXTURE_TEST_CASE(hangupEndsNothing, Fixture)
+{
+    this->gateway->signal(SIGHUP);
+    BOOST_TEST(has(this->answer(*this->call("POST", "/book/x"), "served"), "HTTP/1.1 200"));
+}
+
+BOOST_FIXTURE_TEST_CASE(gracefulStopLetsStreamsFinish, Fixture)
+{
+    for (const std::string& id : firstEngines) {
+        this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
+            ReplicaScript script;
+            script.pieces = { streamHead(request), eventChunk(1), eventChunk(2), eventChunk(3), lastChunk() };
+            script.pause = 250ms;
+            return script;
+        });
+    }
+    const auto caller = this->call("POST", "/chat/x");
+    BOOST_TEST(this->await([&] { return has(caller->received(), "id: 1"); }));
+    this->gateway->signal(SIGTERM);
+    BOOST_TEST(eventIds(this->answer(*caller, "0\r\n\r\n")) == "1 2 3 ");
+    BOOST_TEST(this->gateway->wait() == 0);
+}
--- /dev/null
+++ b/packages/Gateway/tests/ChainPlanning.cpp
@@ -0,0 +1,117 @@
+#include "ModelProfile.h"
+
+#include <filbertspoke/Gateway>
+#include <filbertspoke/Testing>
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace filbertspoke;
+
+namespace {
+
+const EngineProfile profile = testing::modelProfile();
+constexpr double ample = 1e9;
+
+StageCandidate candidate(const std::string& id, LayerRange layers, const std::string& accelerator = "small", const std::string& domain = "a", double freeTokenLayers = ample)
+{
+    return { EndpointId(id), layers, FailureDomainId(domain), profile.accelerators.at(AcceleratorId(accelerator)), 0, freeTokenLayers, 1 };
+}
+
+ChainRequest request(const std::string& domain = "a")
+{
+    return { FailureDomainId(domain), 772, 174 };
+}
+
+std::vector<LayerStage> stages(const std::vector<StageCandidate>& candidates)
+{
+    const auto chain = planLayerChain(profile, candidates, request());
+    return chain ? chain->stages : std::vector<LayerStage> {};
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(rangesMeetExactly)
+{
+    const auto chain = stages({ candidate("x", { 0, 40 }), candidate("y", { 40, 80 }), candidate("z", { 41, 80 }) });
+    BOOST_TEST((chain == std::vector<LayerStage> { { EndpointId("x"), { 0, 40 } }, { EndpointId("y"), { 40, 80 } } }));
+}
+
+BOOST_AUTO_TEST_CASE(gapIsNoChain)
+{
+    BOOST_TEST(stages({ candidate("x", { 0, 40 }), candidate("y", { 41, 80 }) }).empty());
+    BOOST_TEST(stages({}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(engineOfAnotherDomainRunsOnlyTheLayersThatAreMissing)
+{
+    const auto chain = stages({ candidate("x", { 0, 40 }), candidate("y", { 50, 80 }), candidate("far", { 40, 60 }, "small", "b") });
+    BOOST_TEST((chain == std::vector<LayerStage> { { EndpointId("x"), { 0, 40 } }, { EndpointId("far"), { 40, 50 } }, { EndpointId("y"), { 50, 80 } } }));
+}
+
+BOOST_AUTO_TEST_CASE(fasterAcceleratorsGoFirst)
+{
+    const auto chain = stages({ candidate("slow", { 0, 40 }), candidate("fast", { 0, 40 }, "large"), candidate("rest", { 40, 80 }) });
+    BOOST_REQUIRE(chain.size() == 2);
+    BOOST_TEST((chain.front().endpoint == EndpointId("fast")));
+}
+
+BOOST_AUTO_TEST_CASE(engineWithoutRoomForTheWholeRequestIsLeftOut)
+{
+    const double need = (772 + 174) * 40;
+    const auto chain = stages({ candidate("fast", { 0, 40 }, "large", "a", need - 1), candidate("slow", { 0, 40 }), candidate("rest", { 40, 80 }) });
+    BOOST_REQUIRE(chain.size() == 2);
+    BOOST_TEST((chain.front().endpoint == EndpointId("slow")));
+    BOOST_TEST(stages({ candidate("fast", { 0, 80 }, "large", "a", need) }).empty());
+}
+
+// On a day of high load half of the chains crossed between domains and filled the links between them.
+BOOST_AUTO_TEST_CASE(halfFullEnginesDoNotMakeChainsCross)
+{
+    const double half = (21'600 - 40 * 1750.0 / 4) / profile.kvMegabytesPerTokenLayer() / 2;
+    const auto chain = stages({ candidate("x", { 0, 40 }, "small", "a", half), candidate("y", { 40, 80 }, "small", "a", half), candidate("far", { 40, 80 }, "small", "b") });
+    BOOST_REQUIRE(chain.size() == 2);
+    BOOST_TEST((chain.back().endpoint == EndpointId("y")));
+}
+
+BOOST_AUTO_TEST_CASE(busyEngineIsPassedOver)
+{
+    StageCandidate busy = candidate("busy", { 40, 80 });
+    busy.sequences = 150;
+    const auto chain = stages({ candidate("x", { 0, 40 }), busy, candidate("idle", { 40, 80 }) });
+    BOOST_REQUIRE(chain.size() == 2);
+    BOOST_TEST((chain.back().endpoint == EndpointId("idle")));
+}
+
+BOOST_AUTO_TEST_CASE(chainsRunEveryLayerOnceOnEnginesThatHoldIt)
+{
+    testing::checkProperty([] {
+        std::vector<StageCandidate> candidates;
+        const int count = *rc::gen::inRange(1, 24);
+        for (int index = 0; index < count; ++index) {
+            const auto first = static_cast<std::uint32_t>(*rc::gen::inRange(0, 80));
+            const auto size = static_cast<std::uint32_t>(*rc::gen::inRange(1, 50));
+            candidates.push_back(candidate("e" + std::to_string(index), { first, std::min(80U, first + size) }, *rc::gen::element<std::string>("large", "small"), *rc::gen::element<std::string>("a", "b")));
+        }
+        std::set<std::uint32_t> covered;
+        for (const StageCandidate& engine : candidates) {
+            for (std::uint32_t layer = engine.layers.first(); layer < engine.layers.last(); ++layer)
+                covered.insert(layer);
+        }
+        const auto chain = planLayerChain(profile, candidates, request());
+        RC_ASSERT(chain.has_value() == (covered.size() == 80));
+        std::uint32_t layer = 0;
+        std::set<EndpointId> seen;
+        for (const LayerStage& stage : chain ? chain->stages : std::vector<LayerStage> {}) {
+            RC_ASSERT(stage.layers.first() == layer);
+            RC_ASSERT(!stage.layers.empty());
+            RC_ASSERT(seen.insert(stage.endpoint).second);
+            const auto holder = std::find_if(candidates.begin(), candidates.end(), [&](const StageCandidate& engine) { return engine.endpoint == stage.endpoint; });
+            RC_ASSERT(holder->layers.first() <= stage.layers.first());
+            RC_ASSERT(holder->layers.last() >= stage.layers.last());
+            layer = stage.layers.last();
+        }
+        RC_ASSERT(!chain || layer == 80);
+    });
+}
--- /dev/null
+++ b/packages/Gateway/tests/EndpointRegistry.cpp
@@ -0,0 +1,187 @@
+#include <filbertspoke/Gateway>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId service("assistant");
+
+RegisteredEndpoint endpoint(const std::string& id, std::int64_t startedAtMs = 1000, std::uint64_t heartbeat = 1)
+{
+    RegisteredEndpoint endpoint;
+    endpoint.id = EndpointId(id);
+    endpoint.service = service;
+    endpoint.address = { "10.0.0.1", static_cast<std::uint16_t>(8000 + id.back()) };
+    endpoint.failureDomain = FailureDomainId("a");
+    endpoint.slots = 4;
+    endpoint.heartbeat = heartbeat;
+    endpoint.startedAtMs = startedAtMs;
+    return endpoint;
+}
+
+struct Fixture {
+    std::vector<std::string> candidates() const
+    {
+        std::vector<std::string> ids;
+        for (const EndpointRecord* record : this->registry.candidates(service, this->now))
+            ids.push_back(record->endpoint.id.str());
+        return ids;
+    }
+
+    void lose(const std::string& id) { this->registry.noteFault(EndpointId(id), EndpointFault::Unreachable, this->now); }
+
+    EndpointRegistry registry;
+    TimePoint now { 100s };
+};
+
+using Ids = std::vector<std::string>;
+
+}
+
+BOOST_FIXTURE_TEST_CASE(drainingEndpointGetsNoWorkAndStaysDraining, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    RegisteredEndpoint leaving = endpoint("e1", 1000, 2);
+    leaving.draining = true;
+    this->registry.update(leaving);
+    BOOST_TEST((this->candidates() == Ids {}));
+    this->registry.update(endpoint("e1", 1000, 3));
+    BOOST_TEST((this->candidates() == Ids {}));
+}
+
+BOOST_FIXTURE_TEST_CASE(olderWordOfTheSameRunChangesNothing, Fixture)
+{
+    RegisteredEndpoint newer = endpoint("e1", 1000, 5);
+    newer.layers = LayerRange(0, 4);
+    this->registry.update(newer);
+    BOOST_TEST(!this->registry.update(endpoint("e1", 1000, 4)));
+    BOOST_TEST((this->registry.find(EndpointId("e1"))->endpoint.layers == LayerRange(0, 4)));
+    BOOST_TEST(!this->registry.update(endpoint("e1", 999, 9)));
+}
+
+BOOST_FIXTURE_TEST_CASE(restartUnderTheSameIdForgetsWhatWasKnown, Fixture)
+{
+    RegisteredEndpoint first = endpoint("e1", 1000, 5);
+    first.draining = true;
+    first.layers = LayerRange(0, 4);
+    this->registry.update(first);
+    this->registry.update(endpoint("e1", 2000, 1));
+    BOOST_TEST((this->candidates() == Ids { "e1" }));
+    BOOST_TEST(this->registry.find(EndpointId("e1"))->endpoint.layers.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(removedEndpointIsGoneAtOnce, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->registry.remove(EndpointId("e1"), this->now);
+    BOOST_TEST(!this->registry.find(EndpointId("e1")));
+}
+
+BOOST_FIXTURE_TEST_CASE(entryThatLapsedInAnOutageHasTwoSecondsToComeBack, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->registry.update(endpoint("e2"));
+    this->registry.registryReturned(this->now);
+    this->registry.remove(EndpointId("e1"), this->now);
+    this->registry.remove(EndpointId("e2"), this->now);
+    this->now += 1900ms;
+    BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
+    this->registry.update(endpoint("e1", 1000, 2));
+    this->now += 200ms;
+    this->registry.expire(this->now);
+    BOOST_TEST((this->candidates() == Ids { "e1" }));
+    BOOST_TEST(!this->registry.find(EndpointId("e2")));
+}
+
+BOOST_FIXTURE_TEST_CASE(drainingEntryThatIsRemovedAfterAnOutageDoesNotComeBack, Fixture)
+{
+    RegisteredEndpoint leaving = endpoint("e1");
+    leaving.draining = true;
+    this->registry.update(leaving);
+    this->registry.registryReturned(this->now);
+    this->registry.remove(EndpointId("e1"), this->now);
+    BOOST_TEST(!this->registry.find(EndpointId("e1")));
+}
+
+// 121 requests in a second went to a dead engine's address, at which a new engine had started.
+BOOST_FIXTURE_TEST_CASE(newEndpointTakesOverTheAddressOfTheOneBefore, Fixture)
+{
+    RegisteredEndpoint successor = endpoint("e2", 2000);
+    successor.address = endpoint("e1").address;
+    this->registry.update(endpoint("e1"));
+    this->registry.update(successor);
+    BOOST_TEST((this->candidates() == Ids { "e2" }));
+    BOOST_TEST((this->registry.findByAddress(successor.address) == EndpointId("e2")));
+    this->registry.update(endpoint("e1", 1000, 7));
+    BOOST_TEST((this->candidates() == Ids { "e2" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(unreachableEndpointIsAvoidedUntilItAnswersOrTimePasses, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->registry.update(endpoint("e2"));
+    this->lose("e1");
+    BOOST_TEST((this->candidates() == Ids { "e2" }));
+    this->now += 500ms;
+    BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
+    this->lose("e1");
+    this->registry.noteSuccess(EndpointId("e1"));
+    BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(avoidedEndpointsAreBetterThanNone, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->lose("e1");
+    BOOST_TEST((this->candidates() == Ids { "e1" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(faultsThatCameTogetherCountOnce, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->registry.update(endpoint("e2"));
+    for (int request = 0; request < 40; ++request)
+        this->lose("e1");
+    this->now += 500ms;
+    BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(endpointThatFailsNowAndThenIsAvoidedOnceItFailsOften, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->registry.update(endpoint("e2"));
+    for (int exchange = 0; exchange < 20 && this->candidates().size() == 2; ++exchange) {
+        this->registry.noteFault(EndpointId("e1"), EndpointFault::Failed, this->now);
+        if (this->candidates().size() == 2)
+            this->registry.noteSuccess(EndpointId("e1"));
+    }
+    BOOST_TEST((this->candidates() == Ids { "e2" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(otherDaemonsEvidenceCountsForItsTimeOnly, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->registry.update(endpoint("e2"));
+    this->registry.noteHearsay(EndpointId("e1"), 300ms, this->now);
+    BOOST_TEST((this->candidates() == Ids { "e2" }));
+    BOOST_TEST(!EndpointRegistry::ownAvoidance(*this->registry.find(EndpointId("e1")), this->now).has_value());
+    this->now += 301ms;
+    BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(domainOfSeveralUnreachableEndpointsIsAvoidedWhole, Fixture)
+{
+    for (const char* id : { "e1", "e2", "e3", "e4" })
+        this->registry.update(endpoint(id));
+    RegisteredEndpoint elsewhere = endpoint("f5");
+    elsewhere.failureDomain = FailureDomainId("b");
+    this->registry.update(elsewhere);
+    for (const char* id : { "e1", "e2", "e3" })
+        this->lose(id);
+    BOOST_TEST((this->candidates() == Ids { "f5" }));
+    this->registry.noteSuccess(EndpointId("e4"));
+    BOOST_TEST((this->candidates() == Ids { "e4", "f5" }));
+}
--- /dev/null
+++ b/packages/Gateway/tests/LayerPlacement.cpp
@@ -0,0 +1,196 @@
+#include "ModelProfile.h"
+
+#include <filbertspoke/Gateway>
+#include <filbertspoke/Testing>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace filbertspoke;
+
+namespace {
+
+const EngineProfile profile = testing::modelProfile();
+
+std::vector<PlaceableEngine> engines(const std::string& domain, const std::map<std::string, int>& counts)
+{
+    std::vector<PlaceableEngine> pool;
+    for (const auto& [kind, count] : counts) {
+        for (int index = 0; index < count; ++index)
+            pool.push_back({ EndpointId(domain + "-" + kind + "-" + std::to_string(index)), FailureDomainId(domain), profile.accelerators.at(AcceleratorId(kind)), {} });
+    }
+    return pool;
+}
+
+std::vector<PlaceableEngine> site()
+{
+    std::vector<PlaceableEngine> all = engines("a", { { "large", 1 }, { "middle", 1 }, { "small", 5 }, { "tiny", 7 } });
+    for (const auto& pool : { engines("b", { { "middle", 1 }, { "small", 8 }, { "tiny", 3 } }), engines("c", { { "middle", 2 }, { "small", 4 }, { "tiny", 7 } }) })
+        all.insert(all.end(), pool.begin(), pool.end());
+    return all;
+}
+
+void carryOut(std::vector<PlaceableEngine>& pool, const std::vector<LayerAssignment>& assignments)
+{
+    for (const LayerAssignment& assignment : assignments) {
+        for (PlaceableEngine& engine : pool) {
+            if (engine.endpoint == assignment.endpoint)
+                engine.layers = assignment.layers;
+        }
+    }
+}
+
+std::uint32_t uncovered(const std::vector<PlaceableEngine>& pool, const std::string& domain)
+{
+    std::vector<bool> covered(profile.layers, false);
+    for (const PlaceableEngine& engine : pool) {
+        for (std::uint32_t layer = engine.layers.first(); engine.failureDomain == FailureDomainId(domain) && layer < engine.layers.last(); ++layer)
+            covered[layer] = true;
+    }
+    return static_cast<std::uint32_t>(std::count(covered.begin(), covered.end(), false));
+}
+
+void remove(std::vector<PlaceableEngine>& pool, const std::string& id)
+{
+    std::erase_if(pool, [&](const PlaceableEngine& engine) { return engine.endpoint == EndpointId(id); });
+}
+
+/** \returns the least room for sequences of usual length at any engine that holds layers */
+double leastSequences(const std::vector<PlaceableEngine>& pool, const std::string& domain)
+{
+    double least = 1e9;
+    for (const PlaceableEngine& engine : pool) {
+        if (engine.failureDomain != FailureDomainId(domain) || engine.layers.empty())
+            continue;
+        const double room = engine.accelerator.memoryMegabytes / engine.layers.size() - profile.layerMegabytes;
+        least = std::min(least, room / profile.kvMegabytesPerTokenLayer() / (profile.usualPromptTokens + profile.usualOutputTokens));
+    }
+    return least;
+}
+
+struct Fixture {
+    Fixture() { carryOut(this->pool, placeLayers(profile, this->pool)); }
+
+    /** \brief Lets the placement come to rest, and counts its changes. */
+    std::size_t settle()
+    {
+        std::size_t changes = 0;
+        for (int round = 0; round < 60; ++round) {
+            const auto assignments = placeLayers(profile, this->pool);
+            if (assignments.empty())
+                return changes;
+            changes += assignments.size();
+            carryOut(this->pool, assignments);
+        }
+        BOOST_TEST_MESSAGE("placement does not come to rest");
+        return SIZE_MAX;
+    }
+
+    std::vector<PlaceableEngine> pool = site();
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(everyDomainThatCanHoldsAWholeCopy, Fixture)
+{
+    for (const char* domain : { "a", "b", "c" })
+        BOOST_TEST(uncovered(this->pool, domain) == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(fastestEnginesHoldTheFirstLayers, Fixture)
+{
+    for (const PlaceableEngine& engine : this->pool) {
+        if (engine.endpoint == EndpointId("a-large-0"))
+            BOOST_TEST((engine.layers.first() == 0 && engine.layers.size() >= 24));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(engineThatReturnsEmptyIsUsedAgain, Fixture)
+{
+    for (PlaceableEngine& engine : this->pool) {
+        if (engine.endpoint == EndpointId("b-small-3"))
+            engine.layers = {};
+    }
+    this->settle();
+    BOOST_TEST(uncovered(this->pool, "b") == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(placementComesToRest, Fixture)
+{
+    BOOST_TEST(this->settle() != SIZE_MAX);
+    BOOST_TEST(placeLayers(profile, this->pool).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(gapLeftByOneEngineIsFilledByFewOthers, Fixture)
+{
+    this->settle();
+    remove(this->pool, "c-small-1");
+    const auto changes = placeLayers(profile, this->pool);
+    BOOST_TEST(changes.size() <= 3);
+    carryOut(this->pool, changes);
+    BOOST_TEST(uncovered(this->pool, "c") == 0);
+}
+
+// Two of twelve engines left; one neighbour took the whole gap, and the domain had room for 30 sequences.
+BOOST_FIXTURE_TEST_CASE(roomIsEvenedOutAfterLosses, Fixture)
+{
+    this->settle();
+    remove(this->pool, "b-small-1");
+    remove(this->pool, "b-small-5");
+    BOOST_TEST(this->settle() != SIZE_MAX);
+    BOOST_TEST(uncovered(this->pool, "b") == 0);
+    BOOST_TEST(leastSequences(this->pool, "b") >= 50);
+}
+
+BOOST_FIXTURE_TEST_CASE(lossOfTheFastestEngineIsRepaired, Fixture)
+{
+    this->settle();
+    remove(this->pool, "a-large-0");
+    BOOST_TEST(this->settle() != SIZE_MAX);
+    BOOST_TEST(uncovered(this->pool, "a") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(domainsThatCannotHoldACopyShareOne)
+{
+    std::vector<PlaceableEngine> pool = engines("a", { { "small", 4 } });
+    for (const auto& other : { engines("b", { { "small", 4 } }), engines("c", { { "small", 3 } }) })
+        pool.insert(pool.end(), other.begin(), other.end());
+    carryOut(pool, placeLayers(profile, pool));
+    std::vector<bool> covered(profile.layers, false);
+    for (const PlaceableEngine& engine : pool) {
+        for (std::uint32_t layer = engine.layers.first(); layer < engine.layers.last(); ++layer)
+            covered[layer] = true;
+    }
+    BOOST_TEST(std::count(covered.begin(), covered.end(), false) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(noEngineIsEverGivenMoreThanItsMemoryHolds)
+{
+    testing::checkProperty([] {
+        std::vector<PlaceableEngine> pool;
+        const int count = *rc::gen::inRange(1, 30);
+        for (int index = 0; index < count; ++index) {
+            PlaceableEngine engine;
+            engine.endpoint = EndpointId("e" + std::to_string(index));
+            engine.failureDomain = FailureDomainId(*rc::gen::element<std::string>("a", "b"));
+            engine.accelerator = profile.accelerators.at(AcceleratorId(*rc::gen::element<std::string>("large", "middle", "small", "tiny")));
+            const auto first = static_cast<std::uint32_t>(*rc::gen::inRange(0, 80));
+            const auto size = static_cast<std::uint32_t>(*rc::gen::inRange(0, static_cast<int>(engine.accelerator.memoryMegabytes / profile.layerMegabytes)));
+            if (*rc::gen::arbitrary<bool>())
+                engine.layers = LayerRange(first, std::min(80U, first + size));
+            pool.push_back(engine);
+        }
+        for (int round = 0; round < 8; ++round) {
+            const auto assignments = placeLayers(profile, pool);
+            for (const LayerAssignment& assignment : assignments) {
+                const auto engine = std::find_if(pool.begin(), pool.end(), [&](const PlaceableEngine& candidate) { return candidate.endpoint == assignment.endpoint; });
+                RC_ASSERT(engine != pool.end());
+                RC_ASSERT(!assignment.layers.empty());
+                RC_ASSERT(assignment.layers.last() <= 80U);
+                RC_ASSERT(assignment.layers.size() * profile.layerMegabytes < engine->accelerator.memoryMegabytes);
+            }
+            carryOut(pool, assignments);
+        }
+    });
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerServer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerServer.cpp
@@ -87,7 +87,8 @@
 {
     if (failure == CallerReadFailure::Closed)
         co_return;
-    const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431 : 413;
+    const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431
+                                                                                                                         : 413;
     logLine(WriteLog::Level::Warning, "request-unreadable", { { "status", std::to_string(status) } });
     const HttpResponse response = emptyResponse(status);
     co_await connection->respond(response, false);
--- /dev/null
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -0,0 +1,78 @@
+#ifndef FILBERTSPOKE_GATEWAY_SCENE_H
+#define FILBERTSPOKE_GATEWAY_SCENE_H
+
+#include "ReplicaStandIn.h"
+#include "StoreStandIn.h"
+
+#include <filbertspoke/ProcessTesting>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace filbertspoke {
+
+/** \brief A caller's connection and what came over it. */
+class RawCaller {
+public:
+    RawCaller(boost::asio::io_context&, const HttpAddress&, const std::string& text);
+
+    /** \returns all bytes that arrived */
+    const std::string& received() const;
+    /** \returns whether the gateway closed the connection */
+    bool closed() const;
+    /** \brief Closes the connection. */
+    void leave();
+
+private:
+    class State;
+    std::shared_ptr<State> state;
+};
+
+/** \brief A gateway process before a store, two replicas of a plain service and two copies of a two-engine chain. */
+class GatewayScene {
+public:
+    GatewayScene();
+    ~GatewayScene();
+
+    /** \brief Starts the gateway and waits until it is ready. */
+    void start();
+    /** \brief Starts another gateway that can't reach the store, and knows the first one. */
+    void startSecondWithoutStore();
+
+    bool await(const std::function<bool()>& condition) { return runUntil(this->context, condition); }
+    /** \brief Sends a request for a path as a caller with a sound key. */
+    std::unique_ptr<RawCaller> call(const std::string& method, const std::string& path, const std::string& extraHeaders = {}, const std::string& key = "key-1");
+    /** \brief Waits until the caller has an answer that ends with \a ending or the connection is closed. */
+    std::string answer(RawCaller&, const std::string& ending);
+
+    void putConfiguration(int version, const std::string& bookingService = "app");
+    void putEndpoint(const std::string& id, const std::string& state = "ready");
+
+    boost::asio::io_context context;
+    StoreStandIn store;
+    std::map<std::string, std::unique_ptr<ReplicaStandIn>> replicas; ///< by id
+    std::optional<Process> gateway;
+    std::optional<Process> second;
+    HttpAddress callers;
+    HttpAddress secondCallers;
+    HttpAddress readiness;
+
+private:
+    HttpAddress free(const std::string& address) const;
+    Process launch(const std::string& name, const HttpAddress& callers, const HttpAddress& readiness, const HttpAddress& peers, const HttpAddress& store);
+    bool ready(const HttpAddress&);
+
+    HttpAddress peers;
+    std::uint64_t heartbeat = 0;
+    int calls = 0;
+    std::string folder;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -0,0 +1,155 @@
+#include <filbertspoke/PlatformTesting>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdio>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+}
+
+class ReplicaStandIn::State : public std::enable_shared_from_this<State> {
+public:
+    State(asio::io_context& context, const std::string& address, Answer answer)
+        : acceptor(context, tcp::endpoint(asio::ip::make_address(address), 0))
+        , answer(std::move(answer))
+    {
+    }
+
+    asio::awaitable<void> listen()
+    {
+        const auto self = this->shared_from_this();
+        while (this->acceptor.is_open()) {
+            auto [error, socket] = co_await this->acceptor.async_accept(asTuple);
+            if (!error)
+                asio::co_spawn(this->acceptor.get_executor(), this->serve(std::make_shared<tcp::socket>(std::move(socket))), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        const auto self = this->shared_from_this();
+        boost::beast::flat_buffer buffer;
+        bool open = true;
+        while (open) {
+            http::request<http::string_body> message;
+            const auto [error, bytes] = co_await http::async_read(*socket, buffer, message, asTuple);
+            if (error)
+                co_return;
+            HttpRequest request;
+            request.method = std::string(message.method_string());
+            request.target = std::string(message.target());
+            for (const auto& field : message)
+                request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            request.body = message.body();
+            if (!request.target.starts_with("/filbertspoke/"))
+                this->requests.push_back(request);
+            const ReplicaScript script = this->answer(request);
+            open = co_await this->play(*socket, script);
+        }
+    }
+
+    asio::awaitable<bool> play(tcp::socket& socket, const ReplicaScript& script)
+    {
+        asio::steady_timer timer(socket.get_executor());
+        for (const std::string& piece : script.pieces) {
+            const auto [error, bytes] = co_await asio::async_write(socket, asio::buffer(piece), asTuple);
+            timer.expires_after(script.pause);
+            co_await timer.async_wait(asTuple);
+            if (error) {
+                ++this->abandoned;
+                co_return false;
+            }
+        }
+        if (script.end == ReplicaScript::End::Reset)
+            socket.set_option(asio::socket_base::linger(true, 0));
+        if (script.end == ReplicaScript::End::Silence) {
+            const auto [error] = co_await socket.async_wait(tcp::socket::wait_read, asTuple);
+            ++this->abandoned;
+            co_return false;
+        }
+        if (script.end != ReplicaScript::End::Keep)
+            socket.close();
+        co_return script.end == ReplicaScript::End::Keep;
+    }
+
+    tcp::acceptor acceptor;
+    Answer answer;
+    std::vector<HttpRequest> requests;
+    int abandoned = 0;
+};
+
+ReplicaStandIn::ReplicaStandIn(asio::io_context& context, const std::string& address, Answer answer)
+    : state(std::make_shared<State>(context, address, std::move(answer)))
+{
+    asio::co_spawn(context, this->state->listen(), asio::detached);
+}
+
+ReplicaStandIn::~ReplicaStandIn()
+{
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+}
+
+HttpAddress ReplicaStandIn::address() const
+{
+    const auto endpoint = this->state->acceptor.local_endpoint();
+    return { endpoint.address().to_string(), endpoint.port() };
+}
+
+const std::vector<HttpRequest>& ReplicaStandIn::requests() const
+{
+    return this->state->requests;
+}
+
+int ReplicaStandIn::abandoned() const
+{
+    return this->state->abandoned;
+}
+
+void ReplicaStandIn::setAnswer(Answer answer)
+{
+    this->state->answer = std::move(answer);
+}
+
+std::string wholeAnswer(const HttpRequest& request, unsigned status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nAttempt-Id: " + std::string(findHeader(request.headers, "Attempt-Id")) + "\r\nServer-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string streamHead(const HttpRequest& request)
+{
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + std::string(findHeader(request.headers, "Attempt-Id")) + "\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string eventChunk(int id)
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: token\n\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+    return size + event + "\r\n";
+}
+
+std::string lastChunk()
+{
+    return "0\r\n\r\n";
+}
+
+}
--- /dev/null
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -0,0 +1,64 @@
+#ifndef FILBERTSPOKE_REPLICA_STAND_IN_H
+#define FILBERTSPOKE_REPLICA_STAND_IN_H
+
+#include <filbertspoke/Http>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief What a replica sends in answer to one request. */
+struct ReplicaScript {
+    enum class End {
+        Keep, ///< the connection stays open for the next request
+        Close,
+        Reset,
+        Silence, ///< nothing more comes, and the connection stays open
+    };
+
+    std::vector<std::string> pieces; ///< raw bytes, the head included, with a pause after each
+    Duration pause = std::chrono::milliseconds(5);
+    End end = End::Keep;
+};
+
+/** \brief Plays a replica or an engine of the platform, byte by byte. */
+class ReplicaStandIn {
+public:
+    using Answer = std::function<ReplicaScript(const HttpRequest&)>;
+
+    /** \brief Listens on any free port of the address. */
+    ReplicaStandIn(boost::asio::io_context&, const std::string& address, Answer);
+    ~ReplicaStandIn();
+
+    HttpAddress address() const;
+    /** \returns the requests that callers caused, without reports and orders */
+    const std::vector<HttpRequest>& requests() const;
+    /** \returns how many connections ended before their answer was whole */
+    int abandoned() const;
+    /** \brief Replaces the answers from now on. */
+    void setAnswer(Answer);
+
+private:
+    class State;
+    std::shared_ptr<State> state;
+};
+
+/** \returns a whole answer with length, id and seal */
+std::string wholeAnswer(const HttpRequest& request, unsigned status, const std::string& body);
+/** \returns the head of a stream in chunks, with id and seal */
+std::string streamHead(const HttpRequest& request);
+/** \returns one event of a stream as a chunk */
+std::string eventChunk(int id);
+/** \returns the end of a stream */
+std::string lastChunk();
+
+}
+
+#endif
--- /dev/null
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
@@ -0,0 +1,104 @@
+#include <filbertspoke/PlatformTesting>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace filbertspoke {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string bigEndian(std::uint64_t number, int bytes)
+{
+    std::string text;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+        text += static_cast<char>(number >> shift & 0xff);
+    return text;
+}
+
+std::string base64(const std::string& bytes)
+{
+    namespace codec = boost::beast::detail::base64;
+    std::string text(codec::encoded_size(bytes.size()), '\0');
+    text.resize(codec::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+HttpResponse respond(unsigned status, std::string body = {})
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = std::move(body);
+    return response;
+}
+
+}
+
+StoreStandIn::StoreStandIn(boost::asio::io_context& context, const HttpAddress& address)
+    : server(context, address, [this, &context](HttpRequest request) -> boost::asio::awaitable<std::optional<HttpResponse>> {
+        // Reads that wait for records are paced here, so that a follower doesn't spin.
+        boost::asio::steady_timer pace(context, std::chrono::milliseconds(5));
+        co_await pace.async_wait(boost::asio::use_awaitable);
+        co_return this->answer(request);
+    })
+{
+}
+
+void StoreStandIn::put(const std::string& topic, const std::string& key, std::optional<std::string> value)
+{
+    this->topics[topic].emplace_back(key, std::move(value));
+}
+
+void StoreStandIn::setAway(bool value)
+{
+    this->away = value;
+}
+
+HttpResponse StoreStandIn::answer(const HttpRequest& request) const
+{
+    if (this->away)
+        return respond(503);
+    const std::string path = targetPath(request);
+    auto query = targetQuery(request);
+    const auto topic = this->topics.find(query["Topic"]);
+    const std::vector<Record> records = topic == this->topics.end() ? std::vector<Record> {} : topic->second;
+    if (path == "/filbertspoke/log-newest")
+        return this->newest(records);
+    if (path == "/filbertspoke/log-read")
+        return read(records, std::stoul(query["From"]));
+    if (path == "/filbertspoke/log-join")
+        return respond(200, R"({"Generation":1,"TtlMs":1500,"parts":[["placement",0,0]]})");
+    if (path == "/filbertspoke/log-append")
+        return respond(200, R"({"Offset":0,"EndOffset":0})");
+    return respond(404);
+}
+
+HttpResponse StoreStandIn::newest(const std::vector<Record>& records) const
+{
+    std::map<std::string, std::optional<std::string>> latest;
+    for (const auto& [key, value] : records)
+        latest[key] = value;
+    json::array items;
+    for (const auto& [key, value] : latest) {
+        if (value)
+            items.push_back({ { "Key", key }, { "Value", base64(*value) }, { "Offset", 0 } });
+    }
+    return respond(200, json::serialize(json::object { { "Items", items }, { "HasMore", false }, { "EndOffset", records.size() } }));
+}
+
+HttpResponse StoreStandIn::read(const std::vector<Record>& records, std::size_t from)
+{
+    std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
+    for (std::size_t index = from; index < records.size(); ++index) {
+        const std::string content = bigEndian(records[index].first.size(), 1) + records[index].first + records[index].second.value_or("");
+        body += bigEndian(content.size(), 4) + content;
+    }
+    return respond(200, body);
+}
+
+}
