Gateways speak through hubs: one follows the store and adds up work in each failure domain

Change: PeerRoster; members speak with their hub, hubs with each other; followers read the store only where no hub does; the reserve of retries is shared by the number of gateways, half kept back for restarts.

--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
@@ -16,7 +16,7 @@
 /** \brief Bounds of the retry budget that all daemons share. */
 struct RetryBudgetSettings {
     double ratio = 0.1; ///< retries for each request
-    double reserve = 10; ///< further retries of this daemon
+    double reserve = 50; ///< further retries of all daemons together, within the same time
 
     auto operator<=>(const RetryBudgetSettings&) const = default;
 };
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -34,6 +34,7 @@
     auto [entry, added] = this->byId.try_emplace(endpoint.id, newRecord(endpoint));
     EndpointRecord& record = entry->second;
     if (added) {
+        ++this->changes;
         this->removeOthersAt(endpoint.address, record);
         return this->byId.contains(endpoint.id);
     }
@@ -43,6 +44,7 @@
     if (!restarted && endpoint.heartbeat < record.endpoint.heartbeat)
         return false;
     if (restarted) {
+        ++this->changes;
         record = newRecord(endpoint);
         return true;
     }
@@ -52,6 +54,7 @@
     RegisteredEndpoint before = record.endpoint;
     before.heartbeat = merged.heartbeat;
     const bool changed = before != merged || record.removedAt;
+    this->changes += changed ? 1 : 0;
     record.endpoint = merged;
     record.removedAt.reset();
     return changed;
@@ -78,6 +81,7 @@
     const auto entry = this->byId.find(id);
     if (entry == this->byId.end())
         return false;
+    ++this->changes;
     const bool mayHaveLapsed = this->returnedAt && now - *this->returnedAt < lapseGrace;
     if (!mayHaveLapsed || entry->second.endpoint.draining) {
         this->byId.erase(entry);
@@ -111,7 +115,7 @@
 
 void EndpointRegistry::expire(TimePoint now)
 {
-    std::erase_if(this->byId, [now](const auto& entry) {
+    this->changes += std::erase_if(this->byId, [now](const auto& entry) {
         return entry.second.removedAt && now - *entry.second.removedAt >= lapseGrace;
     });
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -72,6 +72,9 @@
     /** \returns the service's endpoints that may get new work; the avoided ones only when there is no other */
     std::vector<const EndpointRecord*> candidates(const ServiceId&, TimePoint now) const;
 
+    /** \returns a number that changes whenever the entries do, heartbeats apart */
+    std::uint64_t revision() const { return this->changes; }
+
     const std::map<EndpointId, EndpointRecord>& records() const { return this->byId; }
 
 private:
@@ -83,6 +86,7 @@
     std::map<EndpointId, EndpointRecord> byId;
     std::map<FailureDomainId, UnreachableEndpoints> unreachable;
     std::optional<TimePoint> returnedAt; ///< of the registry's last return
+    std::uint64_t changes = 1;
 };
 
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/GatewayWord.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GatewayWord.h
@@ -33,9 +33,14 @@
 /** \brief What a gateway tells another one of itself. */
 struct GatewayWord {
     DaemonId daemon;
+    FailureDomainId failureDomain;
     SocketAddress address; ///< where other gateways reach it
     std::uint64_t configurationVersion = 0; ///< in force there; 0 for none
-    WorkByEndpoint work; ///< that it has in progress
+    WorkByEndpoint work; ///< in progress
+    bool sum = false; ///< the work is that of a group of gateways, not of the sender alone
+    std::uint64_t endpointsRevision = 0; ///< of the sender's list; changes with every change of it
+    std::uint64_t knownRevision = 0; ///< of the receiver's list, as the sender has it
+    bool followsStore = false; ///< the sender reads the store itself, and reaches it
     std::vector<AvoidedEndpoint> avoided;
     std::vector<SocketAddress> peers; ///< that it knows
     bool wantsEndpoints = false; ///< it can't read the registry itself
--- a/packages/Gateway/filbertspoke/src/Gateway/LoadBook.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LoadBook.cpp
@@ -6,47 +6,88 @@
 
 namespace {
 
-// A peer says its load several times a second; after this long without a word it counts as gone.
-constexpr Duration peerWordLifetime = std::chrono::seconds(2);
+// Words come several times a second; after this long without one, a daemon or a group counts as gone.
+constexpr Duration wordLifetime = std::chrono::seconds(2);
 
-WorkInProgress find(const WorkByEndpoint& loads, const EndpointId& endpoint)
+WorkInProgress find(const WorkByEndpoint& works, const EndpointId& endpoint)
 {
-    const auto load = loads.find(endpoint);
-    return load == loads.end() ? WorkInProgress {} : load->second;
+    const auto work = works.find(endpoint);
+    return work == works.end() ? WorkInProgress {} : work->second;
+}
+
+void add(WorkByEndpoint& sum, const WorkByEndpoint& works)
+{
+    for (const auto& [endpoint, work] : works)
+        sum[endpoint] += work;
 }
 
 }
 
-void LoadBook::begin(const EndpointId& endpoint, const WorkInProgress& load)
+void LoadBook::begin(const EndpointId& endpoint, const WorkInProgress& work)
 {
-    this->ownLoad[endpoint] += load;
+    this->ownWork[endpoint] += work;
 }
 
-void LoadBook::end(const EndpointId& endpoint, const WorkInProgress& load)
+void LoadBook::end(const EndpointId& endpoint, const WorkInProgress& work)
 {
-    const auto entry = this->ownLoad.find(endpoint);
-    if (entry == this->ownLoad.end())
+    const auto entry = this->ownWork.find(endpoint);
+    if (entry == this->ownWork.end())
         return;
-    entry->second -= load;
+    entry->second -= work;
     if (entry->second.requests < 0.5)
-        this->ownLoad.erase(entry);
+        this->ownWork.erase(entry);
+}
+
+void LoadBook::noteMember(const DaemonId& member, WorkByEndpoint work, TimePoint now)
+{
+    this->members.insert_or_assign(member, Word { std::move(work), now });
+}
+
+void LoadBook::noteGroup(const std::string& group, WorkByEndpoint work, TimePoint now)
+{
+    this->groups.insert_or_assign(group, Word { std::move(work), now });
 }
 
-void LoadBook::notePeer(const DaemonId& peer, WorkByEndpoint load, TimePoint now)
+void LoadBook::forgetOthers()
 {
-    this->byPeer.insert_or_assign(peer, PeerLoad { std::move(load), now });
+    this->members.clear();
+    this->groups.clear();
 }
 
 void LoadBook::expire(TimePoint now)
 {
-    std::erase_if(this->byPeer, [now](const auto& entry) { return now - entry.second.saidAt > peerWordLifetime; });
+    const auto isOld = [now](const auto& entry) { return now - entry.second.saidAt > wordLifetime; };
+    std::erase_if(this->members, isOld);
+    std::erase_if(this->groups, isOld);
 }
 
 WorkInProgress LoadBook::total(const EndpointId& endpoint) const
 {
-    WorkInProgress sum = find(this->ownLoad, endpoint);
-    for (const auto& [peer, word] : this->byPeer)
-        sum += find(word.load, endpoint);
+    WorkInProgress sum = find(this->ownWork, endpoint);
+    for (const auto& [member, word] : this->members)
+        sum += find(word.work, endpoint);
+    for (const auto& [group, word] : this->groups)
+        sum += find(word.work, endpoint);
+    return sum;
+}
+
+WorkByEndpoint LoadBook::withMembers() const
+{
+    WorkByEndpoint sum = this->ownWork;
+    for (const auto& [member, word] : this->members)
+        add(sum, word.work);
+    return sum;
+}
+
+WorkByEndpoint LoadBook::withoutMember(const DaemonId& excluded) const
+{
+    WorkByEndpoint sum = this->ownWork;
+    for (const auto& [member, word] : this->members) {
+        if (member != excluded)
+            add(sum, word.work);
+    }
+    for (const auto& [group, word] : this->groups)
+        add(sum, word.work);
     return sum;
 }
 
--- a/packages/Gateway/filbertspoke/src/Gateway/LoadBook.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/LoadBook.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 namespace filbertspoke {
 
@@ -31,29 +32,39 @@
 
 using WorkByEndpoint = std::map<EndpointId, WorkInProgress>;
 
-/** \brief The work in progress at each endpoint: this daemon's own, and what peers said of theirs. */
+/** \brief The work in progress at each endpoint: this daemon's own, that of the daemons that report to this one, and
+ * the sums that others told of the rest. */
 class LoadBook {
 public:
     void begin(const EndpointId&, const WorkInProgress&);
     void end(const EndpointId&, const WorkInProgress&);
 
-    /** \brief Takes a peer's whole load, in place of what it said before. */
-    void notePeer(const DaemonId&, WorkByEndpoint, TimePoint now);
-    /** \brief Forgets what peers said that have been silent since before \a now minus the time for which a word holds. */
+    /** \brief Takes the whole work of a daemon that reports to this one, in place of what it said before. */
+    void noteMember(const DaemonId&, WorkByEndpoint, TimePoint now);
+    /** \brief Takes the sum of a group of other daemons, in place of the group's last one. */
+    void noteGroup(const std::string& group, WorkByEndpoint, TimePoint now);
+    /** \brief Forgets all that others said: this daemon's place among them has changed. */
+    void forgetOthers();
+    /** \brief Forgets what was said too long ago. */
     void expire(TimePoint now);
 
-    /** \returns the load of all daemons at the endpoint, as far as it is known */
+    /** \returns the work of all daemons at the endpoint, as far as it is known */
     WorkInProgress total(const EndpointId&) const;
-    const WorkByEndpoint& own() const { return this->ownLoad; }
+    const WorkByEndpoint& own() const { return this->ownWork; }
+    /** \returns the work of this daemon and those that report to it */
+    WorkByEndpoint withMembers() const;
+    /** \returns the work of all daemons but \a member */
+    WorkByEndpoint withoutMember(const DaemonId& member) const;
 
 private:
-    struct PeerLoad {
-        WorkByEndpoint load;
+    struct Word {
+        WorkByEndpoint work;
         TimePoint saidAt;
     };
 
-    WorkByEndpoint ownLoad;
-    std::map<DaemonId, PeerLoad> byPeer;
+    WorkByEndpoint ownWork;
+    std::map<DaemonId, Word> members;
+    std::map<std::string, Word> groups;
 };
 
 }
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.cpp
@@ -0,0 +1,116 @@
+#include <filbertspoke/Gateway>
+
+#include <algorithm>
+#include <utility>
+
+namespace filbertspoke {
+
+namespace {
+
+// Between two exchanges with a partner; a fifth of a second bounds the age of what is known of others' work.
+constexpr Duration partnerPause = std::chrono::milliseconds(200);
+// Between two exchanges with a gateway that is no partner, to learn of its coming and going.
+constexpr Duration acquaintancePause = std::chrono::seconds(5);
+// A gateway that does not answer is tried again after this time.
+constexpr Duration unreachablePause = std::chrono::seconds(1);
+constexpr std::uint32_t failuresForUnreachable = 2;
+
+bool answers(const KnownPeer& peer)
+{
+    return !peer.failureDomain.empty() && peer.failures < failuresForUnreachable;
+}
+
+}
+
+PeerRoster::PeerRoster(SocketAddress self, FailureDomainId failureDomain)
+    : self(std::move(self))
+    , domain(std::move(failureDomain))
+{
+}
+
+void PeerRoster::meet(const SocketAddress& address)
+{
+    if (address != this->self)
+        this->peers.try_emplace(address);
+}
+
+void PeerRoster::noteHeard(const SocketAddress& address, const FailureDomainId& failureDomain)
+{
+    if (address == this->self)
+        return;
+    KnownPeer& peer = this->peers[address];
+    peer.failureDomain = failureDomain;
+    peer.failures = 0;
+}
+
+void PeerRoster::noteFailure(const SocketAddress& address)
+{
+    const auto peer = this->peers.find(address);
+    if (peer != this->peers.end())
+        ++peer->second.failures;
+}
+
+void PeerRoster::noteAsked(const SocketAddress& address, TimePoint now)
+{
+    const auto peer = this->peers.find(address);
+    if (peer != this->peers.end())
+        peer->second.askedAt = now;
+}
+
+std::optional<SocketAddress> PeerRoster::hub(const FailureDomainId& failureDomain) const
+{
+    std::optional<SocketAddress> lowest;
+    if (failureDomain == this->domain)
+        lowest = this->self;
+    for (const auto& [address, peer] : this->peers) {
+        if (peer.failureDomain == failureDomain && answers(peer) && (!lowest || address < *lowest))
+            lowest = address;
+    }
+    return lowest;
+}
+
+bool PeerRoster::isReachable(const SocketAddress& address) const
+{
+    const auto peer = this->peers.find(address);
+    return peer != this->peers.end() && answers(peer->second);
+}
+
+std::optional<FailureDomainId> PeerRoster::domainOf(const SocketAddress& address) const
+{
+    const auto peer = this->peers.find(address);
+    if (peer == this->peers.end() || peer->second.failureDomain.empty())
+        return std::nullopt;
+    return peer->second.failureDomain;
+}
+
+bool PeerRoster::isPartner(const SocketAddress& address, const KnownPeer& peer) const
+{
+    if (peer.failureDomain.empty())
+        return false;
+    const bool near = peer.failureDomain == this->domain;
+    return this->isHub() ? !near && this->hub(peer.failureDomain) == address : near && this->hub(this->domain) == address;
+}
+
+std::vector<SocketAddress> PeerRoster::due(TimePoint now) const
+{
+    std::vector<SocketAddress> asked;
+    for (const auto& [address, peer] : this->peers) {
+        const bool unheard = peer.failureDomain.empty() || peer.failures >= failuresForUnreachable;
+        const Duration pause = unheard ? unreachablePause : this->isPartner(address, peer) ? partnerPause : acquaintancePause;
+        if (!peer.askedAt || now - *peer.askedAt >= pause)
+            asked.push_back(address);
+    }
+    return asked;
+}
+
+std::vector<SocketAddress> PeerRoster::reachable() const
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& [address, peer] : this->peers) {
+        if (answers(peer))
+            addresses.push_back(address);
+    }
+    return addresses;
+}
+
+}
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.h
@@ -0,0 +1,65 @@
+#ifndef FILBERTSPOKE_PEER_ROSTER_H
+#define FILBERTSPOKE_PEER_ROSTER_H
+
+#include <filbertspoke/Configuration>
+#include <filbertspoke/Core>
+
+#include <compare>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief Another gateway as this one knows it. */
+struct KnownPeer {
+    FailureDomainId failureDomain; ///< empty until it has been heard
+    std::uint32_t failures = 0; ///< exchanges without an answer, since the last answer
+    std::optional<TimePoint> askedAt; ///< when the last exchange began
+
+    auto operator<=>(const KnownPeer&) const = default;
+};
+
+/** \brief The gateways of a site, and who speaks with whom.
+ *
+ * In each failure domain the reachable gateway with the lowest address is the hub: it follows the store for the
+ * others and adds up their work. Members speak with their hub, hubs with each other, so that neither the calls to
+ * the store nor the traffic between failure domains grow with the number of gateways. Each gateway works out the hub
+ * from what it sees itself; two that both think that they are the hub only do work twice.
+ */
+class PeerRoster {
+public:
+    PeerRoster(SocketAddress self, FailureDomainId failureDomain);
+
+    /** \brief Learns that there may be a gateway at the address. */
+    void meet(const SocketAddress&);
+    void noteHeard(const SocketAddress&, const FailureDomainId&);
+    void noteFailure(const SocketAddress&);
+    void noteAsked(const SocketAddress&, TimePoint now);
+
+    /** \returns the hub of the failure domain, which may be this gateway itself, or nothing when none is reachable */
+    std::optional<SocketAddress> hub(const FailureDomainId&) const;
+    bool isHub() const { return this->hub(this->domain) == this->self; }
+    /** \returns whether the gateway at the address is reachable, as far as it is known */
+    bool isReachable(const SocketAddress&) const;
+    /** \returns the failure domain of the gateway at the address, or nothing */
+    std::optional<FailureDomainId> domainOf(const SocketAddress&) const;
+    /** \returns the gateways that are to be asked now */
+    std::vector<SocketAddress> due(TimePoint now) const;
+    /** \returns the addresses of the reachable gateways, without this one */
+    std::vector<SocketAddress> reachable() const;
+    /** \returns how many gateways are reachable, this one included */
+    std::size_t size() const { return this->reachable().size() + 1; }
+
+private:
+    bool isPartner(const SocketAddress&, const KnownPeer&) const;
+
+    SocketAddress self;
+    FailureDomainId domain;
+    std::map<SocketAddress, KnownPeer> peers;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Gateway/tests/PeerRoster.cpp
@@ -0,0 +1,108 @@
+#include <filbertspoke/Gateway>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const FailureDomainId near("a");
+const FailureDomainId far("b");
+
+SocketAddress at(int host)
+{
+    return { "10.0.0." + std::to_string(host), 80 };
+}
+
+struct Fixture {
+    bool isDue(int host) const
+    {
+        const auto due = this->roster.due(this->now);
+        return std::find(due.begin(), due.end(), at(host)) != due.end();
+    }
+
+    void askAll()
+    {
+        for (const SocketAddress& address : this->roster.due(this->now))
+            this->roster.noteAsked(address, this->now);
+    }
+
+    PeerRoster roster { at(5), near };
+    TimePoint now { 100s };
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(aloneItIsTheHub, Fixture)
+{
+    BOOST_TEST(this->roster.isHub());
+    this->roster.meet(at(1));
+    BOOST_TEST(this->roster.isHub());
+    BOOST_TEST(this->isDue(1));
+    BOOST_TEST(this->roster.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(lowestReachableAddressOfTheDomainIsTheHub, Fixture)
+{
+    this->roster.noteHeard(at(2), near);
+    this->roster.noteHeard(at(1), far);
+    BOOST_TEST((this->roster.hub(near) == at(2)));
+    BOOST_TEST((this->roster.hub(far) == at(1)));
+    BOOST_TEST(!this->roster.isHub());
+    this->roster.noteFailure(at(2));
+    BOOST_TEST(!this->roster.isHub());
+    this->roster.noteFailure(at(2));
+    BOOST_TEST(this->roster.isHub());
+    this->roster.noteHeard(at(2), near);
+    BOOST_TEST(!this->roster.isHub());
+}
+
+BOOST_FIXTURE_TEST_CASE(membersSpeakWithTheirHubOnly, Fixture)
+{
+    this->roster.noteHeard(at(2), near);
+    this->roster.noteHeard(at(3), near);
+    this->roster.noteHeard(at(1), far);
+    this->askAll();
+    this->now += 200ms;
+    BOOST_TEST(this->isDue(2));
+    BOOST_TEST(!this->isDue(3));
+    BOOST_TEST(!this->isDue(1));
+    this->now += 5s;
+    BOOST_TEST(this->isDue(3));
+    BOOST_TEST(this->isDue(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(hubsSpeakWithEachOther, Fixture)
+{
+    this->roster.noteHeard(at(7), near);
+    this->roster.noteHeard(at(1), far);
+    this->roster.noteHeard(at(2), far);
+    this->askAll();
+    this->now += 200ms;
+    BOOST_TEST(this->isDue(1));
+    BOOST_TEST(!this->isDue(2));
+    BOOST_TEST(!this->isDue(7));
+}
+
+BOOST_FIXTURE_TEST_CASE(unreachableGatewaysAreTriedAgain, Fixture)
+{
+    this->roster.noteHeard(at(1), far);
+    this->roster.noteFailure(at(1));
+    this->roster.noteFailure(at(1));
+    this->askAll();
+    this->now += 900ms;
+    BOOST_TEST(!this->isDue(1));
+    this->now += 100ms;
+    BOOST_TEST(this->isDue(1));
+    BOOST_TEST(this->roster.reachable().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(itNeverMeetsItself, Fixture)
+{
+    this->roster.meet(at(5));
+    this->roster.noteHeard(at(5), near);
+    BOOST_TEST(this->roster.due(this->now).empty());
+}
--- a/packages/Peer/filbertspoke/src/Peer/GatewayWordFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GatewayWordFrame.cpp
@@ -1,6 +1,6 @@
 #include "GatewayWordFrame.h"
 
-#include "../../../gen-cpp/peer_types.h"
+#include "gen-cpp/peer_types.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -86,6 +86,11 @@
     }
     for (const wire::AvoidedEndpoint& avoided : message.avoided)
         word.avoided.push_back({ EndpointId(avoided.endpoint), Duration(avoided.remainingMicroseconds) });
+    word.failureDomain = FailureDomainId(message.failureDomain);
+    word.sum = message.sum;
+    word.endpointsRevision = static_cast<std::uint64_t>(message.endpointsRevision);
+    word.knownRevision = static_cast<std::uint64_t>(message.knownRevision);
+    word.followsStore = message.followsStore;
     word.wantsEndpoints = message.wantsEndpoints;
     if (message.__isset.configurationKey && message.__isset.configurationDocument)
         word.configuration = ConfigurationDocument { std::move(message.configurationKey), std::move(message.configurationDocument) };
@@ -122,6 +127,11 @@
         entry.remainingMicroseconds = avoided.remaining.count();
         message.avoided.push_back(std::move(entry));
     }
+    message.__set_failureDomain(word.failureDomain.str());
+    message.__set_sum(word.sum);
+    message.__set_endpointsRevision(static_cast<std::int64_t>(word.endpointsRevision));
+    message.__set_knownRevision(static_cast<std::int64_t>(word.knownRevision));
+    message.__set_followsStore(word.followsStore);
     message.wantsEndpoints = word.wantsEndpoints;
     if (word.configuration) {
         message.__set_configurationKey(word.configuration->key);
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4223,6 +4223,31 @@
   this->avoided = val;
 __isset.avoided = true;
 }
+
+void GatewayWord::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+__isset.failureDomain = true;
+}
+
+void GatewayWord::__set_sum(const bool val) {
+  this->sum = val;
+__isset.sum = true;
+}
+
+void GatewayWord::__set_endpointsRevision(const int64_t val) {
+  this->endpointsRevision = val;
+__isset.endpointsRevision = true;
+}
+
+void GatewayWord::__set_knownRevision(const int64_t val) {
+  this->knownRevision = val;
+__isset.knownRevision = true;
+}
+
+void GatewayWord::__set_followsStore(const bool val) {
+  this->followsStore = val;
+__isset.followsStore = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -4394,6 +4419,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sum);
+          this->__isset.sum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endpointsRevision);
+          this->__isset.endpointsRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->knownRevision);
+          this->__isset.knownRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->followsStore);
+          this->__isset.followsStore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4505,6 +4570,31 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.failureDomain) {
+    xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 12);
+    xfer += oprot->writeString(this->failureDomain);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.sum) {
+    xfer += oprot->writeFieldBegin("sum", ::apache::thrift::protocol::T_BOOL, 13);
+    xfer += oprot->writeBool(this->sum);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endpointsRevision) {
+    xfer += oprot->writeFieldBegin("endpointsRevision", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->endpointsRevision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.knownRevision) {
+    xfer += oprot->writeFieldBegin("knownRevision", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->knownRevision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.followsStore) {
+    xfer += oprot->writeFieldBegin("followsStore", ::apache::thrift::protocol::T_BOOL, 16);
+    xfer += oprot->writeBool(this->followsStore);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4523,6 +4613,11 @@
   swap(a.configurationDocument, b.configurationDocument);
   swap(a.endpoints, b.endpoints);
   swap(a.avoided, b.avoided);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.sum, b.sum);
+  swap(a.endpointsRevision, b.endpointsRevision);
+  swap(a.knownRevision, b.knownRevision);
+  swap(a.followsStore, b.followsStore);
   swap(a.__isset, b.__isset);
 }
 
@@ -4538,6 +4633,11 @@
   configurationDocument = other144.configurationDocument;
   endpoints = other144.endpoints;
   avoided = other144.avoided;
+  failureDomain = other144.failureDomain;
+  sum = other144.sum;
+  endpointsRevision = other144.endpointsRevision;
+  knownRevision = other144.knownRevision;
+  followsStore = other144.followsStore;
   __isset = other144.__isset;
 }
 GatewayWord::GatewayWord(GatewayWord&& other145) noexcept {
@@ -4552,6 +4652,11 @@
   configurationDocument = std::move(other145.configurationDocument);
   endpoints = std::move(other145.endpoints);
   avoided = std::move(other145.avoided);
+  failureDomain = std::move(other145.failureDomain);
+  sum = other145.sum;
+  endpointsRevision = other145.endpointsRevision;
+  knownRevision = other145.knownRevision;
+  followsStore = other145.followsStore;
   __isset = other145.__isset;
 }
 GatewayWord& GatewayWord::operator=(const GatewayWord& other146) {
@@ -4566,6 +4671,11 @@
   configurationDocument = other146.configurationDocument;
   endpoints = other146.endpoints;
   avoided = other146.avoided;
+  failureDomain = other146.failureDomain;
+  sum = other146.sum;
+  endpointsRevision = other146.endpointsRevision;
+  knownRevision = other146.knownRevision;
+  followsStore = other146.followsStore;
   __isset = other146.__isset;
   return *this;
 }
@@ -4581,6 +4691,11 @@
   configurationDocument = std::move(other147.configurationDocument);
   endpoints = std::move(other147.endpoints);
   avoided = std::move(other147.avoided);
+  failureDomain = std::move(other147.failureDomain);
+  sum = other147.sum;
+  endpointsRevision = other147.endpointsRevision;
+  knownRevision = other147.knownRevision;
+  followsStore = other147.followsStore;
   __isset = other147.__isset;
   return *this;
 }
@@ -4598,6 +4713,11 @@
   out << ", " << "configurationDocument="; (__isset.configurationDocument ? (out << to_string(configurationDocument)) : (out << "<null>"));
   out << ", " << "endpoints="; (__isset.endpoints ? (out << to_string(endpoints)) : (out << "<null>"));
   out << ", " << "avoided="; (__isset.avoided ? (out << to_string(avoided)) : (out << "<null>"));
+  out << ", " << "failureDomain="; (__isset.failureDomain ? (out << to_string(failureDomain)) : (out << "<null>"));
+  out << ", " << "sum="; (__isset.sum ? (out << to_string(sum)) : (out << "<null>"));
+  out << ", " << "endpointsRevision="; (__isset.endpointsRevision ? (out << to_string(endpointsRevision)) : (out << "<null>"));
+  out << ", " << "knownRevision="; (__isset.knownRevision ? (out << to_string(knownRevision)) : (out << "<null>"));
+  out << ", " << "followsStore="; (__isset.followsStore ? (out << to_string(followsStore)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -1501,11 +1501,16 @@
 std::ostream& operator<<(std::ostream& out, const AvoidedEndpoint& obj);
 
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
   bool avoided :1;
+  bool failureDomain :1;
+  bool sum :1;
+  bool endpointsRevision :1;
+  bool knownRevision :1;
+  bool followsStore :1;
 } _GatewayWord__isset;
 
 /**
@@ -1525,7 +1530,12 @@
                 configurationVersion(0),
                 wantsEndpoints(0),
                 configurationKey(),
-                configurationDocument() {
+                configurationDocument(),
+                failureDomain(),
+                sum(0),
+                endpointsRevision(0),
+                knownRevision(0),
+                followsStore(0) {
   }
 
   virtual ~GatewayWord() noexcept;
@@ -1540,6 +1550,11 @@
   std::string configurationDocument;
   std::vector<RegistryEntry>  endpoints;
   std::vector<AvoidedEndpoint>  avoided;
+  std::string failureDomain;
+  bool sum;
+  int64_t endpointsRevision;
+  int64_t knownRevision;
+  bool followsStore;
 
   _GatewayWord__isset __isset;
 
@@ -1565,6 +1580,16 @@
 
   void __set_avoided(const std::vector<AvoidedEndpoint> & val);
 
+  void __set_failureDomain(const std::string& val);
+
+  void __set_sum(const bool val);
+
+  void __set_endpointsRevision(const int64_t val);
+
+  void __set_knownRevision(const int64_t val);
+
+  void __set_followsStore(const bool val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1597,6 +1622,26 @@
       return false;
     else if (__isset.avoided && !(avoided == rhs.avoided))
       return false;
+    if (__isset.failureDomain != rhs.__isset.failureDomain)
+      return false;
+    else if (__isset.failureDomain && !(failureDomain == rhs.failureDomain))
+      return false;
+    if (__isset.sum != rhs.__isset.sum)
+      return false;
+    else if (__isset.sum && !(sum == rhs.sum))
+      return false;
+    if (__isset.endpointsRevision != rhs.__isset.endpointsRevision)
+      return false;
+    else if (__isset.endpointsRevision && !(endpointsRevision == rhs.endpointsRevision))
+      return false;
+    if (__isset.knownRevision != rhs.__isset.knownRevision)
+      return false;
+    else if (__isset.knownRevision && !(knownRevision == rhs.knownRevision))
+      return false;
+    if (__isset.followsStore != rhs.__isset.followsStore)
+      return false;
+    else if (__isset.followsStore && !(followsStore == rhs.followsStore))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -208,4 +208,9 @@
   9: optional binary configurationDocument
   10: optional list<RegistryEntry> endpoints
   11: optional list<AvoidedEndpoint> avoided
+  12: optional string failureDomain
+  13: optional bool sum
+  14: optional i64 endpointsRevision
+  15: optional i64 knownRevision
+  16: optional bool followsStore
 }
--- a/packages/Peer/tests/GatewayWord.cpp
+++ b/packages/Peer/tests/GatewayWord.cpp
@@ -14,6 +14,11 @@
     word.work = { { EndpointId("e1"), { 2, 1500.5 } } };
     word.avoided = { { EndpointId("e2"), 400ms } };
     word.peers = { { "10.0.0.2", 8229 } };
+    word.failureDomain = FailureDomainId("a");
+    word.sum = true;
+    word.endpointsRevision = 8;
+    word.knownRevision = 6;
+    word.followsStore = true;
     word.wantsEndpoints = true;
     word.configuration = ConfigurationDocument { "config", std::string("{\0}", 3) };
     RegisteredEndpoint endpoint;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -1,14 +1,27 @@
 #include <filbertspoke/Proxy>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
 namespace filbertspoke {
 
+namespace {
+
+// Half of the shared reserve is dealt out; the other half covers daemons that restart with a fresh part.
+constexpr double reserveFraction = 0.5;
+// Before a daemon knows the others, it takes a part as if there were so many.
+constexpr std::size_t leastDaemons = 4;
+// A hub speaks several times a second; a member follows the store itself after so long without a word of its hub.
+constexpr Duration hubLifetime = std::chrono::milliseconds(900);
+
+}
+
 GatewayContext::GatewayContext(boost::asio::io_context& io, GatewaySettings settings, GatewayWires wires)
     : io(io)
     , settings(std::move(settings))
     , wires(std::move(wires))
+    , roster(this->settings.peers.value_or(this->settings.callers), this->settings.failureDomain)
     , waiters(io)
     , pool(io)
     , random(std::random_device {}())
@@ -17,8 +30,16 @@
 
 RetryBudget& GatewayContext::retryBudget(const ServiceId& service)
 {
-    const auto& budget = this->settings.retryBudget;
-    return this->budgets.try_emplace(service, budget.ratio, budget.reserve).first->second;
+    const auto& shared = this->settings.retryBudget;
+    const double part = shared.reserve * reserveFraction / static_cast<double>(std::max(this->roster.size(), leastDaemons));
+    RetryBudget& budget = this->budgets.try_emplace(service, shared.ratio, part).first->second;
+    budget.setReserve(part);
+    return budget;
+}
+
+bool GatewayContext::followsStore() const
+{
+    return this->roster.isHub() || !this->hubHeardAt || bootNow() - *this->hubHeardAt > hubLifetime;
 }
 
 double GatewayContext::draw()
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -33,8 +33,10 @@
 public:
     GatewayContext(boost::asio::io_context&, GatewaySettings, GatewayWires);
 
-    /** \returns the budget of retries at the service */
+    /** \returns this daemon's part of the budget of retries at the service */
     RetryBudget& retryBudget(const ServiceId&);
+    /** \returns whether this daemon has to follow the store itself: it is the hub, or has no hub that does */
+    bool followsStore() const;
     /** \returns a number in [0, 1) */
     double draw();
     /** \brief Puts a configuration in force if it is newer than the one that is.
@@ -49,6 +51,8 @@
     EndpointRegistry registry;
     bool registryKnown = false;
     LoadBook loads;
+    PeerRoster roster;
+    std::optional<TimePoint> hubHeardAt; ///< when the hub last said that it follows the store
     CapacityWaiters waiters;
     StreamWatch streams;
     UpstreamPool pool;
--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
@@ -53,7 +53,8 @@
     HttpConnection store(this->context.io, { this->context.settings.store.address, this->context.settings.store.port }, {});
     asio::steady_timer timer(this->context.io);
     while (!this->stopped) {
-        co_await this->claim(store);
+        if (this->context.roster.isHub())
+            co_await this->claim(store);
         if (this->holdsDuty())
             co_await this->place();
         timer.expires_after(claimPause);
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -16,14 +16,14 @@
 namespace {
 
 constexpr std::string_view wordTarget = "/peers/word";
-// Both sides of a pair speak in turn, so that each hears the other twice in this time.
-constexpr Duration leastPause = std::chrono::milliseconds(250);
-// With many peers each is asked less often, which bounds a gateway's own traffic.
-constexpr Duration pausePerPeer = std::chrono::milliseconds(40);
+// How often the roster is asked who is to be spoken with; half the shortest pause between two words.
+constexpr Duration rosterPause = std::chrono::milliseconds(100);
+// A peer answers within a millisecond or two; a longer silence counts as a failure.
 constexpr Duration answerTimeout = std::chrono::milliseconds(300);
-constexpr Duration unreachablePause = std::chrono::seconds(1);
-// A peer that never answers for so long is no longer asked; it comes back by asking itself.
-constexpr int forgetAfterFailures = 30;
+constexpr Duration connectionIdleTime = std::chrono::seconds(10);
+constexpr std::size_t maximumWordBytes = 64 * 1024 * 1024;
+// The group under which a member keeps its hub's sum.
+const std::string hubGroup = "hub";
 
 }
 
@@ -37,79 +37,132 @@
 void PeerExchange::start()
 {
     for (const SocketAddress& seed : this->context.settings.seeds)
-        this->meet(seed);
+        this->context.roster.meet(seed);
+    asio::co_spawn(this->context.io, this->run(), asio::detached);
 }
 
-void PeerExchange::meet(const SocketAddress& address)
+bool PeerExchange::isMyHub(const SocketAddress& address) const
 {
-    if (address == *this->context.settings.peers || this->peers.contains(address))
+    return this->context.roster.hub(this->context.settings.failureDomain) == address;
+}
+
+bool PeerExchange::hasCurrentEndpoints() const
+{
+    return this->context.registryKnown && this->context.followsStore() && this->follower.reachable();
+}
+
+void PeerExchange::addWork(GatewayWord& word, const SocketAddress& receiver) const
+{
+    const bool hub = this->context.roster.isHub();
+    const auto domain = this->context.roster.domainOf(receiver);
+    const auto entry = this->heard.find(receiver);
+    if (!domain)
         return;
-    this->peers.emplace(address, Peer {});
-    asio::co_spawn(this->context.io, this->converse(address), asio::detached);
+    if (*domain != this->context.settings.failureDomain) {
+        word.sum = hub;
+        if (hub && this->context.roster.hub(*domain) == receiver)
+            word.work = this->context.loads.withMembers();
+    } else if (hub) {
+        word.sum = true;
+        word.work = this->context.loads.withoutMember(entry == this->heard.end() ? DaemonId() : entry->second.daemon);
+    } else if (this->isMyHub(receiver)) {
+        word.work = this->context.loads.own();
+    }
 }
 
-Duration PeerExchange::pause() const
+void PeerExchange::addDocuments(GatewayWord& word, const SocketAddress& receiver) const
 {
-    return std::max<Duration>(leastPause, pausePerPeer * static_cast<Duration::rep>(this->peers.size()));
+    const auto entry = this->heard.find(receiver);
+    if (entry == this->heard.end())
+        return;
+    if (entry->second.configurationVersion < word.configurationVersion)
+        word.configuration = this->context.document;
+    if (!entry->second.wantsEndpoints || !this->hasCurrentEndpoints() || entry->second.knownRevision == word.endpointsRevision)
+        return;
+    word.endpoints.emplace();
+    for (const auto& [id, record] : this->context.registry.records())
+        word.endpoints->push_back(record.endpoint);
 }
 
-GatewayWord PeerExchange::wordFor(const SocketAddress& address) const
+GatewayWord PeerExchange::wordFor(const SocketAddress& receiver) const
 {
     GatewayWord word;
     word.daemon = this->context.settings.daemon;
+    word.failureDomain = this->context.settings.failureDomain;
     word.address = *this->context.settings.peers;
     word.configurationVersion = this->context.table ? this->context.table->version() : 0;
-    word.work = this->context.loads.own();
-    for (const auto& [known, peer] : this->peers) {
-        if (peer.reachable)
-            word.peers.push_back(known);
-    }
+    word.peers = this->context.roster.reachable();
+    word.followsStore = this->hasCurrentEndpoints();
+    word.wantsEndpoints = !word.followsStore;
+    word.endpointsRevision = this->context.registry.revision();
+    const auto entry = this->heard.find(receiver);
+    word.knownRevision = entry == this->heard.end() ? 0 : entry->second.endpointsRevision;
     const TimePoint now = bootNow();
     for (const auto& [id, record] : this->context.registry.records()) {
         const auto remaining = EndpointRegistry::ownAvoidance(record, now);
         if (remaining && record.lastFault == EndpointFault::Unreachable)
             word.avoided.push_back({ id, *remaining });
     }
-    const bool current = this->follower.reachable() && this->context.registryKnown;
-    word.wantsEndpoints = !current;
-    const auto peer = this->peers.find(address);
-    if (peer == this->peers.end())
-        return word;
-    if (peer->second.configurationVersion < word.configurationVersion)
-        word.configuration = this->context.document;
-    if (peer->second.wantsEndpoints && current) {
-        word.endpoints.emplace();
-        for (const auto& [id, record] : this->context.registry.records())
-            word.endpoints->push_back(record.endpoint);
-    }
+    this->addWork(word, receiver);
+    this->addDocuments(word, receiver);
     return word;
 }
 
+void PeerExchange::takeWork(GatewayWord& word, TimePoint now)
+{
+    const bool near = word.failureDomain == this->context.settings.failureDomain;
+    const bool hub = this->context.roster.isHub();
+    if (near && hub && !word.sum)
+        this->context.loads.noteMember(word.daemon, std::move(word.work), now);
+    else if (near && !hub && word.sum && this->isMyHub(word.address))
+        this->context.loads.noteGroup(hubGroup, std::move(word.work), now);
+    else if (!near && hub && word.sum && this->context.roster.hub(word.failureDomain) == word.address)
+        this->context.loads.noteGroup(word.failureDomain.str(), std::move(word.work), now);
+}
+
+void PeerExchange::takeEndpoints(const GatewayWord& word, Heard& peer, TimePoint now)
+{
+    if (!word.endpoints || this->hasCurrentEndpoints())
+        return;
+    this->context.registry.replaceAll(*word.endpoints, now);
+    peer.endpointsRevision = word.endpointsRevision;
+    if (!this->context.registryKnown)
+        logLine(WriteLog::Level::Info, "endpoints-from-peer", { { "peer", word.daemon.str() }, { "endpoints", std::to_string(word.endpoints->size()) } });
+    this->context.registryKnown = true;
+}
+
 void PeerExchange::take(GatewayWord word)
 {
-    this->meet(word.address);
-    for (const SocketAddress& address : word.peers)
-        this->meet(address);
-    const auto peer = this->peers.find(word.address);
-    if (peer != this->peers.end()) {
-        peer->second.configurationVersion = word.configurationVersion;
-        peer->second.wantsEndpoints = word.wantsEndpoints;
-    }
     const TimePoint now = bootNow();
-    this->context.loads.notePeer(word.daemon, std::move(word.work), now);
+    this->context.roster.noteHeard(word.address, word.failureDomain);
+    for (const SocketAddress& address : word.peers)
+        this->context.roster.meet(address);
+    this->noteRole();
+    Heard& peer = this->heard[word.address];
+    peer.daemon = word.daemon;
+    peer.configurationVersion = word.configurationVersion;
+    peer.knownRevision = word.knownRevision;
+    peer.wantsEndpoints = word.wantsEndpoints;
+    if (word.followsStore && this->isMyHub(word.address))
+        this->context.hubHeardAt = now;
     for (const AvoidedEndpoint& avoided : word.avoided) {
         this->context.registry.noteHearsay(avoided.endpoint, avoided.remaining, now);
         this->context.streams.suspect(avoided.endpoint);
     }
     if (word.configuration)
         this->context.takeDocument(*word.configuration, word.daemon.str());
-    const bool current = this->follower.reachable() && this->context.registryKnown;
-    if (word.endpoints && !current) {
-        this->context.registry.replaceAll(*word.endpoints, now);
-        if (!this->context.registryKnown)
-            logLine(WriteLog::Level::Info, "endpoints-from-peer", { { "peer", word.daemon.str() }, { "endpoints", std::to_string(word.endpoints->size()) } });
-        this->context.registryKnown = true;
-    }
+    this->takeEndpoints(word, peer, now);
+    this->takeWork(word, now);
+}
+
+void PeerExchange::noteRole()
+{
+    const bool hub = this->context.roster.isHub();
+    if (hub == this->wasHub)
+        return;
+    this->wasHub = hub;
+    this->context.loads.forgetOthers();
+    logLine(WriteLog::Level::Info, "peer-role", { { "hub", hub ? "yes" : "no" }, { "gateways", std::to_string(this->context.roster.size()) } });
 }
 
 asio::awaitable<std::optional<HttpResponse>> PeerExchange::answer(HttpRequest request)
@@ -128,44 +181,44 @@
     co_return response;
 }
 
-void PeerExchange::noteReachable(const SocketAddress& address, bool reachable)
+void PeerExchange::noteAnswer(const SocketAddress& address, bool answered)
 {
-    const auto peer = this->peers.find(address);
-    if (peer == this->peers.end() || peer->second.reachable == reachable)
-        return;
-    peer->second.reachable = reachable;
-    logLine(reachable ? WriteLog::Level::Info : WriteLog::Level::Warning, reachable ? "peer-regained" : "peer-lost", { { "peer", address.address + ':' + std::to_string(address.port) } });
+    const bool before = this->context.roster.isReachable(address);
+    if (!answered)
+        this->context.roster.noteFailure(address);
+    const bool lost = before && !this->context.roster.isReachable(address);
+    if (lost)
+        logLine(WriteLog::Level::Warning, "peer-lost", { { "peer", address.address + ':' + std::to_string(address.port) } });
+    this->noteRole();
 }
 
-asio::awaitable<bool> PeerExchange::exchangeWords(HttpConnection& connection, const SocketAddress& address)
+asio::awaitable<void> PeerExchange::ask(SocketAddress address)
 {
+    auto& connection = this->connections[address];
+    if (!connection)
+        connection = std::make_unique<HttpConnection>(this->context.io, HttpAddress { address.address, address.port }, HttpLimits { answerTimeout, connectionIdleTime, maximumWordBytes });
+    if (connection->busy())
+        co_return;
+    this->context.roster.noteAsked(address, bootNow());
     HttpRequest request { "POST", std::string(wordTarget), {}, encodeGatewayWord(this->wordFor(address)) };
-    const HttpOutcome outcome = co_await exchange(connection, std::move(request), answerTimeout);
+    const HttpOutcome outcome = co_await exchange(*connection, std::move(request), answerTimeout);
     std::string reason;
     const HttpResponse* response = successfulResponse(outcome, reason);
     auto word = response ? decodeGatewayWord(response->body) : Result<GatewayWord>(make_error_code(ErrorCode::PeerUnreachable));
-    this->noteReachable(address, static_cast<bool>(word));
+    this->noteAnswer(address, static_cast<bool>(word));
     if (word)
         this->take(std::move(*word));
-    else
-        connection.close();
-    co_return static_cast<bool>(word);
 }
 
-asio::awaitable<void> PeerExchange::converse(SocketAddress address)
+asio::awaitable<void> PeerExchange::run()
 {
-    HttpConnection connection(this->context.io, { address.address, address.port }, { answerTimeout, std::chrono::seconds(10), 64 * 1024 * 1024 });
     asio::steady_timer timer(this->context.io);
-    const auto& seeds = this->context.settings.seeds;
-    const bool seed = std::find(seeds.begin(), seeds.end(), address) != seeds.end();
-    int failures = 0;
-    while (seed || failures < forgetAfterFailures) {
-        const bool heard = co_await this->exchangeWords(connection, address);
-        failures = heard ? 0 : failures + 1;
-        timer.expires_after(heard ? this->pause() : std::max(this->pause(), unreachablePause));
+    while (true) {
+        for (const SocketAddress& address : this->context.roster.due(bootNow()))
+            asio::co_spawn(this->context.io, this->ask(address), asio::detached);
+        timer.expires_after(rosterPause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    this->peers.erase(address);
 }
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
@@ -7,12 +7,13 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace filbertspoke {
 
-/** \brief Exchanges words with the other gateways: work in progress at endpoints, and for those that can't reach the
- * store the configuration and the endpoints. */
+/** \brief Exchanges words with the other gateways: work in progress at endpoints, endpoints to avoid, and for those
+ * that don't follow the store the configuration and the endpoints. */
 class PeerExchange {
 public:
     /** \throws boost::system::system_error when the address can't be bound */
@@ -21,24 +22,34 @@
     void start();
 
 private:
-    struct Peer {
-        std::uint64_t configurationVersion = 0; ///< in force there, as last heard
+    /** \brief What a peer said last. */
+    struct Heard {
+        std::uint64_t configurationVersion = 0; ///< in force there
+        std::uint64_t knownRevision = 0; ///< of this daemon's endpoints, as the peer has them
+        std::uint64_t endpointsRevision = 0; ///< of the peer's endpoints, as this daemon has them
         bool wantsEndpoints = false;
-        bool reachable = true;
+        DaemonId daemon;
     };
 
     boost::asio::awaitable<std::optional<HttpResponse>> answer(HttpRequest);
-    boost::asio::awaitable<void> converse(SocketAddress);
-    boost::asio::awaitable<bool> exchangeWords(HttpConnection&, const SocketAddress&);
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> ask(SocketAddress);
     GatewayWord wordFor(const SocketAddress&) const;
+    void addWork(GatewayWord&, const SocketAddress&) const;
+    void addDocuments(GatewayWord&, const SocketAddress&) const;
     void take(GatewayWord);
-    void meet(const SocketAddress&);
-    void noteReachable(const SocketAddress&, bool reachable);
-    Duration pause() const;
+    void takeWork(GatewayWord&, TimePoint now);
+    void takeEndpoints(const GatewayWord&, Heard&, TimePoint now);
+    bool isMyHub(const SocketAddress&) const;
+    bool hasCurrentEndpoints() const;
+    void noteAnswer(const SocketAddress&, bool answered);
+    void noteRole();
 
     GatewayContext& context;
     const StoreFollower& follower;
-    std::map<SocketAddress, Peer> peers;
+    std::map<SocketAddress, Heard> heard;
+    std::map<SocketAddress, std::unique_ptr<HttpConnection>> connections;
+    bool wasHub = true;
     HttpServer server;
 };
 
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -16,14 +16,16 @@
 
 // How long the store holds a read of the configuration that has nothing new; short enough to notice a silent
 // connection within the time in which a change has to be in force.
-constexpr Duration configurationWait = std::chrono::milliseconds(1000);
+constexpr Duration configurationWait = std::chrono::milliseconds(1500);
 // Endpoints write every second or so, so that a read always finds something: reads are paced instead. A quarter of
 // the time within which a leaving endpoint must get no more work.
 constexpr Duration endpointsPause = std::chrono::milliseconds(400);
 // Answer time of the store beside the wait: a hundred times its usual one.
 constexpr Duration answerTimeout = std::chrono::milliseconds(500);
 // Pause before the store is asked again after a failure.
-constexpr Duration failurePause = std::chrono::milliseconds(200);
+constexpr Duration failurePause = std::chrono::milliseconds(300);
+// A daemon whose hub follows the store looks this often whether it still does.
+constexpr Duration idlePause = std::chrono::milliseconds(200);
 
 asio::awaitable<void> sleep(asio::io_context& io, Duration duration)
 {
@@ -111,6 +113,12 @@
     HttpConnection connection(this->context.io, { this->context.settings.store.address, this->context.settings.store.port }, {});
     std::optional<LogOffset> next;
     while (true) {
+        if (!this->context.followsStore()) {
+            // Whoever follows the store again starts from the newest records.
+            next.reset();
+            co_await sleep(this->context.io, idlePause);
+            continue;
+        }
         std::error_code error;
         if (!next)
             next = co_await this->readSnapshot(connection, collection);
--- a/packages/Routing/filbertspoke/src/Routing/RetryBudget.h
+++ b/packages/Routing/filbertspoke/src/Routing/RetryBudget.h
@@ -19,6 +19,13 @@
 
     void firstAttempt() { this->balance = std::min(this->balance + this->part, this->reserve); }
 
+    /** \brief Changes how much can be saved up; what is saved beyond it is lost. */
+    void setReserve(double value)
+    {
+        this->reserve = value;
+        this->balance = std::min(this->balance, value);
+    }
+
     /** \returns whether a retry may be made now, and counts it when it may */
     bool takeRetry()
     {
