Placement by expected throughput; streams are supervised; refused callers come back later

Cause: the fast engines of a domain had room for 70 sequences while the slow copies behind them had room for several hundred; single engines held the last 12 layers with room for 7; streams were ended for a pause that came from preemption; 28 gateways filled the same gap before they heard of each other; refused callers came back into the same shortage. Change: a placement is the draft with the most sequences over the time that each stays; a silent stream asks what it waits for and is moved only when an engine is lost, or before its caller would leave; near chains go first; others are assumed to begin as much work until they are heard; refusals name a tenth to a quarter of the caller's time.

--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -22,6 +22,10 @@
 // Price of the shared link between failure domains, times the transfer itself: others wait for it.
 constexpr double crossingFactor = 10;
 
+// Price of a chain whose first engine is in another failure domain than the daemon: its events travel between them, and
+// what is known of the load there is older.
+constexpr double remoteChainMs = 800;
+
 struct StageTimes {
     double prefillMs = 0;
     double stepMs = 0;
@@ -124,7 +128,7 @@
     {
         const StageCandidate& candidate = this->candidates[index];
         const double need = (this->request.promptTokens + this->request.outputTokens) * (to - from);
-        if (need > candidate.freeTokenLayers)
+        if (need > candidate.freeTokenLayers || (from == 0 && this->profile.slots > 0 && candidate.sequences >= this->profile.slots))
             return;
         const StageTimes times = stageTimes(this->profile, candidate, this->request, to - from);
         const double capacity = candidate.accelerator.memoryMegabytes - candidate.layers.size() * this->profile.layerMegabytes;
@@ -140,7 +144,8 @@
             next.perTokenMs = label.perTokenMs + times.stepMs + handOverMs + crossStep;
             const double own = times.prefillMs + handOverMs + this->request.outputTokens * (times.stepMs + handOverMs);
             const double crossing = crossPrefill + this->request.outputTokens * crossStep;
-            next.cost = label.cost + crowding * own + crossingFactor * crossing;
+            const double remote = from == 0 && this->request.origin != candidate.failureDomain ? remoteChainMs : 0;
+            next.cost = label.cost + crowding * own + crossingFactor * crossing + remote;
             next.candidate = index;
             next.previousLayer = from;
             next.previousDomain = domain;
--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
@@ -11,12 +11,19 @@
 namespace {
 
 // Room for KV cache beside each layer that a placement aims for, in sequences of the usual length.
-constexpr double wantedSequences = 70;
+constexpr double wantedSequences = 80;
 // The least such room with which an engine still helps.
 constexpr double leastSequences = 8;
 // Engines whose steps take less than this part of the slowest one's belong to the fast part of a copy.
 constexpr double fastFraction = 0.5;
 
+// The most sequences that a search for a placement considers, and its step.
+constexpr double maximumSequences = 400;
+constexpr double sequencesStep = 4;
+// Time that each further engine of a chain adds to a token: handing over, and waiting for the pass in progress.
+constexpr double stageOverheadMs = 0.6;
+// Engines in one chain that a placement may lead to; the longest path that engines accept is somewhat longer.
+constexpr double maximumStages = 24;
 // A boundary moves when the engine that takes a layer over still has so many times the room of the other.
 constexpr double balanceFactor = 1.3;
 
@@ -37,6 +44,9 @@
         return static_cast<std::uint32_t>(engine.accelerator.memoryMegabytes / (this->layer + sequences * this->sequence));
     }
 
+    /** \returns for how many sequences there is KV cache where so many megabytes stand behind each layer */
+    double sequences(double megabytesPerLayer) const { return (megabytesPerLayer - this->layer) / this->sequence; }
+
     /** \returns the megabytes of KV cache for each of \a layers layers that the engine has room for */
     double room(const PlaceableEngine& engine, std::uint32_t layers) const
     {
@@ -65,16 +75,6 @@
     return total;
 }
 
-/** \brief The largest number of sequences, up to the wanted one, with which the pool covers all layers. */
-std::optional<double> sequencesThatCover(const LayerSizes& sizes, const Pool& pool, std::uint32_t layers)
-{
-    for (double sequences = wantedSequences; sequences >= leastSequences; sequences -= 1) {
-        if (totalFitting(sizes, pool, sequences) >= layers)
-            return sequences;
-    }
-    return std::nullopt;
-}
-
 /** \brief Gives the layers [first, last) to engines in proportion to their memory, none more than it can hold. */
 void spread(const LayerSizes& sizes, const Pool& engines, LayerRange layers, std::vector<LayerAssignment>& assignments)
 {
@@ -109,30 +109,90 @@
     return groups;
 }
 
+/** \brief One way to place a pool anew, and what it is expected to carry. */
+struct Draft {
+    double sequences = 0; ///< for which the fast engines leave room
+    std::size_t fastEngines = 0; ///< of the pool in order of speed; they hold the first layers
+    std::uint32_t fastLayers = 0;
+    std::size_t copies = 1; ///< of the other layers, on the other engines
+    double sequencesPerMs = 0; ///< that begin and end in a steady state
+};
+
+double stepMs(const EngineProfile& profile, const PlaceableEngine& engine, double layers, double batch)
+{
+    const double context = profile.stepMsPerThousandContextTokens * (profile.usualPromptTokens + profile.usualOutputTokens / 2) / 1000;
+    return layers / profile.layers * engine.accelerator.stepFactor * (profile.stepMs + batch * (profile.stepMsPerSequence + context));
+}
+
+/** \brief Works out the draft's throughput: sequences that find room, over the time that each of them stays. */
+void rate(const EngineProfile& profile, const LayerSizes& sizes, const Pool& pool, Draft& draft)
+{
+    double perToken = 0;
+    for (std::size_t index = 0; index < draft.fastEngines; ++index) {
+        const double layers = sizes.fitting(pool[index], draft.sequences);
+        perToken += stepMs(profile, pool[index], layers, draft.sequences / static_cast<double>(pool.size())) + stageOverheadMs;
+    }
+    double carried = draft.fastEngines > 0 ? draft.sequences : maximumSequences;
+    const std::uint32_t rest = profile.layers - draft.fastLayers;
+    if (rest > 0) {
+        double memory = 0;
+        for (std::size_t index = draft.fastEngines; index < pool.size(); ++index)
+            memory += pool[index].accelerator.memoryMegabytes;
+        const auto copies = static_cast<double>(draft.copies);
+        const double stages = static_cast<double>(pool.size() - draft.fastEngines) / copies;
+        const double perCopy = sizes.sequences(memory / copies / rest);
+        carried = std::min(carried, copies * perCopy);
+        perToken += stepMs(profile, pool.back(), rest, carried / copies / stages) + stages * stageOverheadMs;
+        if (perCopy < leastSequences || static_cast<double>(draft.fastEngines) + stages > maximumStages)
+            return;
+    }
+    carried = std::min(carried, static_cast<double>(std::max(1U, profile.slots)));
+    draft.sequencesPerMs = carried / (profile.usualPromptTokens / profile.prefillTokensPerMs + profile.usualOutputTokens * perToken);
+}
+
+Draft bestDraft(const EngineProfile& profile, const LayerSizes& sizes, const Pool& pool)
+{
+    const double slowest = pool.back().accelerator.stepFactor;
+    Draft best;
+    for (double sequences = leastSequences; sequences <= maximumSequences; sequences += sequencesStep) {
+        Draft draft;
+        draft.sequences = sequences;
+        while (draft.fastEngines < pool.size() && pool[draft.fastEngines].accelerator.stepFactor < fastFraction * slowest && draft.fastLayers < profile.layers) {
+            draft.fastLayers = std::min(profile.layers, draft.fastLayers + sizes.fitting(pool[draft.fastEngines], sequences));
+            ++draft.fastEngines;
+        }
+        const std::size_t slow = pool.size() - draft.fastEngines;
+        if (slow == 0 && draft.fastLayers < profile.layers)
+            continue;
+        for (draft.copies = 1; draft.copies <= std::max<std::size_t>(1, slow); ++draft.copies) {
+            draft.sequencesPerMs = 0;
+            rate(profile, sizes, pool, draft);
+            if (draft.sequencesPerMs > best.sequencesPerMs)
+                best = draft;
+        }
+    }
+    return best;
+}
+
 std::vector<LayerAssignment> placeAnew(const EngineProfile& profile, Pool pool)
 {
     std::vector<LayerAssignment> assignments;
     const LayerSizes sizes(profile);
-    const std::optional<double> sequences = sequencesThatCover(sizes, pool, profile.layers);
-    if (!sequences)
-        return assignments;
     std::sort(pool.begin(), pool.end(), isFaster);
-    const double slowest = pool.back().accelerator.stepFactor;
+    const Draft draft = bestDraft(profile, sizes, pool);
+    if (draft.sequencesPerMs <= 0)
+        return assignments;
     std::uint32_t position = 0;
-    std::size_t next = 0;
-    for (; next < pool.size() && pool[next].accelerator.stepFactor < fastFraction * slowest && position < profile.layers; ++next) {
-        const std::uint32_t size = std::min(sizes.fitting(pool[next], *sequences), profile.layers - position);
-        if (size == 0)
-            continue;
-        assignments.push_back({ pool[next].endpoint, LayerRange(position, position + size) });
+    for (std::size_t index = 0; index < draft.fastEngines; ++index) {
+        const std::uint32_t size = std::min(sizes.fitting(pool[index], draft.sequences), profile.layers - position);
+        if (size > 0)
+            assignments.push_back({ pool[index].endpoint, LayerRange(position, position + size) });
         position += size;
     }
-    const Pool slow(pool.begin() + static_cast<std::ptrdiff_t>(next), pool.end());
-    const std::uint32_t rest = profile.layers - position;
-    if (rest == 0 || slow.empty())
+    const Pool slow(pool.begin() + static_cast<std::ptrdiff_t>(draft.fastEngines), pool.end());
+    if (position == profile.layers || slow.empty())
         return assignments;
-    const std::size_t copies = std::max<std::size_t>(1, totalFitting(sizes, slow, *sequences) / rest);
-    for (const Pool& group : deal(slow, copies))
+    for (const Pool& group : deal(slow, draft.copies))
         spread(sizes, group, LayerRange(position, profile.layers), assignments);
     return assignments;
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/LoadBook.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LoadBook.cpp
@@ -26,6 +26,13 @@
 void LoadBook::begin(const EndpointId& endpoint, const WorkInProgress& work)
 {
     this->ownWork[endpoint] += work;
+    this->begunSinceMark[endpoint] += work;
+}
+
+void LoadBook::markCurrent(std::size_t alike)
+{
+    this->begunSinceMark.clear();
+    this->alikeDaemons = alike;
 }
 
 void LoadBook::end(const EndpointId& endpoint, const WorkInProgress& work)
@@ -68,6 +75,9 @@
         sum += find(word.work, endpoint);
     for (const auto& [group, word] : this->groups)
         sum += find(word.work, endpoint);
+    const WorkInProgress begun = find(this->begunSinceMark, endpoint);
+    const auto alike = static_cast<double>(this->alikeDaemons);
+    sum += { begun.requests * alike, begun.tokenLayers * alike };
     return sum;
 }
 
--- a/packages/Gateway/filbertspoke/src/Gateway/LoadBook.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/LoadBook.h
@@ -3,6 +3,7 @@
 
 #include <filbertspoke/Core>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -43,6 +44,10 @@
     void noteMember(const DaemonId&, WorkByEndpoint, TimePoint now);
     /** \brief Takes the sum of a group of other daemons, in place of the group's last one. */
     void noteGroup(const std::string& group, WorkByEndpoint, TimePoint now);
+    /** \brief Marks that what is known of others has just been brought up to date.
+     * \param alike how many other daemons choose endpoints by the same knowledge; until the next mark each of them is
+     * assumed to begin as much work as this one does, so that they don't all fill the same gap */
+    void markCurrent(std::size_t alike);
     /** \brief Forgets all that others said: this daemon's place among them has changed. */
     void forgetOthers();
     /** \brief Forgets what was said too long ago. */
@@ -63,6 +68,8 @@
     };
 
     WorkByEndpoint ownWork;
+    WorkByEndpoint begunSinceMark;
+    std::size_t alikeDaemons = 0;
     std::map<DaemonId, Word> members;
     std::map<std::string, Word> groups;
 };
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.cpp
@@ -103,6 +103,13 @@
     return asked;
 }
 
+std::size_t PeerRoster::neighbours() const
+{
+    return static_cast<std::size_t>(std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+        return entry.second.failureDomain == this->domain && answers(entry.second);
+    }));
+}
+
 std::vector<SocketAddress> PeerRoster::reachable() const
 {
     std::vector<SocketAddress> addresses;
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.h
@@ -51,6 +51,8 @@
     std::vector<SocketAddress> reachable() const;
     /** \returns how many gateways are reachable, this one included */
     std::size_t size() const { return this->reachable().size() + 1; }
+    /** \returns how many other gateways of this one's failure domain are reachable */
+    std::size_t neighbours() const;
 
 private:
     bool isPartner(const SocketAddress&, const KnownPeer&) const;
--- a/packages/Gateway/tests/LoadBook.cpp
+++ b/packages/Gateway/tests/LoadBook.cpp
@@ -44,6 +44,17 @@
     BOOST_TEST((this->loads.total(engine) == WorkInProgress { 1, 10 }));
 }
 
+// With 28 gateways an engine that had room was filled by all of them before they heard of each other.
+BOOST_FIXTURE_TEST_CASE(othersAreAssumedToBeginAsMuchUntilTheyAreHeard, Fixture)
+{
+    this->loads.markCurrent(3);
+    this->loads.begin(engine, { 1, 10 });
+    BOOST_TEST((this->loads.total(engine) == WorkInProgress { 4, 40 }));
+    BOOST_TEST((this->loads.own() == WorkByEndpoint { { engine, { 1, 10 } } }));
+    this->loads.markCurrent(3);
+    BOOST_TEST((this->loads.total(engine) == WorkInProgress { 1, 10 }));
+}
+
 BOOST_FIXTURE_TEST_CASE(workThatEndedLeavesNothingBehind, Fixture)
 {
     this->loads.begin(engine, { 1, 0.1 });
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -1,6 +1,13 @@
 #include <filbertspoke/Proxy>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace filbertspoke {
@@ -13,13 +20,15 @@
 constexpr double waitingFraction = 0.6;
 // Waiting generations look for room at least this often, as other daemons' work ends unseen.
 constexpr Duration waitStep = std::chrono::milliseconds(40);
-// Silence before the first event and between events after which a chain is given up, as multiples of what is expected.
+// Silence before the first event and between events after which a chain is looked at, as multiples of what is expected.
 constexpr int firstEventFactor = 4;
 constexpr Duration leastFirstEventTimeout = std::chrono::milliseconds(300);
 constexpr int gapFactor = 2;
 constexpr Duration leastGapTimeout = std::chrono::milliseconds(400);
 // Callers leave a stream that is silent for two seconds; a started one is carried on until shortly before.
 constexpr Duration callerPatience = std::chrono::milliseconds(1900);
+// A chain whose engines all seem alive is given up after so much silence; a second one may still serve the caller.
+constexpr Duration silenceTimeout = std::chrono::milliseconds(1300);
 // A report that tells which engine of a chain is missing is there within a few milliseconds.
 constexpr Duration reportTimeout = std::chrono::milliseconds(200);
 // A stream that is silent for so long when one of its engines comes under suspicion takes that for the cause; well
@@ -34,6 +43,37 @@
     return request.maximumOutputTokens > 0 ? std::min(estimate, request.maximumOutputTokens) : estimate;
 }
 
+/** \brief Asks the first engine of a chain which other engine it waits for.
+ * \returns the engine that is lost, the first one if it does not answer, or nothing when none seems lost */
+asio::awaitable<std::optional<EndpointId>> findLostEngine(GatewayContext& context, ForwardOrder order, RequestId request)
+{
+    const ForwardStage& first = order.stages.front();
+    HttpConnection connection(context.io, { first.address.address, first.address.port }, { reportTimeout, reportTimeout });
+    HttpRequest ask = context.wires.engine->encodeReportRequest(first.endpoint);
+    const HttpOutcome outcome = co_await exchange(connection, std::move(ask), reportTimeout);
+    std::string reason;
+    const HttpResponse* response = successfulResponse(outcome, reason);
+    const auto report = response ? context.wires.engine->decodeReport(*response) : Result<EngineReport>(make_error_code(ErrorCode::EndpointUnreachable));
+    if (!report)
+        co_return first.endpoint;
+    std::optional<EndpointId> lost;
+    for (const StalledRequest& stalled : report->stalled) {
+        for (const ForwardStage& stage : order.stages) {
+            if (stage.address == stalled.waitsFor && (!lost || stalled.request == request))
+                lost = stage.endpoint;
+        }
+    }
+    co_return lost;
+}
+
+/** \brief The watch over one attempt, which may outlive it. */
+struct Supervision {
+    bool over = false; ///< the attempt has ended
+    Duration firstEventLimit {}; ///< silence after which the chain is looked at
+    Duration gapLimit {};
+    TimePoint checkedAt = bootNow();
+};
+
 /** \brief A stream's progress, over all the chains that served it. */
 class StreamRun {
 public:
@@ -54,7 +94,7 @@
     asio::awaitable<AttemptResult> attempt(const ForwardOrder&, const LayerChain&);
     asio::awaitable<AttemptResult> pump(const UpstreamPointer&, const LayerChain&);
     asio::awaitable<std::optional<AttemptResult>> passOn(std::vector<StreamEvent>);
-    asio::awaitable<AttemptResult> diagnose(AttemptResult, const ForwardOrder&);
+    asio::awaitable<void> supervise(std::shared_ptr<Supervision>, ForwardOrder);
     std::uint64_t watchEngines(const LayerChain&);
     asio::awaitable<void> end(bool complete);
     const EngineProfile* profile() const;
@@ -64,6 +104,7 @@
     bool headSent = false;
     bool firstEventSent = false;
     std::optional<EndpointId> lostEngine; ///< because of which the attempt in progress was ended
+    EndpointFault lostFault = EndpointFault::Failed; ///< what is known of it
     std::uint32_t eventsInAttempt = 0;
     TimePoint lastProgress = bootNow(); ///< of the last event, or of the request's arrival
     double reservedTokens = 0;
@@ -182,50 +223,46 @@
         if (bootNow() - this->lastProgress < silenceUnderSuspicion || !this->task.upstream)
             return;
         this->lostEngine = engine;
+        this->lostFault = EndpointFault::Failed;
         this->task.upstream->close();
     });
 }
 
-asio::awaitable<AttemptResult> StreamRun::diagnose(AttemptResult result, const ForwardOrder& order)
+asio::awaitable<void> StreamRun::supervise(std::shared_ptr<Supervision> supervision, ForwardOrder order)
 {
-    const ForwardStage& first = order.stages.front();
-    HttpConnection connection(this->task.context.io, { first.address.address, first.address.port }, { reportTimeout, reportTimeout });
-    const HttpOutcome outcome = co_await exchange(connection, this->task.context.wires.engine->encodeReportRequest(first.endpoint), reportTimeout);
-    const HttpResponse* response = successfulResponse(outcome, result.reason);
-    const auto report = response ? this->task.context.wires.engine->decodeReport(*response) : Result<EngineReport>(make_error_code(ErrorCode::EndpointUnreachable));
-    if (!report) {
-        result.fault = EndpointFault::Unreachable;
-        result.blamed = first.endpoint;
-        result.reason = "first-stage-unreachable";
-        co_return result;
-    }
-    result.fault = EndpointFault::Failed;
-    result.reason = "stalled";
-    for (const StalledRequest& stalled : report->stalled) {
-        for (const ForwardStage& stage : order.stages) {
-            if (stage.address != stalled.waitsFor)
-                continue;
-            result.fault = EndpointFault::Unreachable;
-            result.blamed = stage.endpoint;
-            result.reason = "stage-unreachable";
-            if (stalled.request == this->task.request.id)
-                co_return result;
+    asio::steady_timer timer(this->task.context.io);
+    while (true) {
+        const TimePoint due = std::max(this->lastProgress, supervision->checkedAt) + (this->eventsInAttempt == 0 ? supervision->firstEventLimit : supervision->gapLimit);
+        if (bootNow() < due) {
+            timer.expires_after(due - bootNow());
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            if (supervision->over)
+                co_return;
+            continue;
         }
+        const std::optional<EndpointId> lost = co_await findLostEngine(this->task.context, order, this->task.request.id);
+        if (supervision->over)
+            co_return;
+        supervision->checkedAt = bootNow();
+        const bool silent = supervision->checkedAt - this->lastProgress >= silenceUnderSuspicion;
+        if (!lost || !silent || !this->task.upstream)
+            continue;
+        this->lostEngine = lost;
+        this->lostFault = EndpointFault::Unreachable;
+        this->task.upstream->close();
+        co_return;
     }
-    co_return result;
 }
 
 asio::awaitable<AttemptResult> StreamRun::pump(const UpstreamPointer& connection, const LayerChain& chain)
 {
-    const Duration gapTimeout = std::max<Duration>(leastGapTimeout, this->task.route.targetGap * gapFactor);
-    const Duration firstTimeout = std::max({ leastFirstEventTimeout, gapTimeout, chain.firstToken * firstEventFactor });
     EventStream events;
     Result<BodyProgress> ended = BodyProgress::More;
     bool first = true;
     TimePoint firstEventAt;
     while (*ended == BodyProgress::More) {
         std::string bytes;
-        ended = co_await connection->readBody(bytes, std::min(first ? firstTimeout : gapTimeout, this->task.timeLeft()));
+        ended = co_await connection->readBody(bytes, std::min(silenceTimeout, this->task.timeLeft()));
         if (this->task.caller->gone())
             co_return AttemptResult {};
         if (!ended)
@@ -251,14 +288,11 @@
     const UpstreamPointer connection = co_await this->task.open(order, result);
     if (!connection)
         co_return result;
-    const Duration timeout = std::max<Duration>(leastFirstEventTimeout, chain.firstToken * firstEventFactor);
-    const Result<EndpointReply> reply = co_await this->task.readReply(connection, std::min(timeout, this->task.timeLeft()));
+    const Result<EndpointReply> reply = co_await this->task.readReply(connection, std::min(silenceTimeout, this->task.timeLeft()));
     if (this->task.caller->gone())
         co_return AttemptResult {};
     if (!reply) {
         result = { AttemptEnd::Lost, EndpointFault::Broken, {}, "no-answer" };
-        if (isTimeout(reply.error()))
-            result = co_await this->diagnose(result, order);
         connection->close();
         co_return result;
     }
@@ -276,11 +310,9 @@
         co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
     }
     result = co_await this->pump(connection, chain);
-    if (result.failure && result.fault == EndpointFault::Silent) {
-        // The engines stop at once, so that no work goes on beside the next run.
+    // The engines stop at once, so that no work goes on beside the next run.
+    if (result.failure)
         connection->close();
-        result = co_await this->diagnose(result, order);
-    }
     co_return result;
 }
 
@@ -314,11 +346,16 @@
         this->lostEngine.reset();
         this->eventsInAttempt = 0;
         const std::uint64_t watch = this->watchEngines(*chain);
+        const auto supervision = std::make_shared<Supervision>();
+        supervision->firstEventLimit = std::max<Duration>(leastFirstEventTimeout, chain->firstToken * firstEventFactor);
+        supervision->gapLimit = std::max<Duration>(leastGapTimeout, this->task.route.targetGap * gapFactor);
+        asio::co_spawn(this->task.context.io, this->supervise(supervision, *order), asio::detached);
         AttemptResult result = co_await this->attempt(*order, *chain);
+        supervision->over = true;
         this->task.context.streams.remove(watch);
         this->reserve(*chain, false);
         if (result.failure && this->lostEngine)
-            result = { result.failure, EndpointFault::Failed, this->lostEngine, "engine-lost" };
+            result = { result.failure, this->lostFault, this->lostEngine, "engine-lost" };
         result.answerBegun = this->eventsInAttempt > 0;
         this->task.upstream = nullptr;
         if (!result.failure) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -11,9 +11,10 @@
 
 // A connection within a site is there within a few milliseconds; packets that are lost are sent again after 200 ms.
 constexpr Duration connectTimeout = std::chrono::milliseconds(300);
-// A caller is sent back for about as long as an engine needs to finish a usual generation.
-constexpr Duration shortestReturn = std::chrono::milliseconds(300);
-constexpr Duration returnSpread = std::chrono::milliseconds(700);
+// A caller is sent back for this part of the time that it has, spread so that callers don't return together; a
+// shortage that comes from a lost engine takes some seconds to repair. Callers come back for up to a third.
+constexpr double shortestReturn = 0.1;
+constexpr double longestReturn = 0.25;
 // Answers to other requests that are dropped before the connection is given up.
 constexpr int maximumLateReplies = 2;
 // A body that belongs to another request's answer is read and dropped within this time.
@@ -71,6 +72,12 @@
     return retry;
 }
 
+Duration ForwardTask::returnDelay()
+{
+    const double part = shortestReturn + (longestReturn - shortestReturn) * this->context.draw();
+    return Duration(static_cast<Duration::rep>(part * static_cast<double>(std::max<Duration>(this->timeLeft(), Duration::zero()).count())));
+}
+
 asio::awaitable<void> ForwardTask::giveUp(ErrorCode reason)
 {
     if (this->caller->gone()) {
@@ -80,7 +87,7 @@
     const bool notRun = certainlyNotRun(this->attemptState());
     Refusal refusal(notRun ? reason : ErrorCode::EndpointFailed, notRun ? Ran::No : Ran::Unknown);
     if (notRun)
-        refusal = refusal.retryAfter(shortestReturn + Duration(static_cast<Duration::rep>(this->context.draw() * static_cast<double>(returnSpread.count()))));
+        refusal = refusal.retryAfter(this->returnDelay());
     const HttpResponse response = this->context.wires.caller->encodeRefusal(refusal, this->request.id);
     this->logEnd(std::string(name(refusal.code())), response.status);
     co_await this->caller->respond(response, this->keepAlive());
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -49,6 +49,9 @@
     /** \returns what the reply says went wrong, or nothing for one that can be passed on */
     std::optional<AttemptResult> judge(const EndpointReply&) const;
 
+    /** \returns when a caller that is refused now had better come back */
+    Duration returnDelay();
+
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
 
     GatewayContext& context;
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view wordTarget = "/peers/word";
 // How often the roster is asked who is to be spoken with; half the shortest pause between two words.
 constexpr Duration rosterPause = std::chrono::milliseconds(100);
+constexpr std::uint64_t roundsOfMembers = 2;
 // A peer answers within a millisecond or two; a longer silence counts as a failure.
 constexpr Duration answerTimeout = std::chrono::milliseconds(300);
 constexpr Duration connectionIdleTime = std::chrono::seconds(10);
@@ -112,11 +113,13 @@
 {
     const bool near = word.failureDomain == this->context.settings.failureDomain;
     const bool hub = this->context.roster.isHub();
-    if (near && hub && !word.sum)
+    if (near && hub && !word.sum) {
         this->context.loads.noteMember(word.daemon, std::move(word.work), now);
-    else if (near && !hub && word.sum && this->isMyHub(word.address))
+    } else if (near && !hub && word.sum && this->isMyHub(word.address)) {
         this->context.loads.noteGroup(hubGroup, std::move(word.work), now);
-    else if (!near && hub && word.sum && this->context.roster.hub(word.failureDomain) == word.address)
+        this->context.loads.markCurrent(this->context.roster.neighbours());
+    }
+    if (!near && hub && word.sum && this->context.roster.hub(word.failureDomain) == word.address)
         this->context.loads.noteGroup(word.failureDomain.str(), std::move(word.work), now);
 }
 
@@ -213,7 +216,10 @@
 asio::awaitable<void> PeerExchange::run()
 {
     asio::steady_timer timer(this->context.io);
-    while (true) {
+    for (std::uint64_t round = 0;; ++round) {
+        // Every member speaks within this many rounds.
+        if (this->context.roster.isHub() && round % roundsOfMembers == 0)
+            this->context.loads.markCurrent(this->context.roster.neighbours());
         for (const SocketAddress& address : this->context.roster.due(bootNow()))
             asio::co_spawn(this->context.io, this->ask(address), asio::detached);
         timer.expires_after(rosterPause);
