Shared diagnosis of lost engines, fewer searches for chains, domains avoided whole, repairs from farther off

Cause: hundreds of streams asked about the same loss at once, and the daemon's own delay was taken for an engine's; waiting requests searched for a chain 25 times a second; each engine of a domain that was cut off was tried again by itself; gaps beside full engines stayed open, and engines were left with one or two layers. Change: LossDiagnosis; searches only after news; evidence against three engines of a domain counts against all for four seconds, or until one answers; balance over several engines, and only where room is short.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -10,7 +10,7 @@
 // Endpoints that outlived an outage of the registry write their entry anew within two seconds.
 constexpr Duration lapseGrace = std::chrono::milliseconds(2000);
 // The first time for which a faulty endpoint is left alone; doubles with each fault in a row.
-constexpr Duration firstAvoidance = std::chrono::milliseconds(400);
+constexpr Duration firstAvoidance = std::chrono::milliseconds(800);
 constexpr Duration longestAvoidance = std::chrono::seconds(4);
 // Weight of the newest exchange in the smoothed fault rate: some ten exchanges count.
 constexpr double faultSmoothing = 0.1;
@@ -18,7 +18,7 @@
 constexpr double tolerableFaultRate = 0.25;
 // A failure domain counts as cut off when so many of its endpoints were unreachable lately and none answered since.
 constexpr std::size_t unreachableForDomain = 3;
-constexpr Duration domainMemory = std::chrono::milliseconds(1500);
+constexpr Duration domainMemory = std::chrono::seconds(4);
 
 EndpointRecord newRecord(const RegisteredEndpoint& endpoint)
 {
@@ -158,8 +158,10 @@
 void EndpointRegistry::noteHearsay(const EndpointId& id, Duration remaining, TimePoint now)
 {
     const auto entry = this->byId.find(id);
-    if (entry != this->byId.end())
-        entry->second.hearsayUntil = now + std::min(remaining, longestAvoidance);
+    if (entry == this->byId.end())
+        return;
+    entry->second.hearsayUntil = now + std::min(remaining, longestAvoidance);
+    this->unreachable[entry->second.endpoint.failureDomain].insert_or_assign(id, now);
 }
 
 bool EndpointRegistry::isAvoided(const EndpointRecord& record, TimePoint now) const
--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
@@ -14,6 +14,8 @@
 constexpr double wantedSequences = 80;
 // The least such room with which an engine still helps.
 constexpr double leastSequences = 8;
+// Room below which a gap is better left to chains through other failure domains than filled.
+constexpr double leastRepairSequences = 20;
 // Engines whose steps take less than this part of the slowest one's belong to the fast part of a copy.
 constexpr double fastFraction = 0.5;
 
@@ -275,7 +277,7 @@
         if (this->giveUpOverlap())
             return;
         PlaceableEngine* tight = this->tightest();
-        if (!tight || tight->layers.size() < 2)
+        if (!tight || tight->layers.size() < 2 || this->isRoomy(*tight))
             return;
         for (PlaceableEngine& engine : this->pool) {
             if (engine.layers.empty() || &engine == tight)
@@ -285,7 +287,8 @@
             const double shared = this->sizes.room(engine, engine.layers.size() + 1);
             if ((!before && !behind) || shared < balanceFactor * this->sizes.room(*tight, tight->layers.size()))
                 continue;
-            const LayerRange grown = before ? LayerRange(engine.layers.first(), engine.layers.last() + 1) : LayerRange(engine.layers.first() - 1, engine.layers.last());
+            const std::uint32_t added = this->evenShare(engine, *tight);
+            const LayerRange grown = before ? LayerRange(engine.layers.first(), engine.layers.last() + added) : LayerRange(engine.layers.first() - added, engine.layers.last());
             this->assign(engine, grown);
             return;
         }
@@ -303,8 +306,18 @@
             engine = this->pickRedundant();
         if (!engine)
             return this->extendNeighbour(gap, sequences);
-        const std::uint32_t size = std::min(gap.size(), this->sizes.fitting(*engine, sequences));
-        return size > 0 && this->assign(*engine, LayerRange(gap.first(), gap.first() + size));
+        const std::uint32_t most = this->sizes.fitting(*engine, sequences);
+        const std::uint32_t size = std::min(gap.size(), most);
+        return size > 0 && this->assign(*engine, size < gap.size() ? LayerRange(gap.first(), gap.first() + size) : this->widened(gap, most));
+    }
+
+    /** \returns the gap with as many layers round it as an engine of the size relieves its neighbours of */
+    LayerRange widened(const LayerRange& gap, std::uint32_t size) const
+    {
+        const std::uint32_t spare = size - gap.size();
+        const std::uint32_t before = std::min(gap.first(), spare / 2);
+        const std::uint32_t behind = std::min(this->profile.layers - gap.last(), spare - before);
+        return LayerRange(gap.first() - before, gap.last() + behind);
     }
 
     PlaceableEngine* pickEmpty()
@@ -350,6 +363,15 @@
         return this->assign(*best, LayerRange(best->layers.first() - added, best->layers.last()));
     }
 
+    /** \returns how many layers the roomy engine takes over so that both have about the same room; at least one */
+    std::uint32_t evenShare(const PlaceableEngine& roomy, const PlaceableEngine& tight) const
+    {
+        const double memory = roomy.accelerator.memoryMegabytes + tight.accelerator.memoryMegabytes;
+        const double even = (roomy.layers.size() + tight.layers.size()) * roomy.accelerator.memoryMegabytes / memory;
+        const double added = std::min<double>(even - roomy.layers.size(), tight.layers.size() - 1);
+        return static_cast<std::uint32_t>(std::max(1.0, std::floor(added)));
+    }
+
     LayerRange leastCovered(std::uint32_t size) const
     {
         const auto copies = this->copies();
@@ -368,6 +390,11 @@
         return LayerRange(best, best + size);
     }
 
+    bool isRoomy(const PlaceableEngine& engine) const
+    {
+        return this->sizes.sequences(engine.accelerator.memoryMegabytes / engine.layers.size()) >= wantedSequences;
+    }
+
     /** \returns the engine with the least room that no other engine relieves */
     PlaceableEngine* tightest()
     {
@@ -386,7 +413,7 @@
     bool giveUpOverlap()
     {
         PlaceableEngine* tight = this->tightest();
-        if (!tight)
+        if (!tight || this->isRoomy(*tight))
             return false;
         const auto copies = this->copies();
         std::uint32_t first = tight->layers.first();
@@ -417,7 +444,7 @@
 std::vector<LayerAssignment> repair(const EngineProfile& profile, const Pool& pool)
 {
     std::vector<LayerAssignment> best;
-    for (double sequences = wantedSequences; sequences >= leastSequences; sequences /= 2) {
+    for (double sequences = wantedSequences; sequences >= leastRepairSequences; sequences /= 2) {
         Repair attempt(profile, pool);
         const bool whole = attempt.fillGaps(sequences);
         if (whole) {
@@ -428,6 +455,12 @@
         }
         best = attempt.changes();
     }
+    // The neighbours of a gap are full: engines farther off take layers over from them, until they can fill it.
+    if (best.empty()) {
+        Repair attempt(profile, pool);
+        attempt.balance();
+        return attempt.changes();
+    }
     return best;
 }
 
--- a/packages/Gateway/tests/LayerPlacement.cpp
+++ b/packages/Gateway/tests/LayerPlacement.cpp
@@ -143,6 +143,21 @@
     BOOST_TEST(leastSequences(this->pool, "b") >= 50);
 }
 
+// The last engine of a lane left; its neighbour took four of six layers, and the other two stayed open.
+BOOST_FIXTURE_TEST_CASE(lossAtTheEndOfALaneIsRepairedByEnginesFartherOff, Fixture)
+{
+    this->settle();
+    std::string last;
+    for (const PlaceableEngine& engine : this->pool) {
+        if (engine.failureDomain == FailureDomainId("b") && engine.layers.last() == profile.layers)
+            last = engine.endpoint.str();
+    }
+    remove(this->pool, last);
+    BOOST_TEST(this->settle() != SIZE_MAX);
+    BOOST_TEST(uncovered(this->pool, "b") == 0);
+    BOOST_TEST(leastSequences(this->pool, "b") >= 50);
+}
+
 BOOST_FIXTURE_TEST_CASE(lossOfTheFastestEngineIsRepaired, Fixture)
 {
     this->settle();
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -29,8 +29,9 @@
 constexpr Duration callerPatience = std::chrono::milliseconds(1900);
 // A chain whose engines all seem alive is given up after so much silence; a second one may still serve the caller.
 constexpr Duration silenceTimeout = std::chrono::milliseconds(1300);
-// A report that tells which engine of a chain is missing is there within a few milliseconds.
-constexpr Duration reportTimeout = std::chrono::milliseconds(200);
+constexpr Duration firstEventTimeout = std::chrono::milliseconds(900);
+// Every so many events of a stream are a sign that all engines of its chain are alive.
+constexpr std::uint32_t eventsPerSign = 16;
 // A stream that is silent for so long when one of its engines comes under suspicion takes that for the cause; well
 // above the time between two events.
 constexpr Duration silenceUnderSuspicion = std::chrono::milliseconds(150);
@@ -43,29 +44,6 @@
     return request.maximumOutputTokens > 0 ? std::min(estimate, request.maximumOutputTokens) : estimate;
 }
 
-/** \brief Asks the first engine of a chain which other engine it waits for.
- * \returns the engine that is lost, the first one if it does not answer, or nothing when none seems lost */
-asio::awaitable<std::optional<EndpointId>> findLostEngine(GatewayContext& context, ForwardOrder order, RequestId request)
-{
-    const ForwardStage& first = order.stages.front();
-    HttpConnection connection(context.io, { first.address.address, first.address.port }, { reportTimeout, reportTimeout });
-    HttpRequest ask = context.wires.engine->encodeReportRequest(first.endpoint);
-    const HttpOutcome outcome = co_await exchange(connection, std::move(ask), reportTimeout);
-    std::string reason;
-    const HttpResponse* response = successfulResponse(outcome, reason);
-    const auto report = response ? context.wires.engine->decodeReport(*response) : Result<EngineReport>(make_error_code(ErrorCode::EndpointUnreachable));
-    if (!report)
-        co_return first.endpoint;
-    std::optional<EndpointId> lost;
-    for (const StalledRequest& stalled : report->stalled) {
-        for (const ForwardStage& stage : order.stages) {
-            if (stage.address == stalled.waitsFor && (!lost || stalled.request == request))
-                lost = stage.endpoint;
-        }
-    }
-    co_return lost;
-}
-
 /** \brief The watch over one attempt, which may outlive it. */
 struct Supervision {
     bool over = false; ///< the attempt has ended
@@ -98,6 +76,7 @@
     std::uint64_t watchEngines(const LayerChain&);
     asio::awaitable<void> end(bool complete);
     const EngineProfile* profile() const;
+    void noteChainAlive();
 
     ForwardTask& task;
     std::optional<std::uint64_t> lastEventId; ///< that the caller has
@@ -105,6 +84,7 @@
     bool firstEventSent = false;
     std::optional<EndpointId> lostEngine; ///< because of which the attempt in progress was ended
     EndpointFault lostFault = EndpointFault::Failed; ///< what is known of it
+    std::vector<EndpointId> engines; ///< of the chain in use
     std::uint32_t eventsInAttempt = 0;
     TimePoint lastProgress = bootNow(); ///< of the last event, or of the request's arrival
     double reservedTokens = 0;
@@ -116,6 +96,12 @@
     return service && service->engine ? &*service->engine : nullptr;
 }
 
+void StreamRun::noteChainAlive()
+{
+    for (const EndpointId& engine : this->engines)
+        this->task.context.registry.noteSuccess(engine);
+}
+
 StageCandidate StreamRun::stageCandidate(const EndpointRecord& record, const EngineProfile& profile) const
 {
     StageCandidate candidate;
@@ -153,9 +139,14 @@
 {
     const auto patience = Duration(static_cast<Duration::rep>(static_cast<double>(this->task.route.targetLatency.count()) * waitingFraction));
     const TimePoint limit = std::min(this->task.deadline, this->headSent ? this->lastProgress + callerPatience : bootNow() + patience);
+    std::uint64_t seen = this->task.context.capacityChanges - 1;
     while (!this->task.caller->gone()) {
-        if (auto chain = this->planChain())
-            co_return chain;
+        // Looking again is worth it only when work has ended or news of others has come.
+        if (seen != this->task.context.capacityChanges) {
+            seen = this->task.context.capacityChanges;
+            if (auto chain = this->planChain())
+                co_return chain;
+        }
         const Duration left = limit - bootNow();
         if (left <= Duration::zero())
             break;
@@ -188,8 +179,10 @@
         else
             this->task.context.loads.end(stage.endpoint, load);
     }
-    if (!begin)
+    if (!begin) {
+        ++this->task.context.capacityChanges;
         this->task.context.waiters.wakeOne();
+    }
 }
 
 asio::awaitable<std::optional<AttemptResult>> StreamRun::passOn(std::vector<StreamEvent> events)
@@ -201,7 +194,8 @@
         if (event.id)
             this->lastEventId = event.id;
         this->lastProgress = bootNow();
-        ++this->eventsInAttempt;
+        if (this->eventsInAttempt++ % eventsPerSign == 0)
+            this->noteChainAlive();
         text += event.text;
     }
     if (text.empty())
@@ -216,10 +210,10 @@
 
 std::uint64_t StreamRun::watchEngines(const LayerChain& chain)
 {
-    std::vector<EndpointId> engines;
+    this->engines.clear();
     for (const LayerStage& stage : chain.stages)
-        engines.push_back(stage.endpoint);
-    return this->task.context.streams.add(std::move(engines), [this](const EndpointId& engine) {
+        this->engines.push_back(stage.endpoint);
+    return this->task.context.streams.add(this->engines, [this](const EndpointId& engine) {
         if (bootNow() - this->lastProgress < silenceUnderSuspicion || !this->task.upstream)
             return;
         this->lostEngine = engine;
@@ -240,7 +234,7 @@
                 co_return;
             continue;
         }
-        const std::optional<EndpointId> lost = co_await findLostEngine(this->task.context, order, this->task.request.id);
+        const std::optional<EndpointId> lost = co_await this->task.context.diagnosis.findLost(order, this->task.request.id);
         if (supervision->over)
             co_return;
         supervision->checkedAt = bootNow();
@@ -288,7 +282,7 @@
     const UpstreamPointer connection = co_await this->task.open(order, result);
     if (!connection)
         co_return result;
-    const Result<EndpointReply> reply = co_await this->task.readReply(connection, std::min(silenceTimeout, this->task.timeLeft()));
+    const Result<EndpointReply> reply = co_await this->task.readReply(connection, std::min(firstEventTimeout, this->task.timeLeft()));
     if (this->task.caller->gone())
         co_return AttemptResult {};
     if (!reply) {
@@ -359,8 +353,6 @@
         result.answerBegun = this->eventsInAttempt > 0;
         this->task.upstream = nullptr;
         if (!result.failure) {
-            for (const LayerStage& stage : chain->stages)
-                this->task.context.registry.noteSuccess(stage.endpoint);
             if (!this->task.caller->gone()) {
                 co_await this->end(true);
                 co_return;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -23,6 +23,7 @@
     , wires(std::move(wires))
     , roster(this->settings.peers.value_or(this->settings.callers), this->settings.failureDomain)
     , waiters(io)
+    , diagnosis(io, this->wires.engine)
     , pool(io)
     , random(std::random_device {}())
 {
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -4,6 +4,7 @@
 #include "CallerWire.h"
 #include "CapacityWaiters.h"
 #include "EngineWire.h"
+#include "LossDiagnosis.h"
 #include "StoreWire.h"
 #include "StreamWatch.h"
 #include "UpstreamPool.h"
@@ -55,6 +56,8 @@
     std::optional<TimePoint> hubHeardAt; ///< when the hub last said that it follows the store
     CapacityWaiters waiters;
     StreamWatch streams;
+    LossDiagnosis diagnosis;
+    std::uint64_t capacityChanges = 1; ///< grows when there may be more room at engines than before
     UpstreamPool pool;
     Metrics metrics;
     Random random;
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.cpp
@@ -0,0 +1,71 @@
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace filbertspoke {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A report is there within a few milliseconds, also from a busy engine.
+constexpr Duration reportTimeout = std::chrono::milliseconds(250);
+// An answer serves all streams that ask within this time.
+constexpr Duration findingLifetime = std::chrono::milliseconds(200);
+// One silence may be this daemon's own delay.
+constexpr int silencesForLost = 2;
+constexpr Duration sharedAnswerPause = std::chrono::milliseconds(20);
+
+}
+
+LossDiagnosis::LossDiagnosis(asio::io_context& context, std::shared_ptr<const EngineWire> wire)
+    : context(context)
+    , wire(std::move(wire))
+{
+}
+
+asio::awaitable<void> LossDiagnosis::ask(ForwardStage first)
+{
+    HttpConnection connection(this->context, { first.address.address, first.address.port }, { reportTimeout, reportTimeout });
+    HttpRequest request = this->wire->encodeReportRequest(first.endpoint);
+    const HttpOutcome outcome = co_await exchange(connection, std::move(request), reportTimeout);
+    std::string reason;
+    const HttpResponse* response = successfulResponse(outcome, reason);
+    const auto report = response ? this->wire->decodeReport(*response) : Result<EngineReport>(make_error_code(ErrorCode::EndpointUnreachable));
+    Finding& finding = this->findings[first.endpoint];
+    finding.asking = false;
+    finding.askedAt = bootNow();
+    finding.silences = report ? 0 : finding.silences + 1;
+    finding.stalled = report ? report->stalled : std::vector<StalledRequest> {};
+}
+
+asio::awaitable<std::optional<EndpointId>> LossDiagnosis::findLost(ForwardOrder order, RequestId request)
+{
+    const ForwardStage first = order.stages.front();
+    if (!this->findings[first.endpoint].asking && bootNow() - this->findings[first.endpoint].askedAt > findingLifetime) {
+        this->findings[first.endpoint].asking = true;
+        co_await this->ask(first);
+    }
+    asio::steady_timer timer(this->context);
+    while (this->findings[first.endpoint].asking) {
+        timer.expires_after(sharedAnswerPause);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    const Finding& finding = this->findings[first.endpoint];
+    if (finding.silences >= silencesForLost)
+        co_return first.endpoint;
+    std::optional<EndpointId> lost;
+    for (const StalledRequest& stalled : finding.stalled) {
+        for (const ForwardStage& stage : order.stages) {
+            if (stage.address == stalled.waitsFor && (!lost || stalled.request == request))
+                lost = stage.endpoint;
+        }
+    }
+    co_return lost;
+}
+
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -137,6 +137,7 @@
 void PeerExchange::take(GatewayWord word)
 {
     const TimePoint now = bootNow();
+    ++this->context.capacityChanges;
     this->context.roster.noteHeard(word.address, word.failureDomain);
     for (const SocketAddress& address : word.peers)
         this->context.roster.meet(address);
