--- a/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.h
@@ -51,6 +51,8 @@
     std::vector<SocketAddress> reachable() const;
     /** \returns how many gateways are reachable, this one included */
     std::size_t size() const { return this->reachable().size() + 1; }
+    /** \returns how many gateways there may be, the unreachable ones and this one included */
+    std::size_t known() const { return this->peers.size() + 1; }
     /** \returns how many other gateways of this one's failure domain are reachable */
     std::size_t neighbours() const;
 
--- a/packages/Gateway/tests/PeerRoster.cpp
+++ b/packages/Gateway/tests/PeerRoster.cpp
@@ -100,6 +100,16 @@
     BOOST_TEST(this->roster.reachable().empty());
 }
 
+// In a domain that was cut off each gateway took a part of the retries as if the others were gone.
+BOOST_FIXTURE_TEST_CASE(unreachableGatewaysStillCountAsKnown, Fixture)
+{
+    this->roster.noteHeard(at(1), far);
+    this->roster.noteFailure(at(1));
+    this->roster.noteFailure(at(1));
+    BOOST_TEST(this->roster.size() == 1U);
+    BOOST_TEST(this->roster.known() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(itNeverMeetsItself, Fixture)
 {
     this->roster.meet(at(5));
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -25,12 +25,15 @@
 constexpr std::size_t maximumWordBytes = 64 * 1024 * 1024;
 // The group under which a member keeps its hub's sum.
 const std::string hubGroup = "hub";
+// Leaves room for counting on from a random number within 63 bits.
+constexpr int revisionOffsetShift = 16;
 
 }
 
 PeerExchange::PeerExchange(GatewayContext& context, const StoreFollower& follower)
     : context(context)
     , follower(follower)
+    , revisionOffset(context.random() >> revisionOffsetShift)
     , server(context.io, { context.settings.peers->address, context.settings.peers->port }, [this](HttpRequest request) { return this->answer(std::move(request)); })
 {
 }
@@ -95,7 +98,7 @@
     word.peers = this->context.roster.reachable();
     word.followsStore = this->hasCurrentEndpoints();
     word.wantsEndpoints = !word.followsStore;
-    word.endpointsRevision = this->context.registry.revision();
+    word.endpointsRevision = this->revisionOffset + this->context.registry.revision();
     const auto entry = this->heard.find(receiver);
     word.knownRevision = entry == this->heard.end() ? 0 : entry->second.endpointsRevision;
     const TimePoint now = bootNow();
@@ -147,8 +150,8 @@
     peer.configurationVersion = word.configurationVersion;
     peer.knownRevision = word.knownRevision;
     peer.wantsEndpoints = word.wantsEndpoints;
-    if (word.followsStore && this->isMyHub(word.address))
-        this->context.hubHeardAt = now;
+    if (this->isMyHub(word.address))
+        this->context.hubHeardAt = word.followsStore ? std::optional<TimePoint>(now) : std::nullopt;
     for (const AvoidedEndpoint& avoided : word.avoided) {
         this->context.registry.noteHearsay(avoided.endpoint, avoided.remaining, now);
         this->context.streams.suspect(avoided.endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
@@ -49,6 +49,7 @@
     const StoreFollower& follower;
     std::map<SocketAddress, Heard> heard;
     std::map<SocketAddress, std::unique_ptr<HttpConnection>> connections;
+    const std::uint64_t revisionOffset; ///< tells the revisions of this run from those of the one before
     bool wasHub = true;
     HttpServer server;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -19,13 +19,13 @@
 constexpr Duration configurationWait = std::chrono::milliseconds(1500);
 // Endpoints write every second or so, so that a read always finds something: reads are paced instead. A quarter of
 // the time within which a leaving endpoint must get no more work.
-constexpr Duration endpointsPause = std::chrono::milliseconds(400);
+constexpr Duration endpointsPause = std::chrono::milliseconds(350);
 // Answer time of the store beside the wait: a hundred times its usual one.
-constexpr Duration answerTimeout = std::chrono::milliseconds(500);
+constexpr Duration answerTimeout = std::chrono::milliseconds(400);
 // Pause before the store is asked again after a failure.
 constexpr Duration failurePause = std::chrono::milliseconds(300);
 // A daemon whose hub follows the store looks this often whether it still does.
-constexpr Duration idlePause = std::chrono::milliseconds(200);
+constexpr Duration idlePause = std::chrono::milliseconds(100);
 
 asio::awaitable<void> sleep(asio::io_context& io, Duration duration)
 {
