Links between domains have a capacity; lost engines are found by probes

Cause: on the grown sites a lost engine's layers were missed for up to six seconds (three heartbeats of silence, then the load), and chains round the gap filled the links between domains, so that all streams stalled. Change: links are booked like engines and take as many generations as their rate carries; the daemon with the placement duty asks suspected engines and repairs after two silences; members take endpoint lists from their hub only.

--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -26,6 +26,11 @@
 // what is known of the load there is older.
 constexpr double remoteChainMs = 800;
 
+// Part of a link that generations may fill; the rest takes the bursts of their prompts.
+constexpr double linkUse = 0.6;
+// How long a generation of usual length stays in its chain.
+constexpr double usualStaySeconds = 2.5;
+
 struct StageTimes {
     double prefillMs = 0;
     double stepMs = 0;
@@ -137,6 +142,8 @@
         const double crowding = 1 + crowdingFactor * std::pow(used, crowdingExponent);
         for (const auto& [domain, label] : this->labels[from]) {
             const bool crosses = from > 0 && domain != candidate.failureDomain;
+            if (crosses && this->request.fullLinks.contains(DomainLink(domain, candidate.failureDomain)))
+                continue;
             const double crossPrefill = crosses ? crossingMs(this->profile, this->request.promptTokens) + this->profile.crossDomainDelayMs : 0;
             const double crossStep = crosses ? crossingMs(this->profile, 1) + this->profile.crossDomainDelayMs : 0;
             Label next;
@@ -165,6 +172,14 @@
 
 }
 
+double linkCapacity(const EngineProfile& profile)
+{
+    const double megabits = (profile.usualPromptTokens + profile.usualOutputTokens) * profile.activationBytes * bitsPerByte / 1e6;
+    if (megabits <= 0 || profile.crossDomainMegabitsPerSecond <= 0)
+        return std::numeric_limits<double>::infinity();
+    return linkUse * profile.crossDomainMegabitsPerSecond * usualStaySeconds / megabits;
+}
+
 std::optional<LayerChain> planLayerChain(const EngineProfile& profile, const std::vector<StageCandidate>& candidates, const ChainRequest& request)
 {
     if (profile.layers == 0)
@@ -189,7 +204,7 @@
                 repeated = true;
             }
             if (previous && candidates[*previous].failureDomain != candidates[index].failureDomain)
-                ++chain.crossings;
+                chain.crossings.emplace_back(candidates[*previous].failureDomain, candidates[index].failureDomain);
             previous = index;
             chain.stages.push_back({ candidates[index].endpoint, layers });
         }
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
@@ -1,12 +1,14 @@
 #ifndef FILBERTSPOKE_CHAIN_PLANNER_H
 #define FILBERTSPOKE_CHAIN_PLANNER_H
 
+#include "DomainLink.h"
 #include "EngineProfile.h"
 
 #include <filbertspoke/Core>
 
 #include <compare>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace filbertspoke {
@@ -37,16 +39,20 @@
     std::vector<LayerStage> stages;
     Duration firstToken {}; ///< prefill and one step
     Duration perToken {}; ///< each further step
-    std::uint32_t crossings = 0; ///< between failure domains
+    std::vector<DomainLink> crossings; ///< between failure domains, in order
 
     auto operator<=>(const LayerChain&) const = default;
 };
 
+/** \returns how many generations at once may pass a link between two failure domains before they delay each other */
+double linkCapacity(const EngineProfile&);
+
 /** \brief The generation that a chain is planned for. */
 struct ChainRequest {
     FailureDomainId origin; ///< of the daemon
     double promptTokens = 0;
     double outputTokens = 0; ///< expected
+    std::set<DomainLink> fullLinks; ///< that take no further generation
 
     auto operator<=>(const ChainRequest&) const = default;
 };
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/DomainLink.h
@@ -0,0 +1,32 @@
+#ifndef FILBERTSPOKE_DOMAIN_LINK_H
+#define FILBERTSPOKE_DOMAIN_LINK_H
+
+#include <filbertspoke/Core>
+
+#include <algorithm>
+#include <compare>
+
+namespace filbertspoke {
+
+/** \brief The link between two failure domains, in either direction. */
+class DomainLink {
+public:
+    DomainLink(FailureDomainId a, FailureDomainId b)
+        : lower(std::min(a, b))
+        , higher(std::max(a, b))
+    {
+    }
+
+    /** \returns the name under which work on the link is booked */
+    EndpointId name() const { return EndpointId("link/" + this->lower.str() + "/" + this->higher.str()); }
+
+    auto operator<=>(const DomainLink&) const = default;
+
+private:
+    FailureDomainId lower;
+    FailureDomainId higher;
+};
+
+}
+
+#endif
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -166,7 +166,7 @@
 
 bool EndpointRegistry::isAvoided(const EndpointRecord& record, TimePoint now) const
 {
-    if (ownAvoidance(record, now) || (record.hearsayUntil && now < *record.hearsayUntil))
+    if (isSuspected(record, now))
         return true;
     const auto domain = this->unreachable.find(record.endpoint.failureDomain);
     if (domain == this->unreachable.end())
@@ -175,6 +175,11 @@
     return static_cast<std::size_t>(recent) >= unreachableForDomain;
 }
 
+bool EndpointRegistry::isSuspected(const EndpointRecord& record, TimePoint now)
+{
+    return ownAvoidance(record, now) || (record.hearsayUntil && now < *record.hearsayUntil);
+}
+
 std::optional<Duration> EndpointRegistry::ownAvoidance(const EndpointRecord& record, TimePoint now)
 {
     if (!record.avoidedUntil || *record.avoidedUntil <= now)
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -65,6 +65,8 @@
     const EndpointRecord* find(const EndpointId&) const;
     /** \returns the id of the endpoint of \a service at the address, or nothing */
     std::optional<EndpointId> findByAddress(const SocketAddress&) const;
+    /** \returns whether own or other daemons' evidence speaks against the endpoint itself */
+    static bool isSuspected(const EndpointRecord&, TimePoint now);
     /** \returns the time for which the endpoint is still left alone by this daemon's own evidence, or nothing */
     static std::optional<Duration> ownAvoidance(const EndpointRecord&, TimePoint now);
     /** \returns whether the endpoint may get new work at all, whatever the evidence */
--- a/packages/Gateway/tests/ChainPlanning.cpp
+++ b/packages/Gateway/tests/ChainPlanning.cpp
@@ -75,6 +75,22 @@
     BOOST_TEST((chain.back().endpoint == EndpointId("y")));
 }
 
+// One engine of a domain was lost; chains round the gap filled the links between domains, and all streams stalled.
+BOOST_AUTO_TEST_CASE(fullLinkTakesNoFurtherChain)
+{
+    const std::vector<StageCandidate> candidates { candidate("x", { 0, 40 }), candidate("far", { 40, 80 }, "small", "b") };
+    ChainRequest wanted = request();
+    BOOST_TEST(planLayerChain(profile, candidates, wanted)->crossings.size() == 1U);
+    wanted.fullLinks = { DomainLink(FailureDomainId("b"), FailureDomainId("a")) };
+    BOOST_TEST(!planLayerChain(profile, candidates, wanted).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(linksTakeAsManyGenerationsAsTheirRateCarries)
+{
+    BOOST_TEST(linkCapacity(profile) > 50);
+    BOOST_TEST(linkCapacity(profile) < 100);
+}
+
 BOOST_AUTO_TEST_CASE(busyEngineIsPassedOver)
 {
     StageCandidate busy = candidate("busy", { 40, 80 });
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -66,6 +66,7 @@
 private:
     asio::awaitable<std::optional<LayerChain>> awaitChain();
     std::optional<LayerChain> planChain() const;
+    std::set<DomainLink> fullLinks(const std::vector<StageCandidate>&, double capacity) const;
     StageCandidate stageCandidate(const EndpointRecord&, const EngineProfile&) const;
     std::optional<ForwardOrder> orderFor(const LayerChain&) const;
     void reserve(const LayerChain&, bool begin);
@@ -118,6 +119,22 @@
     return candidate;
 }
 
+std::set<DomainLink> StreamRun::fullLinks(const std::vector<StageCandidate>& candidates, double capacity) const
+{
+    std::set<FailureDomainId> domains;
+    for (const StageCandidate& candidate : candidates)
+        domains.insert(candidate.failureDomain);
+    std::set<DomainLink> full;
+    for (const FailureDomainId& a : domains) {
+        for (const FailureDomainId& b : domains) {
+            const DomainLink link(a, b);
+            if (a < b && this->task.context.loads.total(link.name()).requests >= capacity)
+                full.insert(link);
+        }
+    }
+    return full;
+}
+
 std::optional<LayerChain> StreamRun::planChain() const
 {
     const EngineProfile* engine = this->profile();
@@ -132,6 +149,7 @@
     request.origin = this->task.context.settings.failureDomain;
     request.promptTokens = this->task.request.promptTokens;
     request.outputTokens = expectedOutput(this->task.request, *engine);
+    request.fullLinks = this->fullLinks(candidates, linkCapacity(*engine));
     return planLayerChain(*engine, candidates, request);
 }
 
@@ -179,6 +197,13 @@
         else
             this->task.context.loads.end(stage.endpoint, load);
     }
+    for (const DomainLink& link : chain.crossings) {
+        const WorkInProgress load { 1, 0 };
+        if (begin)
+            this->task.context.loads.begin(link.name(), load);
+        else
+            this->task.context.loads.end(link.name(), load);
+    }
     if (!begin) {
         ++this->task.context.capacityChanges;
         this->task.context.waiters.wakeOne();
@@ -335,7 +360,7 @@
         if (!order)
             break;
         this->reservedTokens = this->task.request.promptTokens + expectedOutput(this->task.request, *this->profile());
-        logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain->stages.size()) }, { "first", chain->stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain->firstToken) }, { "perTokenUs", std::to_string(chain->perToken.count()) }, { "crossings", std::to_string(chain->crossings) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
+        logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain->stages.size()) }, { "first", chain->stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain->firstToken) }, { "perTokenUs", std::to_string(chain->perToken.count()) }, { "crossings", std::to_string(chain->crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
         this->reserve(*chain, true);
         this->lostEngine.reset();
         this->eventsInAttempt = 0;
--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
@@ -20,6 +20,9 @@
 constexpr Duration claimPause = std::chrono::milliseconds(500);
 constexpr Duration storeTimeout = std::chrono::milliseconds(400);
 constexpr Duration engineTimeout = std::chrono::milliseconds(500);
+// A live engine reports within a few milliseconds; two silences in a row, a round apart, count as its loss.
+constexpr Duration probeTimeout = std::chrono::milliseconds(300);
+constexpr int silencesForLost = 2;
 // Engines that start together are registered within a heartbeat; the first placement waits for the last one.
 constexpr Duration settleTime = std::chrono::milliseconds(1500);
 // An order without an answer may still be carried out; the engine is left alone for so long.
@@ -55,8 +58,10 @@
     while (!this->stopped) {
         if (this->context.roster.isHub())
             co_await this->claim(store);
-        if (this->holdsDuty())
+        if (this->holdsDuty()) {
+            this->probeSuspects();
             co_await this->place();
+        }
         timer.expires_after(claimPause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
@@ -99,7 +104,7 @@
     std::vector<PlaceableEngine> engines;
     for (const auto& [id, record] : this->context.registry.records()) {
         const auto accelerator = service.engine->accelerators.find(record.endpoint.accelerator);
-        if (record.endpoint.service != service.name || !EndpointRegistry::takesWork(record, now) || accelerator == service.engine->accelerators.end())
+        if (record.endpoint.service != service.name || !EndpointRegistry::takesWork(record, now) || this->isLost(record.endpoint) || accelerator == service.engine->accelerators.end())
             continue;
         const auto order = this->pending.find(id);
         engines.push_back({ id, record.endpoint.failureDomain, accelerator->second, order == this->pending.end() ? record.endpoint.layers : order->second.layers });
@@ -107,6 +112,40 @@
     return engines;
 }
 
+void LayerOrderer::probeSuspects()
+{
+    const TimePoint now = bootNow();
+    for (const auto& [id, record] : this->context.registry.records()) {
+        const bool engine = !record.endpoint.accelerator.empty();
+        if (engine && EndpointRegistry::isSuspected(record, now) && !this->probes[id].asking) {
+            this->probes[id].asking = true;
+            asio::co_spawn(this->context.io, this->probe(record.endpoint), asio::detached);
+        }
+    }
+    std::erase_if(this->probes, [this](const auto& entry) { return !entry.second.asking && !this->context.registry.find(entry.first); });
+}
+
+asio::awaitable<void> LayerOrderer::probe(RegisteredEndpoint endpoint)
+{
+    HttpConnection connection(this->context.io, { endpoint.address.address, endpoint.address.port }, { probeTimeout, probeTimeout });
+    HttpRequest request = this->context.wires.engine->encodeReportRequest(endpoint.id);
+    const HttpOutcome outcome = co_await exchange(connection, std::move(request), probeTimeout);
+    const bool answered = std::holds_alternative<HttpResponse>(outcome);
+    Probes& state = this->probes[endpoint.id];
+    state.asking = false;
+    state.heartbeat = endpoint.heartbeat;
+    state.silences = answered ? 0 : state.silences + 1;
+    if (state.silences == silencesForLost)
+        logLine(WriteLog::Level::Warning, "engine-taken-as-lost", { { "endpoint", endpoint.id.str() }, { "heartbeat", std::to_string(endpoint.heartbeat) } });
+}
+
+bool LayerOrderer::isLost(const RegisteredEndpoint& endpoint) const
+{
+    const auto state = this->probes.find(endpoint.id);
+    // An entry that was written since says that the engine lives.
+    return state != this->probes.end() && state->second.silences >= silencesForLost && endpoint.heartbeat <= state->second.heartbeat;
+}
+
 bool LayerOrderer::settled(const std::vector<PlaceableEngine>& engines)
 {
     const bool fresh = std::all_of(engines.begin(), engines.end(), [](const PlaceableEngine& engine) { return engine.layers.empty(); });
--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.h
@@ -30,11 +30,21 @@
         TimePoint expires;
     };
 
+    /** \brief What asking a suspected engine gave. */
+    struct Probes {
+        bool asking = false;
+        int silences = 0; ///< questions in a row without an answer
+        std::uint64_t heartbeat = 0; ///< of the engine's entry at the last question
+    };
+
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> claim(HttpConnection&);
     boost::asio::awaitable<void> place();
     boost::asio::awaitable<void> order(RegisteredEndpoint, LayerRange, Duration loadTime);
     std::vector<PlaceableEngine> engines(const ForwardedService&);
+    void probeSuspects();
+    boost::asio::awaitable<void> probe(RegisteredEndpoint);
+    bool isLost(const RegisteredEndpoint&) const;
     bool settled(const std::vector<PlaceableEngine>&);
     bool holdsDuty() const { return this->held && bootNow() < this->heldUntil; }
 
@@ -46,6 +56,7 @@
     bool stopped = false;
     TimePoint heldUntil;
     std::map<EndpointId, PendingOrder> pending;
+    std::map<EndpointId, Probes> probes;
     std::size_t enginesSeen = 0;
     TimePoint enginesSeenAt;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -97,7 +97,8 @@
     word.configurationVersion = this->context.table ? this->context.table->version() : 0;
     word.peers = this->context.roster.reachable();
     word.followsStore = this->hasCurrentEndpoints();
-    word.wantsEndpoints = !word.followsStore;
+    // A member takes the list from its hub only, as long as there is one that has it.
+    word.wantsEndpoints = !word.followsStore && (this->context.followsStore() || this->isMyHub(receiver));
     word.endpointsRevision = this->revisionOffset + this->context.registry.revision();
     const auto entry = this->heard.find(receiver);
     word.knownRevision = entry == this->heard.end() ? 0 : entry->second.endpointsRevision;
