--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
@@ -12,8 +12,6 @@
 constexpr double maximumReserve = 1e6;
 constexpr std::uint64_t minimumStopMs = 100;
 constexpr std::uint64_t maximumStopMs = 600'000;
-constexpr std::uint64_t minimumStallMs = 10;
-constexpr std::uint64_t maximumStallMs = 60'000;
 const std::vector<std::string_view> levelNames = { "debug", "info", "warning", "error" };
 
 std::optional<SocketAddress> parseAddress(const std::string& text)
@@ -87,7 +85,6 @@
     settings.retryBudget.reserve = budget.number("reserve", 0, maximumReserve, settings.retryBudget.reserve);
     budget.rejectUnknownKeys();
     settings.stopTimeout = readMilliseconds(root, "stopTimeoutMs", minimumStopMs, maximumStopMs, settings.stopTimeout);
-    settings.stallTimeout = readMilliseconds(root, "stallTimeoutMs", minimumStallMs, maximumStallMs, settings.stallTimeout);
     settings.logLevel = static_cast<LogLevel>(root.choice("logLevel", levelNames, static_cast<std::size_t>(LogLevel::Info)));
     root.rejectUnknownKeys();
     if (problems.empty())
--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
@@ -33,7 +33,6 @@
     SocketAddress store;
     RetryBudgetSettings retryBudget;
     Duration stopTimeout = std::chrono::seconds(8); ///< from the request to stop until the process is killed
-    Duration stallTimeout = std::chrono::milliseconds(2500); ///< after which engines give up a chain's dead part
     LogLevel logLevel = LogLevel::Info;
 
     bool operator==(const GatewaySettings&) const = default;
--- a/packages/Configuration/tests/GatewaySettings.cpp
+++ b/packages/Configuration/tests/GatewaySettings.cpp
@@ -22,7 +22,6 @@
     ratio: 0.2
     reserve: 25
 stopTimeoutMs: 8000
-stallTimeoutMs: 2500
 )";
 
 std::set<std::string> problemKeys(const std::string& yaml)
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -208,8 +208,11 @@
             previous = index;
             chain.stages.push_back({ candidates[index].endpoint, layers });
         }
-        if (!repeated)
-            return chain;
+        if (repeated)
+            continue;
+        chain.perEvent = chain.perToken * profile.tokensPerEvent;
+        chain.tokens = request.promptTokens + request.outputTokens;
+        return chain;
     }
     return std::nullopt;
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
@@ -39,6 +39,8 @@
     std::vector<LayerStage> stages;
     Duration firstToken {}; ///< prefill and one step
     Duration perToken {}; ///< each further step
+    Duration perEvent {}; ///< between two events, which may hold several tokens
+    double tokens = 0; ///< prompt and expected output, for which the engines set room aside
     std::vector<DomainLink> crossings; ///< between failure domains, in order
 
     auto operator<=>(const LayerChain&) const = default;
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.cpp
@@ -96,7 +96,8 @@
     std::vector<SocketAddress> asked;
     for (const auto& [address, peer] : this->peers) {
         const bool unheard = peer.failureDomain.empty() || peer.failures >= failuresForUnreachable;
-        const Duration pause = unheard ? unreachablePause : this->isPartner(address, peer) ? partnerPause : acquaintancePause;
+        const Duration pause = unheard ? unreachablePause : this->isPartner(address, peer) ? partnerPause
+                                                                                           : acquaintancePause;
         if (!peer.askedAt || now - *peer.askedAt >= pause)
             asked.push_back(address);
     }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -35,15 +35,6 @@
 // A stream that is silent for so long when one of its engines comes under suspicion takes that for the cause; well
 // above the time between two events.
 constexpr Duration silenceUnderSuspicion = std::chrono::milliseconds(150);
-// A caller's output estimate is right at the median only: room is set aside for somewhat more.
-constexpr double outputMargin = 1.2;
-
-double expectedOutput(const CallerRequest& request, const EngineProfile& profile)
-{
-    const double estimate = request.expectedOutputTokens.value_or(profile.usualOutputTokens) * outputMargin;
-    return request.maximumOutputTokens > 0 ? std::min(estimate, request.maximumOutputTokens) : estimate;
-}
-
 /** \brief The watch over one attempt, which may outlive it. */
 struct Supervision {
     bool over = false; ///< the attempt has ended
@@ -65,9 +56,6 @@
 
 private:
     asio::awaitable<std::optional<LayerChain>> awaitChain();
-    std::optional<LayerChain> planChain() const;
-    std::set<DomainLink> fullLinks(const std::vector<StageCandidate>&, double capacity) const;
-    StageCandidate stageCandidate(const EndpointRecord&, const EngineProfile&) const;
     std::optional<ForwardOrder> orderFor(const LayerChain&) const;
     void reserve(const LayerChain&, bool begin);
     asio::awaitable<AttemptResult> attempt(const ForwardOrder&, const LayerChain&);
@@ -76,7 +64,6 @@
     asio::awaitable<void> supervise(std::shared_ptr<Supervision>, ForwardOrder);
     std::uint64_t watchEngines(const LayerChain&);
     asio::awaitable<void> end(bool complete);
-    const EngineProfile* profile() const;
     void noteChainAlive();
 
     ForwardTask& task;
@@ -91,68 +78,12 @@
     double reservedTokens = 0;
 };
 
-const EngineProfile* StreamRun::profile() const
-{
-    const ForwardedService* service = this->task.context.table->findService(this->task.service);
-    return service && service->engine ? &*service->engine : nullptr;
-}
-
 void StreamRun::noteChainAlive()
 {
     for (const EndpointId& engine : this->engines)
         this->task.context.registry.noteSuccess(engine);
 }
 
-StageCandidate StreamRun::stageCandidate(const EndpointRecord& record, const EngineProfile& profile) const
-{
-    StageCandidate candidate;
-    candidate.endpoint = record.endpoint.id;
-    candidate.layers = record.endpoint.layers;
-    candidate.failureDomain = record.endpoint.failureDomain;
-    const auto accelerator = profile.accelerators.find(record.endpoint.accelerator);
-    if (accelerator != profile.accelerators.end())
-        candidate.accelerator = accelerator->second;
-    const WorkInProgress load = this->task.context.loads.total(record.endpoint.id);
-    const double memory = candidate.accelerator.memoryMegabytes - candidate.layers.size() * profile.layerMegabytes;
-    candidate.sequences = load.requests;
-    candidate.freeTokenLayers = memory / profile.kvMegabytesPerTokenLayer() - load.tokenLayers;
-    return candidate;
-}
-
-std::set<DomainLink> StreamRun::fullLinks(const std::vector<StageCandidate>& candidates, double capacity) const
-{
-    std::set<FailureDomainId> domains;
-    for (const StageCandidate& candidate : candidates)
-        domains.insert(candidate.failureDomain);
-    std::set<DomainLink> full;
-    for (const FailureDomainId& a : domains) {
-        for (const FailureDomainId& b : domains) {
-            const DomainLink link(a, b);
-            if (a < b && this->task.context.loads.total(link.name()).requests >= capacity)
-                full.insert(link);
-        }
-    }
-    return full;
-}
-
-std::optional<LayerChain> StreamRun::planChain() const
-{
-    const EngineProfile* engine = this->profile();
-    if (!engine)
-        return std::nullopt;
-    std::vector<StageCandidate> candidates;
-    for (const EndpointRecord* record : this->task.context.registry.candidates(this->task.service, bootNow())) {
-        if (!record->endpoint.layers.empty() && !this->task.avoided.contains(record->endpoint.id))
-            candidates.push_back(this->stageCandidate(*record, *engine));
-    }
-    ChainRequest request;
-    request.origin = this->task.context.settings.failureDomain;
-    request.promptTokens = this->task.request.promptTokens;
-    request.outputTokens = expectedOutput(this->task.request, *engine);
-    request.fullLinks = this->fullLinks(candidates, linkCapacity(*engine));
-    return planLayerChain(*engine, candidates, request);
-}
-
 asio::awaitable<std::optional<LayerChain>> StreamRun::awaitChain()
 {
     const auto patience = Duration(static_cast<Duration::rep>(static_cast<double>(this->task.route.targetLatency.count()) * waitingFraction));
@@ -162,7 +93,7 @@
         // Looking again is worth it only when work has ended or news of others has come.
         if (seen != this->task.context.capacityChanges) {
             seen = this->task.context.capacityChanges;
-            if (auto chain = this->planChain())
+            if (auto chain = planStream(this->task))
                 co_return chain;
         }
         const Duration left = limit - bootNow();
@@ -250,7 +181,7 @@
 asio::awaitable<void> StreamRun::supervise(std::shared_ptr<Supervision> supervision, ForwardOrder order)
 {
     asio::steady_timer timer(this->task.context.io);
-    while (true) {
+    while (!supervision->over) {
         const TimePoint due = std::max(this->lastProgress, supervision->checkedAt) + (this->eventsInAttempt == 0 ? supervision->firstEventLimit : supervision->gapLimit);
         if (bootNow() < due) {
             timer.expires_after(due - bootNow());
@@ -296,8 +227,7 @@
     if (events.midEvent())
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "ended-within-event" };
     if (this->eventsInAttempt > 1)
-        logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", std::to_string(chain.perToken.count() * this->profile()->tokensPerEvent) } });
-    this->task.context.pool.giveBack(this->orderFor(chain) ? this->orderFor(chain)->stages.front().address : SocketAddress {}, connection);
+        logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", std::to_string(chain.perEvent.count()) } });
     co_return AttemptResult {};
 }
 
@@ -332,6 +262,8 @@
     // The engines stop at once, so that no work goes on beside the next run.
     if (result.failure)
         connection->close();
+    else
+        this->task.context.pool.giveBack(order.stages.front().address, connection);
     co_return result;
 }
 
@@ -359,7 +291,7 @@
         const auto order = chain ? this->orderFor(*chain) : std::nullopt;
         if (!order)
             break;
-        this->reservedTokens = this->task.request.promptTokens + expectedOutput(this->task.request, *this->profile());
+        this->reservedTokens = chain->tokens;
         logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain->stages.size()) }, { "first", chain->stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain->firstToken) }, { "perTokenUs", std::to_string(chain->perToken.count()) }, { "crossings", std::to_string(chain->crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
         this->reserve(*chain, true);
         this->lostEngine.reset();
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
@@ -0,0 +1,73 @@
+#include <filbertspoke/Proxy>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace filbertspoke {
+
+namespace {
+
+// A caller's output estimate is right at the median only: room is set aside for somewhat more.
+constexpr double outputMargin = 1.2;
+
+double expectedOutput(const CallerRequest& request, const EngineProfile& profile)
+{
+    const double estimate = request.expectedOutputTokens.value_or(profile.usualOutputTokens) * outputMargin;
+    return request.maximumOutputTokens > 0 ? std::min(estimate, request.maximumOutputTokens) : estimate;
+}
+
+StageCandidate stageCandidate(const LoadBook& loads, const EndpointRecord& record, const EngineProfile& profile)
+{
+    StageCandidate candidate;
+    candidate.endpoint = record.endpoint.id;
+    candidate.layers = record.endpoint.layers;
+    candidate.failureDomain = record.endpoint.failureDomain;
+    const auto accelerator = profile.accelerators.find(record.endpoint.accelerator);
+    if (accelerator != profile.accelerators.end())
+        candidate.accelerator = accelerator->second;
+    const WorkInProgress load = loads.total(record.endpoint.id);
+    const double memory = candidate.accelerator.memoryMegabytes - candidate.layers.size() * profile.layerMegabytes;
+    candidate.sequences = load.requests;
+    candidate.freeTokenLayers = memory / profile.kvMegabytesPerTokenLayer() - load.tokenLayers;
+    return candidate;
+}
+
+std::set<DomainLink> fullLinks(const LoadBook& loads, const std::vector<StageCandidate>& candidates, double capacity)
+{
+    std::set<FailureDomainId> domains;
+    for (const StageCandidate& candidate : candidates)
+        domains.insert(candidate.failureDomain);
+    std::set<DomainLink> full;
+    for (const FailureDomainId& a : domains) {
+        for (const FailureDomainId& b : domains) {
+            const DomainLink link(a, b);
+            if (a < b && loads.total(link.name()).requests >= capacity)
+                full.insert(link);
+        }
+    }
+    return full;
+}
+
+}
+
+std::optional<LayerChain> planStream(const ForwardTask& task)
+{
+    const ForwardedService* service = task.context.table->findService(task.service);
+    if (!service || !service->engine)
+        return std::nullopt;
+    const EngineProfile& engine = *service->engine;
+    std::vector<StageCandidate> candidates;
+    for (const EndpointRecord* record : task.context.registry.candidates(task.service, bootNow())) {
+        if (!record->endpoint.layers.empty() && !task.avoided.contains(record->endpoint.id))
+            candidates.push_back(stageCandidate(task.context.loads, *record, engine));
+    }
+    ChainRequest request;
+    request.origin = task.context.settings.failureDomain;
+    request.promptTokens = task.request.promptTokens;
+    request.outputTokens = expectedOutput(task.request, engine);
+    request.fullLinks = fullLinks(task.context.loads, candidates, linkCapacity(engine));
+    return planLayerChain(engine, candidates, request);
+}
+
+}
