--- a/packages/Gateway/tests/LayerPlacement.cpp
+++ b/packages/Gateway/tests/LayerPlacement.cpp
@@ -69,6 +69,21 @@
     return least;
 }
 
+/** \returns for how many sequences the domain had room if its memory were spread evenly over one copy */
+double evenSequences(const std::vector<PlaceableEngine>& pool, const std::string& domain)
+{
+    double memory = 0;
+    for (const PlaceableEngine& engine : pool) {
+        if (engine.failureDomain == FailureDomainId(domain))
+            memory += engine.accelerator.memoryMegabytes;
+    }
+    const double room = memory / profile.layers - profile.layerMegabytes;
+    return room / profile.kvMegabytesPerTokenLayer() / (profile.usualPromptTokens + profile.usualOutputTokens);
+}
+
+// The room that placements aim for at every engine, as internal/LayerPool.h has it.
+constexpr double aimedSequences = 80;
+
 struct Fixture {
     Fixture() { carryOut(this->pool, placeLayers(profile, this->pool)); }
 
@@ -158,6 +173,16 @@
     BOOST_TEST(leastSequences(this->pool, "b") >= 50);
 }
 
+BOOST_FIXTURE_TEST_CASE(repairReachesTheAimedRoomWhereMemoryAllowsIt, Fixture)
+{
+    this->settle();
+    remove(this->pool, "b-small-1");
+    remove(this->pool, "b-small-5");
+    BOOST_REQUIRE(evenSequences(this->pool, "b") >= aimedSequences);
+    this->settle();
+    BOOST_TEST(leastSequences(this->pool, "b") >= aimedSequences);
+}
+
 BOOST_FIXTURE_TEST_CASE(lossOfTheFastestEngineIsRepaired, Fixture)
 {
     this->settle();
