Programs that tests restart have loopback addresses of their own

Connections without an address of their own leave from 127.0.0.1 at any free port, also at one that a killed daemon held, which then can't bind it: a new case does that on purpose and failed with the same kind of exception. Change: each daemon and gateway of a test has a loopback address that the test's process id names; look-ups of unused ports use it as well.

--- a/packages/Control/tests/Arguments.cpp
+++ b/packages/Control/tests/Arguments.cpp
@@ -67,7 +67,7 @@
     BOOST_TEST(Process("filbertspokectl", { "approve", answers, "--author", "hanna", "--approver", "dawit", "--log", address }).wait() == 0);
     BOOST_TEST(Process("filbertspokectl", { "approve", answers, "--author", "hanna", "--approver", "hanna", "--base", "9", "--log", address }).wait() == 0);
     BOOST_TEST(Process("filbertspokectl", { "generate", "/no/such/file" }).wait() == 2);
-    BOOST_TEST(Process("filbertspokectl", { "status", "--daemon", "127.0.0.1:" + std::to_string(freePort("127.0.0.1")) }).wait() == 4);
+    BOOST_TEST(Process("filbertspokectl", { "status", "--daemon", ownLoopbackAddress(1) + ":" + std::to_string(freePort(ownLoopbackAddress(1))) }).wait() == 4);
 
     Process audit("filbertspokectl", { "audit", "--log", address });
     BOOST_TEST(audit.readLine().value_or("").starts_with("offset 1 accepted: workshop-assistant by hanna, approved by dawit"));
--- a/packages/Daemon/tests/Peers.cpp
+++ b/packages/Daemon/tests/Peers.cpp
@@ -1,6 +1,8 @@
 // Daemons that are killed, paused and stopped, as the other daemons see them. Real processes.
 #include <filbertspoke/ClusterTesting>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/array.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -61,6 +63,20 @@
     BOOST_TEST(this->await([this] { return this->everyoneIsAlive(); }));
 }
 
+// A connection of another program left from the port of a killed daemon, which then could not bind it again.
+BOOST_FIXTURE_TEST_CASE(restartedDaemonGetsPortsBackFromWhichOthersConnectMeanwhile, FourDaemons)
+{
+    using boost::asio::ip::tcp;
+    BOOST_TEST_REQUIRE(this->await([this] { return this->everyoneIsAlive(); }));
+    this->daemon(2).process.kill();
+    boost::asio::io_context io;
+    tcp::acceptor other(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    tcp::socket leaving(io, { boost::asio::ip::make_address("127.0.0.1"), this->daemon(2).callers.port });
+    leaving.connect(other.local_endpoint());
+    this->restartDaemon(2);
+    BOOST_TEST(this->await([this] { return this->everyoneIsAlive(); }));
+}
+
 BOOST_FIXTURE_TEST_CASE(pausedDaemonIsAliveAgainWhenItGoesOn, FourDaemons)
 {
     BOOST_TEST_REQUIRE(this->await([this] { return this->everyoneIsAlive(); }));
--- a/packages/Endpoint/tests/Pooling.cpp
+++ b/packages/Endpoint/tests/Pooling.cpp
@@ -86,7 +86,7 @@
 
 HttpAddress unusedAddress()
 {
-    return { "127.0.0.1", freePort("127.0.0.1") };
+    return { ownLoopbackAddress(1), freePort(ownLoopbackAddress(1)) };
 }
 
 }
--- a/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
+++ b/testing/filbertspoke/src/ClusterTesting/Cluster.cpp
@@ -23,7 +23,6 @@
 namespace {
 
 constexpr std::chrono::seconds requestLimit { 60 };
-const std::string loopback = "127.0.0.1";
 const std::string account = "bole-workshops";
 const std::vector<std::string> failureDomains { "addis-bole", "addis-merkato", "addis-piassa" };
 
@@ -164,7 +163,7 @@
 
 void Cluster::startDaemon(std::uint32_t index, const DaemonProcess* previous)
 {
-    const HttpAddress anywhere { loopback, 0 };
+    const HttpAddress anywhere { ownLoopbackAddress(index + 1), 0 };
     const std::string name = "daemon-" + std::to_string(index);
     std::string settings = "daemon: " + name + "\nfailureDomain: " + failureDomains[index % failureDomains.size()] + "\n";
     settings += socketLines("callers", previous ? previous->callers : anywhere);
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-const std::string host = "127.0.4.1";
+const std::string host = ownLoopbackAddress(1);
 
 struct EngineRange {
     int first;
--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -183,6 +183,15 @@
     return { std::move(process), address, control };
 }
 
+std::string ownLoopbackAddress(std::uint32_t index)
+{
+    // 127.0.x.x stays with the programs that take any address.
+    constexpr std::uint32_t byteValues = 256;
+    const auto id = static_cast<std::uint32_t>(::getpid());
+    const std::uint32_t second = 1 + id / byteValues % (byteValues - 2);
+    return "127." + std::to_string(second) + "." + std::to_string(id % byteValues) + "." + std::to_string(index);
+}
+
 std::uint16_t freePort(const std::string& address)
 {
     boost::asio::io_context context;
--- a/testing/filbertspoke/src/ProcessTesting/Process.h
+++ b/testing/filbertspoke/src/ProcessTesting/Process.h
@@ -5,6 +5,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,6 +65,14 @@
     static StandInProcess start(const std::vector<std::string>& arguments);
 };
 
+/** \brief Gives a test program loopback addresses that no other program of the same run binds or connects from.
+ *
+ * A program that is restarted gets its ports back only if nobody took them meanwhile, and connections without an
+ * address of their own leave from 127.0.0.1 at any free port.
+ * \param index up to 255, one for each program that the test starts
+ */
+std::string ownLoopbackAddress(std::uint32_t index);
+
 /** \returns a port on the address that nothing listens on at present */
 std::uint16_t freePort(const std::string& address);
 
