Placement gives slow engines whole copies beside the fast lane; room is evened out over a whole lane

Cause: in a domain with many slow engines all of them held the last layers behind the fast ones, far more copies than the fast ones fill, while the first layers had room for a sixth less than a burst. Ruled out: fuller chains (a chain's times are planned to within a tenth of what streams show). Change: drafts of a placement take as few slow engines for the last layers as hold them, and whole copies on the others; drafts and chains share one model of an engine's times. A balance works out even room over the lane and moves all boundaries towards it, taking over first.

--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -1,5 +1,7 @@
 #include <filbertspoke/Gateway>
 
+#include "internal/StageTimes.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -14,8 +16,6 @@
 constexpr double bitsPerByte = 8;
 // Engines in one chain: the longest path that engines accept.
 constexpr std::size_t maximumStages = 32;
-// Time to hand a token on to an engine in the same failure domain, beside the work itself.
-constexpr double handOverMs = 0.3;
 // Price of a full engine beside an idle one, so that load spreads before queues grow.
 constexpr double crowdingFactor = 2;
 constexpr double crowdingExponent = 6;
@@ -31,24 +31,6 @@
 // How long a generation of usual length stays in its chain.
 constexpr double usualStaySeconds = 2.5;
 
-struct StageTimes {
-    double prefillMs = 0;
-    double stepMs = 0;
-};
-
-StageTimes stageTimes(const EngineProfile& profile, const StageCandidate& stage, const ChainRequest& request, std::uint32_t layers)
-{
-    const double share = static_cast<double>(layers) / profile.layers;
-    const double contextThousands = (request.promptTokens + request.outputTokens / 2) / 1000;
-    const double perSequence = profile.stepMsPerSequence + profile.stepMsPerThousandContextTokens * contextThousands;
-    // Sequences are spread over the stages of their chains; this one's pass takes its part of them.
-    const double batch = 1 + stage.sequences * share;
-    const double pass = share * stage.accelerator.stepFactor * (profile.stepMs + perSequence * batch);
-    const double waiting = std::min(1.0, stage.sequences * share) * pass / 2;
-    const double prefill = share * stage.accelerator.prefillFactor * request.promptTokens / profile.prefillTokensPerMs;
-    return { prefill + pass + waiting, pass + waiting };
-}
-
 double crossingMs(const EngineProfile& profile, double tokens)
 {
     if (profile.crossDomainMegabitsPerSecond <= 0)
@@ -56,6 +38,10 @@
     return tokens * profile.activationBytes * bitsPerByte / (profile.crossDomainMegabitsPerSecond * 1000);
 }
 
+using internal::handOverMs;
+using internal::stageTimes;
+using internal::StageTimes;
+
 /** \brief A partial chain that ends at a layer boundary in a failure domain. */
 struct Label {
     double cost = std::numeric_limits<double>::infinity();
@@ -135,7 +121,7 @@
         const double need = (this->request.promptTokens + this->request.outputTokens) * (to - from);
         if (need > candidate.freeTokenLayers || (from == 0 && this->profile.slots > 0 && candidate.sequences >= this->profile.slots))
             return;
-        const StageTimes times = stageTimes(this->profile, candidate, this->request, to - from);
+        const StageTimes times = stageTimes(this->profile, candidate, this->request.promptTokens, this->request.outputTokens, to - from);
         const double capacity = candidate.accelerator.memoryMegabytes - candidate.layers.size() * this->profile.layerMegabytes;
         const double capacityTokenLayers = std::max(1.0, capacity / this->profile.kvMegabytesPerTokenLayer());
         const double used = 1 - std::min(1.0, (candidate.freeTokenLayers - need) / capacityTokenLayers);
--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
@@ -1,12 +1,12 @@
 #include <filbertspoke/Gateway>
 
+#include "internal/LayerLane.h"
 #include "internal/LayerPool.h"
 #include "internal/LayerRepair.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
-#include <optional>
+#include <cstddef>
 #include <utility>
 
 namespace filbertspoke {
@@ -14,9 +14,14 @@
 namespace {
 
 using internal::isFaster;
+using internal::Lane;
+using internal::laneSequences;
+using internal::LaneStage;
+using internal::laneThroughput;
 using internal::LayerSizes;
 using internal::leastSequences;
 using internal::Pool;
+using internal::spreadEvenly;
 
 // Engines whose steps take less than this part of the slowest one's belong to the fast part of a copy.
 constexpr double fastFraction = 0.5;
@@ -24,10 +29,6 @@
 // The most sequences that a search for a placement considers, and its step.
 constexpr double maximumSequences = 400;
 constexpr double sequencesStep = 4;
-// Time that each further engine of a chain adds to a token: handing over, and waiting for the pass in progress.
-constexpr double stageOverheadMs = 0.6;
-// Engines in one chain that a placement may lead to; the longest path that engines accept is somewhat longer.
-constexpr double maximumStages = 24;
 
 std::uint32_t totalFitting(const LayerSizes& sizes, const Pool& pool, double sequences)
 {
@@ -37,27 +38,6 @@
     return total;
 }
 
-/** \brief Gives the layers [first, last) to engines in proportion to their memory, none more than it can hold. */
-void spread(const LayerSizes& sizes, const Pool& engines, LayerRange layers, std::vector<LayerAssignment>& assignments)
-{
-    double memoryLeft = 0;
-    for (const PlaceableEngine& engine : engines)
-        memoryLeft += engine.accelerator.memoryMegabytes;
-    std::uint32_t position = layers.first();
-    for (const PlaceableEngine& engine : engines) {
-        const std::uint32_t remaining = layers.last() - position;
-        if (remaining == 0)
-            return;
-        const double share = engine.accelerator.memoryMegabytes / memoryLeft;
-        const auto wanted = static_cast<std::uint32_t>(std::lround(remaining * share));
-        const std::uint32_t size = std::min({ std::max(1U, wanted), remaining, sizes.fitting(engine, leastSequences) });
-        if (size > 0)
-            assignments.push_back({ engine.endpoint, LayerRange(position, position + size) });
-        position += size;
-        memoryLeft -= engine.accelerator.memoryMegabytes;
-    }
-}
-
 /** \brief Deals engines out to \a count groups with memory as even as can be. */
 std::vector<Pool> deal(const Pool& engines, std::size_t count)
 {
@@ -73,89 +53,163 @@
 
 /** \brief One way to place a pool anew, and what it is expected to carry. */
 struct Draft {
-    double sequences = 0; ///< for which the fast engines leave room
-    std::size_t fastEngines = 0; ///< of the pool in order of speed; they hold the first layers
-    std::uint32_t fastLayers = 0;
-    std::size_t copies = 1; ///< of the other layers, on the other engines
+    std::vector<Lane> lanes;
     double sequencesPerMs = 0; ///< that begin and end in a steady state
 };
 
-double stepMs(const EngineProfile& profile, const PlaceableEngine& engine, double layers, double batch)
+void add(Draft& draft, Lane lane, double sequencesPerMs)
 {
-    const double context = profile.stepMsPerThousandContextTokens * (profile.usualPromptTokens + profile.usualOutputTokens / 2) / 1000;
-    return layers / profile.layers * engine.accelerator.stepFactor * (profile.stepMs + batch * (profile.stepMsPerSequence + context));
+    draft.lanes.push_back(std::move(lane));
+    draft.sequencesPerMs += sequencesPerMs;
 }
 
-/** \brief Works out the draft's throughput: sequences that find room, over the time that each of them stays. */
-void rate(const EngineProfile& profile, const LayerSizes& sizes, const Pool& pool, Draft& draft)
+/** \returns the best number of whole copies on the engines, or nothing when they can't hold one */
+Draft wholeCopies(const EngineProfile& profile, const LayerSizes& sizes, const Pool& engines)
 {
-    double perToken = 0;
-    for (std::size_t index = 0; index < draft.fastEngines; ++index) {
-        const double layers = sizes.fitting(pool[index], draft.sequences);
-        perToken += stepMs(profile, pool[index], layers, draft.sequences / static_cast<double>(pool.size())) + stageOverheadMs;
+    Draft best;
+    const std::size_t most = totalFitting(sizes, engines, leastSequences) / profile.layers;
+    for (std::size_t copies = 1; copies <= most; ++copies) {
+        Draft draft;
+        for (const Pool& group : deal(engines, copies)) {
+            Lane lane = spreadEvenly(sizes, group, LayerRange(0, profile.layers));
+            const double sequences = laneSequences(profile, lane);
+            if (sequences >= leastSequences)
+                add(draft, std::move(lane), laneThroughput(profile, lane, sequences, 0, 1));
+        }
+        if (draft.sequencesPerMs > best.sequencesPerMs)
+            best = std::move(draft);
     }
-    double carried = draft.fastEngines > 0 ? draft.sequences : maximumSequences;
-    const std::uint32_t rest = profile.layers - draft.fastLayers;
-    if (rest > 0) {
-        double memory = 0;
-        for (std::size_t index = draft.fastEngines; index < pool.size(); ++index)
-            memory += pool[index].accelerator.memoryMegabytes;
-        const auto copies = static_cast<double>(draft.copies);
-        const double stages = static_cast<double>(pool.size() - draft.fastEngines) / copies;
-        const double perCopy = sizes.sequences(memory / copies / rest);
-        carried = std::min(carried, copies * perCopy);
-        perToken += stepMs(profile, pool.back(), rest, carried / copies / stages) + stages * stageOverheadMs;
-        if (perCopy < leastSequences || static_cast<double>(draft.fastEngines) + stages > maximumStages)
+    return best;
+}
+
+/** \brief Searches for the best placement of an empty pool: a lane that the fastest engines begin, whose last layers
+ * slower ones hold, and whole copies on the engines that it leaves. */
+class DraftSearch {
+public:
+    DraftSearch(const EngineProfile& profile, Pool engines)
+        : profile(profile)
+        , sizes(profile)
+        , pool(std::move(engines))
+    {
+        std::sort(this->pool.begin(), this->pool.end(), isFaster);
+    }
+
+    Draft run()
+    {
+        for (double sequences = leastSequences; sequences <= maximumSequences; sequences += sequencesStep)
+            this->tryFastPart(sequences);
+        return this->best;
+    }
+
+private:
+    bool isFast(std::size_t index) const { return this->pool[index].accelerator.stepFactor < fastFraction * this->pool.back().accelerator.stepFactor; }
+
+    void tryFastPart(double sequences)
+    {
+        Lane fast;
+        std::uint32_t position = 0;
+        while (fast.size() < this->pool.size() && this->isFast(fast.size()) && position < this->profile.layers) {
+            const PlaceableEngine& engine = this->pool[fast.size()];
+            const std::uint32_t size = std::min(this->sizes.fitting(engine, sequences), this->profile.layers - position);
+            fast.push_back({ engine, LayerRange(position, position + size) });
+            position += size;
+        }
+        const LayerRange rest(position, this->profile.layers);
+        if (rest.empty()) {
+            this->consider(fast, {}, fast.size(), sequences);
             return;
+        }
+        const std::size_t slow = this->pool.size() - fast.size();
+        for (std::size_t copies = 1; copies <= slow; ++copies) {
+            this->tryAllOnTail(fast, rest, copies, sequences);
+            if (!this->tryShortTail(fast, rest, copies, sequences))
+                return;
+        }
     }
-    carried = std::min(carried, static_cast<double>(std::max(1U, profile.slots)));
-    draft.sequencesPerMs = carried / (profile.usualPromptTokens / profile.prefillTokensPerMs + profile.usualOutputTokens * perToken);
-}
 
-Draft bestDraft(const EngineProfile& profile, const LayerSizes& sizes, const Pool& pool)
-{
-    const double slowest = pool.back().accelerator.stepFactor;
-    Draft best;
-    for (double sequences = leastSequences; sequences <= maximumSequences; sequences += sequencesStep) {
-        Draft draft;
-        draft.sequences = sequences;
-        while (draft.fastEngines < pool.size() && pool[draft.fastEngines].accelerator.stepFactor < fastFraction * slowest && draft.fastLayers < profile.layers) {
-            draft.fastLayers = std::min(profile.layers, draft.fastLayers + sizes.fitting(pool[draft.fastEngines], sequences));
-            ++draft.fastEngines;
+    /** \brief Deals all slow engines out to copies of the last layers. */
+    void tryAllOnTail(const Lane& fast, const LayerRange& rest, std::size_t copies, double sequences)
+    {
+        const Pool slow(this->pool.begin() + static_cast<std::ptrdiff_t>(fast.size()), this->pool.end());
+        std::vector<Lane> tails;
+        for (const Pool& group : deal(slow, copies))
+            tails.push_back(spreadEvenly(this->sizes, group, rest));
+        this->consider(fast, tails, this->pool.size(), sequences);
+    }
+
+    /** \brief Takes as few slow engines for the last layers as hold them with the room that the fast ones leave.
+     * \returns whether there are enough */
+    bool tryShortTail(const Lane& fast, const LayerRange& rest, std::size_t copies, double sequences)
+    {
+        std::vector<Lane> tails;
+        std::size_t used = fast.size();
+        for (std::size_t copy = 0; copy < copies; ++copy) {
+            Pool group;
+            while (totalFitting(this->sizes, group, sequences / static_cast<double>(copies)) < rest.size()) {
+                if (used == this->pool.size())
+                    return false;
+                group.push_back(this->pool[used++]);
+            }
+            tails.push_back(spreadEvenly(this->sizes, group, rest));
         }
-        const std::size_t slow = pool.size() - draft.fastEngines;
-        if (slow == 0 && draft.fastLayers < profile.layers)
-            continue;
-        for (draft.copies = 1; draft.copies <= std::max<std::size_t>(1, slow); ++draft.copies) {
-            draft.sequencesPerMs = 0;
-            rate(profile, sizes, pool, draft);
-            if (draft.sequencesPerMs > best.sequencesPerMs)
-                best = draft;
+        this->consider(fast, tails, used, sequences);
+        return true;
+    }
+
+    /** \brief Rates a lane with its last layers, and whole copies on the engines from \a used on. */
+    void consider(const Lane& fast, const std::vector<Lane>& tails, std::size_t used, double sequences)
+    {
+        Lane lane = fast;
+        double room = fast.empty() ? maximumSequences : sequences;
+        double tailRoom = 0;
+        for (const Lane& tail : tails)
+            tailRoom += laneSequences(this->profile, tail);
+        if (!tails.empty()) {
+            lane.insert(lane.end(), tails.front().begin(), tails.front().end());
+            room = std::min(room, tailRoom);
+            if (tailRoom < leastSequences * static_cast<double>(tails.size()))
+                return;
+        }
+        if (this->profile.slots > 0)
+            room = std::min(room, static_cast<double>(this->profile.slots));
+        const double perMs = laneThroughput(this->profile, lane, room, fast.size(), std::max(1.0, static_cast<double>(tails.size())));
+        if (perMs <= 0)
+            return;
+        const Draft& others = this->copiesBehind(used);
+        if (perMs + others.sequencesPerMs <= this->best.sequencesPerMs)
+            return;
+        this->best = others;
+        add(this->best, std::move(lane), perMs);
+        if (!tails.empty())
+            this->best.lanes.insert(this->best.lanes.end(), tails.begin() + 1, tails.end());
+    }
+
+    const Draft& copiesBehind(std::size_t used)
+    {
+        auto entry = this->copies.find(used);
+        if (entry == this->copies.end()) {
+            const Pool rest(this->pool.begin() + static_cast<std::ptrdiff_t>(used), this->pool.end());
+            entry = this->copies.emplace(used, wholeCopies(this->profile, this->sizes, rest)).first;
         }
+        return entry->second;
     }
-    return best;
-}
 
-std::vector<LayerAssignment> placeAnew(const EngineProfile& profile, Pool pool)
+    const EngineProfile& profile;
+    const LayerSizes sizes;
+    Pool pool; ///< in order of speed
+    std::map<std::size_t, Draft> copies; ///< of whole copies on the engines from an index on
+    Draft best;
+};
+
+std::vector<LayerAssignment> placeAnew(const EngineProfile& profile, const Pool& pool)
 {
     std::vector<LayerAssignment> assignments;
-    const LayerSizes sizes(profile);
-    std::sort(pool.begin(), pool.end(), isFaster);
-    const Draft draft = bestDraft(profile, sizes, pool);
-    if (draft.sequencesPerMs <= 0)
-        return assignments;
-    std::uint32_t position = 0;
-    for (std::size_t index = 0; index < draft.fastEngines; ++index) {
-        const std::uint32_t size = std::min(sizes.fitting(pool[index], draft.sequences), profile.layers - position);
-        if (size > 0)
-            assignments.push_back({ pool[index].endpoint, LayerRange(position, position + size) });
-        position += size;
+    for (const Lane& lane : DraftSearch(profile, pool).run().lanes) {
+        for (const LaneStage& stage : lane) {
+            if (!stage.layers.empty())
+                assignments.push_back({ stage.engine.endpoint, stage.layers });
+        }
     }
-    const Pool slow(pool.begin() + static_cast<std::ptrdiff_t>(draft.fastEngines), pool.end());
-    if (position == profile.layers || slow.empty())
-        return assignments;
-    for (const Pool& group : deal(slow, draft.copies))
-        spread(sizes, group, LayerRange(position, profile.layers), assignments);
     return assignments;
 }
 
--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.h
@@ -16,6 +16,7 @@
     FailureDomainId failureDomain;
     AcceleratorProfile accelerator;
     LayerRange layers; ///< that it holds, or was ordered to hold; empty for none
+    bool changing = false; ///< it has an order that it has not carried out yet
 
     auto operator<=>(const PlaceableEngine&) const = default;
 };
--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerPool.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerPool.cpp
@@ -23,6 +23,17 @@
     return copies;
 }
 
+bool isRedundant(const PlaceableEngine& engine, const std::vector<std::uint32_t>& copies)
+{
+    if (engine.layers.empty())
+        return false;
+    for (std::uint32_t layer = engine.layers.first(); layer < engine.layers.last(); ++layer) {
+        if (layer >= copies.size() || copies[layer] < 2)
+            return false;
+    }
+    return true;
+}
+
 std::vector<LayerRange> gaps(const std::vector<std::uint32_t>& copies)
 {
     std::vector<LayerRange> found;
--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerPool.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerPool.h
@@ -12,6 +12,8 @@
 constexpr double wantedSequences = 80;
 // The least such room with which an engine still helps.
 constexpr double leastSequences = 8;
+// Room below which a gap is better left to chains through other failure domains than filled.
+constexpr double leastRepairSequences = 20;
 
 /** \brief Engines that hold copies of the model between them. */
 using Pool = std::vector<PlaceableEngine>;
@@ -51,6 +53,9 @@
 /** \returns how many engines of the pool hold each layer */
 std::vector<std::uint32_t> copiesByLayer(const Pool&, std::uint32_t layers);
 
+/** \returns whether other engines hold every layer that the engine holds, by the copies of each layer */
+bool isRedundant(const PlaceableEngine&, const std::vector<std::uint32_t>& copies);
+
 /** \returns the runs of layers that no engine holds */
 std::vector<LayerRange> gaps(const std::vector<std::uint32_t>& copies);
 
--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
@@ -1,29 +1,13 @@
 #include "LayerRepair.h"
+#include "LayerBalance.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace filbertspoke::internal {
 
 namespace {
 
-// Room below which a gap is better left to chains through other failure domains than filled.
-constexpr double leastRepairSequences = 20;
-// A boundary moves when the engine that takes a layer over still has so many times the room of the other.
-constexpr double balanceFactor = 1.3;
-
-bool isRedundant(const PlaceableEngine& engine, const std::vector<std::uint32_t>& copies)
-{
-    if (engine.layers.empty())
-        return false;
-    for (std::uint32_t layer = engine.layers.first(); layer < engine.layers.last(); ++layer) {
-        if (layer >= copies.size() || copies[layer] < 2)
-            return false;
-    }
-    return true;
-}
-
 /** \brief Changes to a pool that holds layers already. */
 class Repair {
 public:
@@ -58,30 +42,6 @@
         }
     }
 
-    /** \brief Moves one boundary between engines of which one is much shorter of room than the other: the roomier one
-     * takes layers over first, and in a later call the other one gives them up. */
-    void balance()
-    {
-        if (this->giveUpOverlap())
-            return;
-        PlaceableEngine* tight = this->tightest();
-        if (!tight || tight->layers.size() < 2 || this->isRoomy(*tight))
-            return;
-        for (PlaceableEngine& engine : this->pool) {
-            if (engine.layers.empty() || &engine == tight)
-                continue;
-            const bool before = engine.layers.last() == tight->layers.first();
-            const bool behind = engine.layers.first() == tight->layers.last();
-            const double shared = this->sizes.room(engine, engine.layers.size() + 1);
-            if ((!before && !behind) || shared < balanceFactor * this->sizes.room(*tight, tight->layers.size()))
-                continue;
-            const std::uint32_t added = this->evenShare(engine, *tight);
-            const LayerRange grown = before ? LayerRange(engine.layers.first(), engine.layers.last() + added) : LayerRange(engine.layers.first() - added, engine.layers.last());
-            this->assign(engine, grown);
-            return;
-        }
-    }
-
     const std::vector<LayerAssignment>& changes() const { return this->assignments; }
 
 private:
@@ -151,15 +111,6 @@
         return this->assign(*best, LayerRange(best->layers.first() - added, best->layers.last()));
     }
 
-    /** \returns how many layers the roomy engine takes over so that both have about the same room; at least one */
-    std::uint32_t evenShare(const PlaceableEngine& roomy, const PlaceableEngine& tight) const
-    {
-        const double memory = roomy.accelerator.memoryMegabytes + tight.accelerator.memoryMegabytes;
-        const double even = (roomy.layers.size() + tight.layers.size()) * roomy.accelerator.memoryMegabytes / memory;
-        const double added = std::min<double>(even - roomy.layers.size(), tight.layers.size() - 1);
-        return static_cast<std::uint32_t>(std::max(1.0, std::floor(added)));
-    }
-
     LayerRange leastCovered(std::uint32_t size) const
     {
         const auto copies = this->copies();
@@ -178,42 +129,6 @@
         return LayerRange(best, best + size);
     }
 
-    bool isRoomy(const PlaceableEngine& engine) const
-    {
-        return this->sizes.sequences(engine.accelerator.memoryMegabytes / engine.layers.size()) >= wantedSequences;
-    }
-
-    /** \returns the engine with the least room that no other engine relieves */
-    PlaceableEngine* tightest()
-    {
-        const auto copies = this->copies();
-        PlaceableEngine* best = nullptr;
-        for (PlaceableEngine& engine : this->pool) {
-            if (engine.layers.empty() || isRedundant(engine, copies))
-                continue;
-            if (!best || this->sizes.room(engine, engine.layers.size()) < this->sizes.room(*best, best->layers.size()))
-                best = &engine;
-        }
-        return best;
-    }
-
-    /** \brief Takes layers that a neighbour holds as well from the engine with the least room. */
-    bool giveUpOverlap()
-    {
-        PlaceableEngine* tight = this->tightest();
-        if (!tight || this->isRoomy(*tight))
-            return false;
-        const auto copies = this->copies();
-        std::uint32_t first = tight->layers.first();
-        std::uint32_t last = tight->layers.last();
-        while (first < last && copies[first] > 1)
-            ++first;
-        while (last > first && copies[last - 1] > 1)
-            --last;
-        const LayerRange kept(first, last);
-        return !kept.empty() && kept != tight->layers && this->assign(*tight, kept);
-    }
-
     bool assign(PlaceableEngine& engine, const LayerRange& layers)
     {
         engine.layers = layers;
@@ -238,19 +153,12 @@
         const bool whole = attempt.fillGaps(sequences);
         if (whole) {
             attempt.useEmpty();
-            if (attempt.changes().empty())
-                attempt.balance();
-            return attempt.changes();
+            return attempt.changes().empty() ? balanceLayers(profile, pool) : attempt.changes();
         }
         best = attempt.changes();
     }
     // The neighbours of a gap are full: engines farther off take layers over from them, until they can fill it.
-    if (best.empty()) {
-        Repair attempt(profile, pool);
-        attempt.balance();
-        return attempt.changes();
-    }
-    return best;
+    return best.empty() ? balanceLayers(profile, pool) : best;
 }
 
 }
--- a/packages/Gateway/tests/ModelProfile.h
+++ b/packages/Gateway/tests/ModelProfile.h
@@ -33,6 +33,21 @@
     return profile;
 }
 
+
+/** \brief The same layers with half of the KV cache for each token and slower links, as the users run them later on. */
+inline EngineProfile grownModelProfile()
+{
+    EngineProfile profile = modelProfile();
+    profile.kvBytesPerToken = 393'000;
+    profile.activationBytes = 19'700;
+    profile.crossDomainMegabitsPerSecond = 4'900;
+    profile.stepMsPerSequence = 0.00255;
+    profile.stepMsPerThousandContextTokens = 0.00341;
+    profile.prefillTokensPerMs = 294;
+    profile.tokensPerEvent = 3;
+    return profile;
+}
+
 }
 
 #endif
--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
@@ -106,7 +106,8 @@
         if (record.endpoint.service != service.name || !EndpointRegistry::takesWork(record, now) || this->isLost(record.endpoint) || accelerator == service.engine->accelerators.end())
             continue;
         const auto order = this->pending.find(id);
-        engines.push_back({ id, record.endpoint.failureDomain, accelerator->second, order == this->pending.end() ? record.endpoint.layers : order->second.layers });
+        const bool changing = order != this->pending.end();
+        engines.push_back({ id, record.endpoint.failureDomain, accelerator->second, changing ? order->second.layers : record.endpoint.layers, changing });
     }
     return engines;
 }
