The log never waits for its reader

Cause: lines went to standard output through a plain stream, so that a reader that stopped blocked the daemon as soon as the pipe was full; open since the gateway was built. Ruled out: an asynchronous sink, which wakes a second thread for each line. Change: LineBuffer writes when the descriptor takes bytes, keeps 256 KB of lines and drops and counts the rest; a line log-lines-dropped tells how many.

--- a/packages/Daemon/program/main.cpp
+++ b/packages/Daemon/program/main.cpp
@@ -15,6 +15,8 @@
 #include <variant>
 #include <vector>
 
+#include <unistd.h>
+
 namespace {
 
 using namespace filbertspoke;
@@ -31,7 +33,7 @@
 
 int runDaemon(const Settings& settings, const SettingsFile&)
 {
-    LogWriter::open(std::cout, std::string(name(settings.logLevel())), settings.daemon());
+    LogWriter::open(STDOUT_FILENO, std::string(name(settings.logLevel())), settings.daemon());
     try {
         Daemon daemon(settings);
         daemon.run();
@@ -44,7 +46,7 @@
 
 int runGateway(const GatewaySettings& settings, const SettingsFile& file)
 {
-    LogWriter::open(std::cout, std::string(name(settings.logLevel)), settings.daemon);
+    LogWriter::open(STDOUT_FILENO, std::string(name(settings.logLevel)), settings.daemon);
     try {
         GatewayDaemon daemon(settings, { std::make_shared<PlatformCallerWire>(), std::make_shared<PlatformEngineWire>(), std::make_shared<PlatformStoreWire>() }, file);
         daemon.run();
--- a/packages/Observability/filbertspoke/src/Observability/LogWriter.cpp
+++ b/packages/Observability/filbertspoke/src/Observability/LogWriter.cpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <ctime>
 #include <iomanip>
+#include <memory>
 #include <sstream>
 
 namespace filbertspoke {
@@ -49,6 +50,9 @@
     return Severity::error;
 }
 
+// Lines that wait for the log's reader: some thousand, a few seconds of a busy daemon.
+constexpr std::size_t keptLogBytes = 256 * 1024;
+
 std::string utcNow()
 {
     const auto now = std::chrono::system_clock::now();
@@ -95,6 +99,17 @@
     boost::log::core::get()->set_filter(boost::log::trivial::severity >= internal::severity(leastLevel));
 }
 
+void LogWriter::open(int descriptor, const std::string& leastLevel, const DaemonId& daemon)
+{
+    static std::unique_ptr<LineBuffer> buffer;
+    static std::ostream stream(nullptr);
+    buffer = std::make_unique<LineBuffer>(descriptor, internal::keptLogBytes, [](std::uint64_t lines) {
+        return internal::jsonLine({ WriteLog::Level::Warning, "log-lines-dropped", { { "lines", std::to_string(lines) } } }) + "\n";
+    });
+    stream.rdbuf(buffer.get());
+    open(stream, leastLevel, daemon);
+}
+
 void LogWriter::write(const WriteLog& line)
 {
     static boost::log::sources::severity_logger<internal::Severity> logger;
--- a/packages/Observability/filbertspoke/src/Observability/LogWriter.h
+++ b/packages/Observability/filbertspoke/src/Observability/LogWriter.h
@@ -20,6 +20,10 @@
      */
     static void open(std::ostream& stream, const std::string& leastLevel, const DaemonId& daemon);
 
+    /** \brief As above, to a file descriptor whose reader may fall behind or stop: lines are dropped then, and a line
+     * `log-lines-dropped` tells how many. */
+    static void open(int descriptor, const std::string& leastLevel, const DaemonId& daemon);
+
     static void write(const WriteLog&);
 };
 
