A fresh gateway starts with one saved retry

All 28 gateways were killed at 33.8 s and each, before it knew the others, took a quarter of the half of the reserve that is dealt out. Change: SharedRetryBudget in the package Gateway starts with one retry and saves up from requests. None at all at the start failed four cases of Daemon.Gateway, which repeat a gateway's first request.

--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
@@ -5,8 +5,8 @@
 #include "internal/LayerRepair.h"
 
 #include <algorithm>
-#include <map>
 #include <cstddef>
+#include <map>
 #include <utility>
 
 namespace filbertspoke {
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.h
@@ -0,0 +1,36 @@
+#ifndef FILBERTSPOKE_SHARED_RETRY_BUDGET_H
+#define FILBERTSPOKE_SHARED_RETRY_BUDGET_H
+
+#include <filbertspoke/Routing>
+
+#include <cstddef>
+
+namespace filbertspoke {
+
+/** \brief One gateway's part of the retries that all gateways of a site may make at a service together.
+ *
+ * It starts with one retry saved: gateways that restart together, before they know each other, would otherwise spend
+ * the shared reserve many times over.
+ */
+class SharedRetryBudget {
+public:
+    /** \param ratio retries allowed for each request
+     * \param reserve further retries of all gateways together, within the time in which requests are counted */
+    SharedRetryBudget(double ratio, double reserve);
+
+    void firstAttempt() { this->budget.firstAttempt(); }
+
+    /** \returns whether a retry may be made now, and counts it when it may */
+    bool takeRetry() { return this->budget.takeRetry(); }
+
+    /** \brief Shares the reserve among so many gateways, this one included. */
+    void setGateways(std::size_t known);
+
+private:
+    double reserve;
+    RetryBudget budget;
+};
+
+}
+
+#endif
--- a/packages/Gateway/tests/ModelProfile.h
+++ b/packages/Gateway/tests/ModelProfile.h
@@ -33,7 +33,6 @@
     return profile;
 }
 
-
 /** \brief The same layers with half of the KV cache for each token and slower links, as the users run them later on. */
 inline EngineProfile grownModelProfile()
 {
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -1,6 +1,5 @@
 #include <filbertspoke/Proxy>
 
-#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -8,12 +7,6 @@
 
 namespace {
 
-// Half of the shared reserve is dealt out; the other half covers daemons that restart with a fresh part.
-constexpr double reserveFraction = 0.5;
-// What a window counts as requests and what a daemon has counted differ at its edges.
-constexpr double ratioFraction = 0.85;
-// Before a daemon knows the others, it takes a part as if there were so many.
-constexpr std::size_t leastDaemons = 4;
 // A hub speaks several times a second; a member follows the store itself after so long without a word of its hub.
 constexpr Duration hubLifetime = std::chrono::milliseconds(600);
 
@@ -31,12 +24,11 @@
 {
 }
 
-RetryBudget& GatewayContext::retryBudget(const ServiceId& service)
+SharedRetryBudget& GatewayContext::retryBudget(const ServiceId& service)
 {
-    const auto& shared = this->settings.retryBudget;
-    const double part = shared.reserve * reserveFraction / static_cast<double>(std::max(this->roster.known(), leastDaemons));
-    RetryBudget& budget = this->budgets.try_emplace(service, shared.ratio * ratioFraction, part).first->second;
-    budget.setReserve(part);
+    const RetryBudgetSettings& shared = this->settings.retryBudget;
+    SharedRetryBudget& budget = this->budgets.try_emplace(service, shared.ratio, shared.reserve).first->second;
+    budget.setGateways(this->roster.known());
     return budget;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -12,7 +12,6 @@
 #include <filbertspoke/Configuration>
 #include <filbertspoke/Gateway>
 #include <filbertspoke/Observability>
-#include <filbertspoke/Routing>
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,7 +34,7 @@
     GatewayContext(boost::asio::io_context&, GatewaySettings, GatewayWires);
 
     /** \returns this daemon's part of the budget of retries at the service */
-    RetryBudget& retryBudget(const ServiceId&);
+    SharedRetryBudget& retryBudget(const ServiceId&);
     /** \returns whether this daemon has to follow the store itself: it is the hub, or has no hub that does */
     bool followsStore() const;
     /** \returns a number in [0, 1) */
@@ -65,7 +64,7 @@
     unsigned requestsInProgress = 0;
 
 private:
-    std::map<ServiceId, RetryBudget> budgets;
+    std::map<ServiceId, SharedRetryBudget> budgets;
 };
 
 /** \brief Writes a log line. */
--- a/packages/Routing/filbertspoke/src/Routing/RetryBudget.h
+++ b/packages/Routing/filbertspoke/src/Routing/RetryBudget.h
@@ -11,9 +11,15 @@
     /** \param part retries allowed for each first attempt
      * \param reserve retries allowed without recent attempts, and the most that can be saved up */
     RetryBudget(double part, double reserve)
+        : RetryBudget(part, reserve, reserve)
+    {
+    }
+
+    /** \param saved retries that are allowed at once */
+    RetryBudget(double part, double reserve, double saved)
         : part(part)
         , reserve(reserve)
-        , balance(reserve)
+        , balance(saved)
     {
     }
 
