A fault soak: four real gateways under random faults, with promises checked all the while

Links to the store and to endpoints are delayed, reset, cut, cut one way and silenced; gateways are paused, killed, stopped and reloaded; the store goes away; endpoints answer wrongly; configurations come in series and a replica leaves. Checked: answers belong to their requests, bookings run once, refusals are true and say when to come back, streams have every event once and end whole only when they are, configurations never revert in a process, nobody is held past the time limit, repeats keep to the shared budget, a leaving replica gets no work, everything is served 12 s after the last fault. Links between gateways can't have a relay, since a gateway listens where it says that it can be reached; their failures come from paused and killed processes only. The stand-in store has one holder of the duty at a time; texts of the platform's documents stand in one place.

--- /dev/null
+++ b/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
@@ -0,0 +1,131 @@
+#include <filbertspoke/Soak>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <utility>
+
+namespace filbertspoke::soak {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+// Callers wait somewhat longer than they say, so that a late answer is seen as one.
+constexpr auto patience = callLimit + 2s;
+constexpr auto connectLimit = 1s;
+constexpr auto pauseBetweenCalls = 15ms;
+
+std::string target(const CallRecord& call)
+{
+    switch (call.kind) {
+    case CallKind::Booking:
+        return "POST /book/x";
+    case CallKind::LookUp:
+        return "GET /stock/x";
+    case CallKind::Generation:
+        return "POST /chat/x";
+    case CallKind::Probe:
+        return "GET /probe-" + std::to_string(call.version) + "/x";
+    }
+    return {};
+}
+
+}
+
+SoakCaller::SoakCaller(asio::io_context& context, SoakSite& site, SoakRecord& record, std::string name, std::uint64_t seed)
+    : context(context)
+    , site(site)
+    , record(record)
+    , name(std::move(name))
+    , random(seed)
+{
+}
+
+std::string SoakCaller::requestText(const CallRecord& call) const
+{
+    const std::string line = target(call);
+    return line + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + call.id + "\r\nDeadline-Ms: " + std::to_string(callLimit.count()) + "\r\nKey: key-1\r\nToken-Count: 10,10\r\n"
+        + (line.starts_with("POST") ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
+}
+
+asio::awaitable<bool> SoakCaller::connect(std::size_t gateway)
+{
+    const HttpAddress& address = this->site.gateways[gateway].text.callers;
+    this->stream.emplace(this->context);
+    this->buffer.clear();
+    this->stream->expires_after(connectLimit);
+    const auto [error] = co_await this->stream->async_connect(tcp::endpoint(asio::ip::make_address(address.address), address.port), asTuple);
+    if (error)
+        this->stream.reset();
+    co_return !error;
+}
+
+asio::awaitable<CallRecord> SoakCaller::call(CallKind kind, std::size_t gateway)
+{
+    const SoakGateway& process = this->site.gateways[gateway];
+    CallRecord call;
+    call.id = this->name + "-" + std::to_string(++this->sent);
+    call.kind = kind;
+    call.gateway = gateway;
+    call.start = process.starts;
+    // The newest versions are the ones that may be missing or come back.
+    call.version = std::max(1, this->site.version - std::uniform_int_distribution<int>(0, 2)(this->random));
+    call.sentAt = Clock::now();
+    const bool running = !process.handled;
+    this->stream->expires_after(patience);
+    const auto [writeError, written] = co_await asio::async_write(*this->stream, asio::buffer(this->requestText(call)), asTuple);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    const auto [error, bytes] = co_await http::async_read(*this->stream, this->buffer, parser, asTuple);
+    call.endedAt = Clock::now();
+    call.undisturbed = running && !process.handled && process.disturbedAt < call.sentAt && process.starts == call.start;
+    if (parser.is_header_done()) {
+        call.status = parser.get().result_int();
+        call.echoedId = std::string(parser.get()["Attempt-Id"]);
+        call.returnTime = std::string(parser.get()[http::field::retry_after]);
+        call.body = parser.get().body();
+        call.whole = !error;
+    }
+    if (writeError || error || !parser.keep_alive())
+        this->stream.reset();
+    this->record.note(call);
+    co_return call;
+}
+
+asio::awaitable<CallRecord> SoakCaller::callOnce(CallKind kind, std::size_t gateway)
+{
+    if (!co_await this->connect(gateway))
+        co_return CallRecord {};
+    CallRecord result = co_await this->call(kind, gateway);
+    this->stream.reset();
+    co_return result;
+}
+
+asio::awaitable<void> SoakCaller::run(const bool& stop)
+{
+    std::size_t gateway = 0;
+    std::discrete_distribution<int> kinds { 3, 3, 3, 1 };
+    while (!stop) {
+        if (!this->stream) {
+            gateway = std::uniform_int_distribution<std::size_t>(0, this->site.gateways.size() - 1)(this->random);
+            co_await this->connect(gateway);
+        }
+        if (this->stream)
+            co_await this->call(static_cast<CallKind>(kinds(this->random)), gateway);
+        asio::steady_timer timer(this->context, pauseBetweenCalls);
+        co_await timer.async_wait(asTuple);
+    }
+    this->stream.reset();
+}
+
+}
--- /dev/null
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRecord.cpp
@@ -0,0 +1,167 @@
+#include <filbertspoke/Soak>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace filbertspoke::soak {
+
+namespace {
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
+// Statuses that say that the request has not run and never will.
+const std::set<unsigned> refusals { 408, 421, 429, 503 };
+// Sends of one look-up that its route allows.
+constexpr std::size_t lookUpAttempts = 2;
+// A later request may still be under way to the gateway when an earlier one shows a new version.
+constexpr std::chrono::milliseconds revertSlack { 250 };
+constexpr std::chrono::milliseconds heldSlack { 500 };
+// Fewer late answers than this are one stall of the machine.
+constexpr std::size_t leastHeld = 5;
+
+std::string describe(const CallRecord& call)
+{
+    return call.id + " at gateway " + std::to_string(call.gateway) + ", status " + std::to_string(call.status);
+}
+
+}
+
+std::size_t SoakRecord::answered() const
+{
+    return static_cast<std::size_t>(std::count_if(this->calls.begin(), this->calls.end(), [](const CallRecord& call) { return call.status == statusOk && call.whole; }));
+}
+
+std::size_t SoakRecord::runsSince(const std::string& endpoint, Clock::time_point time) const
+{
+    std::size_t count = 0;
+    for (const auto& [id, list] : this->runs) {
+        count += static_cast<std::size_t>(std::count_if(list.begin(), list.end(), [&](const RunRecord& run) { return run.endpoint == endpoint && run.at > time; }));
+    }
+    return count;
+}
+
+void SoakRecord::checkCall(const CallRecord& call, std::vector<std::string>& found) const
+{
+    if (call.status == statusOk && call.echoedId != call.id)
+        found.push_back("the answer to " + call.echoedId + " came for " + describe(call));
+    if (call.status == statusOk && call.whole && call.kind != CallKind::Generation && call.body != "served " + call.id)
+        found.push_back("another body, '" + call.body + "', came for " + describe(call));
+    if (refusals.contains(call.status) && call.returnTime.empty())
+        found.push_back("a refusal without a time to come back for " + describe(call));
+    if (call.status == statusNotFound && call.kind != CallKind::Probe)
+        found.push_back("a route that every version has was not found for " + describe(call));
+}
+
+void SoakRecord::checkRuns(const CallRecord& call, std::vector<std::string>& found) const
+{
+    const auto entry = this->runs.find(call.id);
+    const std::size_t count = entry == this->runs.end() ? 0 : entry->second.size();
+    if (call.kind == CallKind::Booking && count > 1)
+        found.push_back(std::to_string(count) + " runs of a booking, " + describe(call));
+    if ((call.kind == CallKind::LookUp || call.kind == CallKind::Probe) && count > lookUpAttempts)
+        found.push_back(std::to_string(count) + " runs of a look-up, " + describe(call));
+    if (call.kind == CallKind::Booking && refusals.contains(call.status) && count > 0)
+        found.push_back("a refusal of a booking that ran, " + describe(call));
+    const bool unanswered = call.status == 0 && call.undisturbed && call.kind != CallKind::Generation;
+    if (unanswered && count > 0 && call.endedAt - call.sentAt < callLimit)
+        found.push_back("a connection that closed on a request in progress, " + describe(call));
+    if (entry == this->runs.end())
+        return;
+    for (const RunRecord& run : entry->second) {
+        if (run.account != "gold" || run.keyPassedOn)
+            found.push_back("the account '" + run.account + "' or the key itself at " + run.endpoint + " for " + describe(call));
+    }
+}
+
+void SoakRecord::checkStream(const CallRecord& call, std::vector<std::string>& found) const
+{
+    int last = 0;
+    for (std::size_t at = call.body.find("id: "); at != std::string::npos; at = call.body.find("id: ", at + 1)) {
+        const int event = std::atoi(call.body.c_str() + at + 4);
+        if (event != last + 1)
+            found.push_back("event " + std::to_string(event) + " behind " + std::to_string(last) + " in " + describe(call));
+        last = event;
+    }
+    if (call.status == statusOk && call.whole && last != eventsOfAStream)
+        found.push_back("a stream that ends as whole behind event " + std::to_string(last) + ", " + describe(call));
+    for (std::size_t at = call.body.find("data: "); at != std::string::npos; at = call.body.find("data: ", at + 1)) {
+        if (call.body.compare(at + 6, call.id.size(), call.id) != 0)
+            found.push_back("another request's event in " + describe(call));
+    }
+}
+
+void SoakRecord::checkConfigurations(std::vector<std::string>& found) const
+{
+    std::map<std::pair<std::size_t, unsigned>, std::vector<const CallRecord*>> byProcess;
+    for (const CallRecord& call : this->calls) {
+        if (call.kind == CallKind::Probe && call.status != 0)
+            byProcess[{ call.gateway, call.start }].push_back(&call);
+    }
+    for (auto& [process, probes] : byProcess) {
+        for (const CallRecord* later : probes) {
+            const bool reverted = later->status == statusNotFound && std::any_of(probes.begin(), probes.end(), [&](const CallRecord* earlier) {
+                return earlier->status != statusNotFound && earlier->version >= later->version && earlier->endedAt + revertSlack < later->sentAt;
+            });
+            if (reverted)
+                found.push_back("an older configuration than before, " + describe(*later));
+        }
+    }
+}
+
+void SoakRecord::checkHeldCalls(std::vector<std::string>& found) const
+{
+    std::size_t late = 0;
+    std::vector<const CallRecord*> held;
+    for (const CallRecord& call : this->calls) {
+        const auto took = call.endedAt - call.sentAt;
+        if (!call.undisturbed || took <= callLimit)
+            continue;
+        ++late;
+        if (took > callLimit + heldSlack)
+            held.push_back(&call);
+    }
+    if (held.size() >= leastHeld && 2 * held.size() > late)
+        found.push_back(std::to_string(held.size()) + " of " + std::to_string(late) + " requests that missed their time had no answer half a second later, the first " + describe(*held.front()));
+}
+
+void SoakRecord::checkRetries(std::vector<std::string>& found) const
+{
+    std::vector<Clock::time_point> requests;
+    std::vector<Clock::time_point> repeats;
+    for (const CallRecord& call : this->calls) {
+        if (call.kind != CallKind::Generation)
+            requests.push_back(call.sentAt);
+    }
+    for (const auto& [id, list] : this->runs) {
+        for (std::size_t index = 1; index < list.size() && list.front().endpoint.starts_with("app"); ++index)
+            repeats.push_back(list[index].at);
+    }
+    const auto within = [](const std::vector<Clock::time_point>& times, Clock::time_point end) {
+        return static_cast<double>(std::count_if(times.begin(), times.end(), [&](Clock::time_point time) { return time > end - retryWindow && time <= end; }));
+    };
+    for (const Clock::time_point end : repeats) {
+        const double most = std::max(within(requests, end), within(requests, end - retryWindow));
+        if (within(repeats, end) > retryRatio * most + retryReserve) {
+            found.push_back(std::to_string(within(repeats, end)) + " repeats in ten seconds with " + std::to_string(most) + " requests");
+            return;
+        }
+    }
+}
+
+std::vector<std::string> SoakRecord::violations() const
+{
+    std::vector<std::string> found = this->breaches;
+    for (const CallRecord& call : this->calls) {
+        this->checkCall(call, found);
+        this->checkRuns(call, found);
+        if (call.kind == CallKind::Generation)
+            this->checkStream(call, found);
+    }
+    this->checkConfigurations(found);
+    this->checkHeldCalls(found);
+    this->checkRetries(found);
+    return found;
+}
+
+}
--- /dev/null
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRecord.h
@@ -0,0 +1,91 @@
+#ifndef FILBERTSPOKE_SOAK_RECORD_H
+#define FILBERTSPOKE_SOAK_RECORD_H
+
+#include <filbertspoke/Core>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace filbertspoke::soak {
+
+using Clock = std::chrono::steady_clock;
+
+// The time limit that callers send, and that their routes have room for.
+constexpr std::chrono::milliseconds callLimit { 3000 };
+// Retries that the gateways may make beyond the ratio, in the window.
+constexpr unsigned retryReserve = 20;
+constexpr double retryRatio = 0.2;
+constexpr std::chrono::seconds retryWindow { 10 };
+constexpr int eventsOfAStream = 6;
+
+enum class CallKind {
+    Booking, ///< may run once
+    LookUp, ///< may be repeated
+    Generation,
+    Probe, ///< a look-up on a route that a certain version of the configuration added
+};
+
+/** \brief One request as its caller saw it. */
+struct CallRecord {
+    std::string id;
+    CallKind kind = CallKind::LookUp;
+    std::size_t gateway = 0;
+    unsigned start = 0; ///< of the gateway's process, counted
+    int version = 0; ///< that added a probe's route
+    Clock::time_point sentAt;
+    Clock::time_point endedAt;
+    bool undisturbed = false; ///< the gateway's process ran all the while
+    unsigned status = 0; ///< 0 without an answer
+    bool whole = false;
+    std::string echoedId;
+    std::string returnTime;
+    std::string body;
+
+    bool operator==(const CallRecord&) const = default;
+};
+
+/** \brief One request as it ran at an endpoint. */
+struct RunRecord {
+    std::string id;
+    std::string endpoint;
+    std::string account;
+    bool keyPassedOn = false;
+    Clock::time_point at;
+
+    bool operator==(const RunRecord&) const = default;
+};
+
+/** \brief What callers and endpoints saw, and the promises that it breaks. */
+class SoakRecord {
+public:
+    void note(CallRecord call) { this->calls.push_back(std::move(call)); }
+    void note(RunRecord run) { this->runs[run.id].push_back(std::move(run)); }
+    /** \brief Notes a breach that was seen as it happened. */
+    void breach(std::string what) { this->breaches.push_back(std::move(what)); }
+
+    /** \returns the breaches of promises, in words; a breach that concerns a request names its id */
+    std::vector<std::string> violations() const;
+    std::size_t count() const { return this->calls.size(); }
+    std::size_t answered() const;
+    /** \returns runs at the endpoint since a time */
+    std::size_t runsSince(const std::string& endpoint, Clock::time_point) const;
+
+private:
+    void checkCall(const CallRecord&, std::vector<std::string>& found) const;
+    void checkRuns(const CallRecord&, std::vector<std::string>& found) const;
+    void checkStream(const CallRecord&, std::vector<std::string>& found) const;
+    void checkConfigurations(std::vector<std::string>& found) const;
+    void checkHeldCalls(std::vector<std::string>& found) const;
+    void checkRetries(std::vector<std::string>& found) const;
+
+    std::vector<CallRecord> calls;
+    std::map<std::string, std::vector<RunRecord>> runs; ///< by request
+    std::vector<std::string> breaches;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
@@ -0,0 +1,255 @@
+#include <filbertspoke/Soak>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <iterator>
+#include <utility>
+
+namespace filbertspoke::soak {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int callerCount = 16;
+// Pauses between faults, and how long they last: shorter and longer than every time-out of a gateway.
+constexpr int shortestPauseMs = 80;
+constexpr int longestPauseMs = 500;
+constexpr int shortestFaultMs = 50;
+constexpr int longestFaultMs = 2500;
+constexpr int longestDelayMs = 400;
+// Within this time after the last fault everything is served again.
+constexpr auto recoveryLimit = 12s;
+// A leaving replica gets no more work after this.
+constexpr auto drainLimit = 2s;
+constexpr auto drainWatch = 1s;
+constexpr auto pollPause = 20ms;
+const std::string leavingReplica = "app-3";
+
+}
+
+SoakRun::SoakRun(std::uint64_t seed, std::chrono::seconds length)
+    : random(seed)
+    , length(length)
+    , site(this->context, this->record, seed + 1)
+{
+    for (int index = 0; index < callerCount; ++index)
+        this->callers.push_back(std::make_unique<SoakCaller>(this->context, this->site, this->record, "caller-" + std::to_string(index), seed + 2 + static_cast<std::uint64_t>(index)));
+}
+
+SoakOutcome SoakRun::run()
+{
+    for (const auto& caller : this->callers)
+        asio::co_spawn(this->context, caller->run(this->callersStop), asio::detached);
+    asio::co_spawn(this->context, this->watchProcesses(), asio::detached);
+    asio::co_spawn(this->context, this->inject(), asio::detached);
+    while (!this->over)
+        this->context.run_one_for(pollPause);
+    SoakOutcome outcome { this->record.count(), this->record.answered(), this->faults, this->record.violations(), {} };
+    if (!outcome.violations.empty()) {
+        const std::string& first = outcome.violations.front();
+        const auto at = first.find("caller-");
+        const std::string request = at == std::string::npos ? "\"started\"" : first.substr(at, first.find(' ', at) - at);
+        for (SoakGateway& gateway : this->site.gateways)
+            std::ranges::move(this->site.logOf(gateway, "\"" + request + "\""), std::back_inserter(outcome.log));
+    }
+    return outcome;
+}
+
+SoakRun::Task SoakRun::sleep(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(this->context, duration);
+    co_await timer.async_wait(asTuple);
+}
+
+SoakRun::Task SoakRun::last(std::string name, Task fault)
+{
+    this->faults.push_back(std::move(name));
+    ++this->faultsInProgress;
+    co_await std::move(fault);
+    --this->faultsInProgress;
+}
+
+SoakRun::Task SoakRun::inject()
+{
+    const auto end = Clock::now() + this->length;
+    while (Clock::now() < end) {
+        co_await this->sleep(std::chrono::milliseconds(this->draw(shortestPauseMs, longestPauseMs)));
+        this->begin();
+    }
+    while (this->faultsInProgress > 0)
+        co_await this->sleep(pollPause);
+    co_await this->finish();
+}
+
+void SoakRun::begin()
+{
+    static const std::vector<std::string> modes { "cut", "black-hole", "one-way", "reset", "delay" };
+    const auto lasting = std::chrono::milliseconds(this->draw(shortestFaultMs, longestFaultMs));
+    SoakGateway& gateway = this->site.gateways[static_cast<std::size_t>(this->draw(0, static_cast<int>(this->site.gateways.size()) - 1))];
+    const std::string& mode = modes[static_cast<std::size_t>(this->draw(0, static_cast<int>(modes.size()) - 1))];
+    const auto endpoint = std::next(this->site.endpointLinks.begin(), this->draw(0, static_cast<int>(this->site.endpointLinks.size()) - 1));
+    const std::string& name = gateway.text.name;
+    const std::string time = " for " + std::to_string(lasting.count()) + " ms";
+    const auto start = [this](std::string what, Task fault) { asio::co_spawn(this->context, this->last(std::move(what), std::move(fault)), asio::detached); };
+    switch (this->draw(0, 10)) {
+    case 0:
+        return start("pause " + name + time, this->pauseGateway(gateway, lasting));
+    case 1:
+        return start("kill " + name + time, this->killGateway(gateway, lasting));
+    case 2:
+        return start("stop " + name, this->stopGateway(gateway));
+    case 3:
+        gateway.process->signal(gateway.handled ? 0 : SIGHUP);
+        return;
+    case 4:
+    case 5:
+        return start("store link of " + name + ": " + mode + time, this->breakLink(*gateway.storeLink, mode, lasting));
+    case 6:
+    case 7:
+        return start("link of " + endpoint->first + ": " + mode + time, this->breakLink(*endpoint->second, mode, lasting));
+    case 8:
+        return start("store away" + time, this->loseStore(lasting));
+    case 9:
+        return start("endpoints in trouble" + time, this->troubleEndpoints(lasting));
+    default:
+        return start("configurations", this->changeConfigurations(this->draw(1, 3)));
+    }
+}
+
+SoakRun::Task SoakRun::pauseGateway(SoakGateway& gateway, std::chrono::milliseconds duration)
+{
+    if (std::exchange(gateway.handled, true))
+        co_return;
+    gateway.process->signal(SIGSTOP);
+    co_await this->sleep(duration);
+    gateway.process->signal(SIGCONT);
+    gateway.disturbedAt = Clock::now();
+    gateway.handled = false;
+}
+
+SoakRun::Task SoakRun::killGateway(SoakGateway& gateway, std::chrono::milliseconds duration)
+{
+    if (std::exchange(gateway.handled, true))
+        co_return;
+    gateway.process->kill();
+    co_await this->sleep(duration);
+    this->site.start(gateway);
+    gateway.handled = false;
+}
+
+SoakRun::Task SoakRun::stopGateway(SoakGateway& gateway)
+{
+    if (std::exchange(gateway.handled, true))
+        co_return;
+    gateway.process->signal(SIGTERM);
+    while (gateway.process->running())
+        co_await this->sleep(pollPause);
+    if (gateway.process->wait() != 0)
+        this->record.breach(gateway.text.name + " ended with " + std::to_string(gateway.process->wait()) + " after SIGTERM");
+    this->site.start(gateway);
+    gateway.handled = false;
+}
+
+SoakRun::Task SoakRun::breakLink(RelayStandIn& link, std::string mode, std::chrono::milliseconds duration)
+{
+    if (mode == "delay")
+        link.control({ { "delayMs", this->draw(1, longestDelayMs) } });
+    else
+        link.control({ { "mode", mode } });
+    co_await this->sleep(duration);
+    link.control({ { "mode", "forward" }, { "delayMs", 0 } });
+}
+
+SoakRun::Task SoakRun::loseStore(std::chrono::milliseconds duration)
+{
+    this->site.store.setAway(true);
+    co_await this->sleep(duration);
+    this->site.store.setAway(false);
+}
+
+SoakRun::Task SoakRun::troubleEndpoints(std::chrono::milliseconds duration)
+{
+    this->site.setTrouble(true);
+    co_await this->sleep(duration);
+    this->site.setTrouble(false);
+}
+
+SoakRun::Task SoakRun::changeConfigurations(int count)
+{
+    for (int change = 0; change < count; ++change) {
+        this->site.changeConfiguration();
+        co_await this->sleep(std::chrono::milliseconds(this->draw(shortestFaultMs, longestPauseMs)));
+    }
+    if (!this->site.drained)
+        this->site.drainLastReplica();
+}
+
+SoakRun::Task SoakRun::watchProcesses()
+{
+    while (!this->over) {
+        for (SoakGateway& gateway : this->site.gateways) {
+            if (gateway.handled || gateway.process->running())
+                continue;
+            this->record.breach(gateway.text.name + " ended by itself with " + std::to_string(gateway.process->wait()));
+            this->site.start(gateway);
+        }
+        co_await this->sleep(pollPause);
+    }
+}
+
+asio::awaitable<bool> SoakRun::servesEverything(SoakCaller& caller)
+{
+    for (std::size_t gateway = 0; gateway < this->site.gateways.size(); ++gateway) {
+        for (const CallKind kind : { CallKind::Booking, CallKind::LookUp, CallKind::Generation, CallKind::Probe }) {
+            const CallRecord call = co_await caller.callOnce(kind, gateway);
+            if (call.status != 200 || !call.whole)
+                co_return false;
+        }
+    }
+    co_return true;
+}
+
+SoakRun::Task SoakRun::checkRecovery()
+{
+    SoakCaller caller(this->context, this->site, this->record, "caller-last", 1);
+    const auto limit = Clock::now() + recoveryLimit;
+    while (!co_await this->servesEverything(caller)) {
+        if (Clock::now() > limit) {
+            this->record.breach("not everything is served " + std::to_string(recoveryLimit.count()) + " s after the last fault");
+            co_return;
+        }
+        co_await this->sleep(pollPause);
+    }
+}
+
+SoakRun::Task SoakRun::checkDraining()
+{
+    if (!this->site.drained)
+        co_return;
+    co_await this->sleep(drainLimit);
+    const auto since = Clock::now();
+    co_await this->sleep(drainWatch);
+    if (const std::size_t runs = this->record.runsSince(leavingReplica, since))
+        this->record.breach(std::to_string(runs) + " requests ran at a replica that left long before");
+}
+
+SoakRun::Task SoakRun::finish()
+{
+    co_await this->checkRecovery();
+    co_await this->checkDraining();
+    this->callersStop = true;
+    // Requests that were refused must not run later either.
+    co_await this->sleep(drainWatch);
+    this->over = true;
+}
+
+}
--- /dev/null
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -0,0 +1,194 @@
+#include <filbertspoke/Soak>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include <unistd.h>
+
+namespace filbertspoke::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct EndpointPlan {
+    std::string id;
+    std::string domain;
+    LayerRange layers;
+};
+
+const std::vector<EndpointPlan> endpointPlans {
+    { "app-1", "zone-a", {} },
+    { "app-2", "zone-b", {} },
+    { "app-3", "zone-b", {} },
+    { "engine-a1", "zone-a", { 0, 4 } },
+    { "engine-a2", "zone-a", { 4, 8 } },
+    { "engine-b1", "zone-b", { 0, 4 } },
+    { "engine-b2", "zone-b", { 4, 8 } },
+};
+const std::string leavingReplica = "app-3";
+constexpr std::size_t gatewayCount = 4;
+constexpr std::uint32_t firstGatewayAddress = 10;
+// Part of the requests that endpoints in trouble treat in each of the wrong ways.
+constexpr double wrongShare = 0.06;
+
+HttpAddress anyPort(std::uint32_t index)
+{
+    return { ownLoopbackAddress(index), 0 };
+}
+
+HttpAddress reservedPort(std::uint32_t index)
+{
+    return { ownLoopbackAddress(index), freePort(ownLoopbackAddress(index)) };
+}
+
+}
+
+SoakSite::SoakSite(boost::asio::io_context& context, SoakRecord& record, std::uint64_t seed)
+    : store(context, anyPort(1))
+    , context(context)
+    , record(record)
+    , random(seed)
+    , folder((std::filesystem::temp_directory_path() / ("filbertspoke-soak-" + std::to_string(::getpid()))).string())
+{
+    std::filesystem::create_directories(this->folder);
+    for (const EndpointPlan& plan : endpointPlans) {
+        auto& endpoint = this->endpoints[plan.id];
+        endpoint = std::make_unique<ReplicaStandIn>(context, ownLoopbackAddress(1), [this, id = plan.id](const HttpRequest& request) { return this->answer(id, request); });
+        this->endpointLinks[plan.id] = std::make_unique<RelayStandIn>(context, anyPort(2), endpoint->address(), anyPort(2));
+        this->putEndpoint(plan.id, "ready");
+    }
+    this->changeConfiguration();
+    std::vector<HttpAddress> seeds;
+    for (std::size_t index = 0; index < gatewayCount; ++index) {
+        const auto address = static_cast<std::uint32_t>(firstGatewayAddress + index);
+        SoakGateway gateway;
+        gateway.storeLink = std::make_unique<RelayStandIn>(context, anyPort(2), this->store.address(), anyPort(2));
+        gateway.text = { "gateway-" + std::to_string(index), index % 2 == 0 ? "zone-a" : "zone-b", reservedPort(address), reservedPort(address), reservedPort(address), gateway.storeLink->address(), {}, retryReserve };
+        seeds.push_back(gateway.text.peers);
+        this->gateways.push_back(std::move(gateway));
+    }
+    for (SoakGateway& gateway : this->gateways) {
+        gateway.text.seeds = seeds;
+        this->start(gateway);
+    }
+}
+
+SoakSite::~SoakSite()
+{
+    this->gateways.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+void SoakSite::start(SoakGateway& gateway)
+{
+    const std::string file = this->folder + "/" + gateway.text.name + ".yaml";
+    std::ofstream(file) << settingsText(gateway.text);
+    gateway.process.emplace("filbertspoked", std::vector<std::string> { "gateway", "--settings", file });
+    ++gateway.starts;
+    gateway.disturbedAt = Clock::now();
+}
+
+std::vector<std::string> SoakSite::logOf(SoakGateway& gateway, const std::string& request)
+{
+    gateway.process->kill();
+    std::vector<std::string> lines;
+    while (const auto line = gateway.process->readLine()) {
+        if (line->find(request) != std::string::npos)
+            lines.push_back(*line);
+    }
+    return lines;
+}
+
+void SoakSite::changeConfiguration()
+{
+    ++this->version;
+    std::vector<RouteText> routes { { "chat", "/chat/", "stream", "llm", 2 }, { "book", "/book/", "non_idempotent", "app" }, { "stock", "/stock/", "idempotent", "app", 2 } };
+    for (int added = 1; added <= this->version; ++added)
+        routes.push_back({ "probe-" + std::to_string(added), "/probe-" + std::to_string(added) + "/", "idempotent", "app", 2 });
+    this->store.put("keyed.op", "config", configurationText(this->version, routes));
+}
+
+void SoakSite::drainLastReplica()
+{
+    this->putEndpoint(leavingReplica, "draining");
+    this->drained = true;
+}
+
+void SoakSite::putEndpoint(const std::string& id, const std::string& state)
+{
+    const auto plan = std::find_if(endpointPlans.begin(), endpointPlans.end(), [&](const EndpointPlan& candidate) { return candidate.id == id; });
+    this->store.put("keyed.servers", id, endpointText({ id, this->endpointLinks.at(id)->address(), plan->domain, state, plan->layers, ++this->heartbeat }));
+}
+
+ReplicaScript SoakSite::answerWell(const HttpRequest& request) const
+{
+    ReplicaScript script;
+    const std::string id(findHeader(request.headers, "Attempt-Id"));
+    if (findHeader(request.headers, "Hop-Count").empty()) {
+        script.pieces = { wholeAnswer(request, 200, "served " + id) };
+        return script;
+    }
+    const std::string resumed(findHeader(request.headers, "Last-Event-Id"));
+    script.pieces = { streamHead(request) };
+    for (int event = resumed.empty() ? 1 : std::stoi(resumed) + 1; event <= eventsOfAStream; ++event)
+        script.pieces.push_back(eventChunk(event, id));
+    script.pieces.push_back(lastChunk());
+    script.pause = 20ms;
+    return script;
+}
+
+ReplicaScript SoakSite::answer(const std::string& endpoint, const HttpRequest& request)
+{
+    if (request.target.starts_with("/filbertspoke/"))
+        return emptyReport();
+    const bool wrong = this->trouble;
+    if (wrong && this->draw() < wrongShare)
+        return { { "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" }, 5ms, ReplicaScript::End::Keep };
+    this->record.note(RunRecord { std::string(findHeader(request.headers, "Attempt-Id")), endpoint, std::string(findHeader(request.headers, "Tenant")), !findHeader(request.headers, "Key").empty(), Clock::now() });
+    ReplicaScript script = this->answerWell(request);
+    if (wrong)
+        this->spoil(script, request);
+    return script;
+}
+
+void SoakSite::spoil(ReplicaScript& script, const HttpRequest& request)
+{
+    const auto way = static_cast<int>(this->draw() / wrongShare);
+    const bool stream = script.pieces.size() > 1;
+    HttpRequest other = request;
+    other.headers = { { "Attempt-Id", "another" } };
+    switch (way) {
+    case 0:
+        script.pieces.resize(stream ? 2 : 0);
+        script.end = ReplicaScript::End::Reset;
+        break;
+    case 1:
+        script.pieces.resize(stream ? 3 : 0);
+        script.end = ReplicaScript::End::Silence;
+        break;
+    case 2:
+        script.pieces.back().resize(script.pieces.back().size() / 2);
+        script.end = ReplicaScript::End::Close;
+        break;
+    case 3:
+        script.pieces.push_back(wholeAnswer(other, 200, "served another"));
+        break;
+    case 4:
+        script.pieces.insert(script.pieces.begin(), wholeAnswer(other, 200, "served another"));
+        break;
+    case 5:
+        script.pieces.front() = "nonsense\r\n";
+        break;
+    case 6:
+        script.pause = 400ms;
+        break;
+    default:
+        break;
+    }
+}
+
+}
--- /dev/null
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.h
@@ -0,0 +1,75 @@
+#ifndef FILBERTSPOKE_SOAK_SITE_H
+#define FILBERTSPOKE_SOAK_SITE_H
+
+#include "SoakRecord.h"
+
+#include <filbertspoke/Core>
+#include <filbertspoke/PlatformTesting>
+#include <filbertspoke/ProcessTesting>
+#include <filbertspoke/StandIns>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace filbertspoke::soak {
+
+/** \brief A gateway's process and the link over which it reaches the store. */
+struct SoakGateway {
+    GatewayText text;
+    std::unique_ptr<RelayStandIn> storeLink;
+    std::optional<Process> process;
+    unsigned starts = 0;
+    bool handled = false; ///< a fault is stopping, pausing or starting the process
+    Clock::time_point disturbedAt; ///< when it was last stopped, paused or killed, or went on from that
+};
+
+/** \brief Four gateways in two failure domains, with a store, three replicas of a plain service and two chains of two
+ * engines, each behind a link that can fail. */
+class SoakSite {
+public:
+    SoakSite(boost::asio::io_context&, SoakRecord&, std::uint64_t seed);
+    ~SoakSite();
+
+    void start(SoakGateway&);
+    /** \brief Writes the next version of the configuration, which keeps all routes and adds one. */
+    void changeConfiguration();
+    /** \brief Says that the last replica of the plain service leaves. */
+    void drainLastReplica();
+    /** \brief Makes endpoints answer some requests wrongly, or not at all. */
+    void setTrouble(bool value) { this->trouble = value; }
+
+    /** \returns what the process wrote on the request; ends the process */
+    std::vector<std::string> logOf(SoakGateway&, const std::string& request);
+
+    std::vector<SoakGateway> gateways;
+    std::map<std::string, std::unique_ptr<RelayStandIn>> endpointLinks; ///< by endpoint
+    StoreStandIn store;
+    int version = 0; ///< of the newest configuration
+    bool drained = false;
+
+private:
+    ReplicaScript answer(const std::string& endpoint, const HttpRequest&);
+    ReplicaScript answerWell(const HttpRequest&) const;
+    void spoil(ReplicaScript&, const HttpRequest&);
+    void putEndpoint(const std::string& id, const std::string& state);
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+    boost::asio::io_context& context;
+    SoakRecord& record;
+    std::mt19937_64 random;
+    std::map<std::string, std::unique_ptr<ReplicaStandIn>> endpoints;
+    std::uint64_t heartbeat = 0;
+    bool trouble = false;
+    std::string folder;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/packages/Soak/tests/ShortRun.cpp
@@ -0,0 +1,28 @@
+// Short runs with fixed seeds, and every seed that ever failed.
+#include <filbertspoke/Soak>
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdint>
+
+using namespace filbertspoke;
+
+namespace {
+
+void keepsEveryPromise(std::uint64_t seed)
+{
+    const soak::SoakOutcome outcome = soak::SoakRun(seed, std::chrono::seconds(8)).run();
+    for (const std::string& violation : outcome.violations)
+        BOOST_ERROR("seed " << seed << ": " << violation);
+    for (const std::string& line : outcome.log)
+        BOOST_TEST_MESSAGE(line);
+    BOOST_TEST(outcome.answered > 0U);
+    BOOST_TEST(!outcome.faults.empty());
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(gatewaysKeepEveryPromiseUnderFaults)
+{
+    keepsEveryPromise(1);
+}
--- a/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/parse.hpp>
 
 #include <array>
+#include <string>
 #include <utility>
 
 namespace filbertspoke {
@@ -67,11 +68,11 @@
     server->set_option(tcp::no_delay(true));
     this->sockets.insert(client);
     this->sockets.insert(server);
-    asio::co_spawn(this->context, this->forward(client, server), asio::detached);
-    asio::co_spawn(this->context, this->forward(server, client), asio::detached);
+    asio::co_spawn(this->context, this->forward(client, server, Direction::ToTarget), asio::detached);
+    asio::co_spawn(this->context, this->forward(server, client, Direction::FromTarget), asio::detached);
 }
 
-asio::awaitable<void> RelayStandIn::forward(SharedSocket from, SharedSocket to)
+asio::awaitable<void> RelayStandIn::forward(SharedSocket from, SharedSocket to, Direction direction)
 {
     std::array<char, chunkBytes> chunk {};
     bool open = true;
@@ -81,7 +82,7 @@
             break;
         if (this->delay.count() > 0)
             co_await this->pauseFor(this->delay);
-        while (this->mode == Mode::BlackHole)
+        while (!this->passes(direction))
             co_await this->pauseFor(blackHoleCheck);
         const auto [writeError, written] = co_await asio::async_write(*to, asio::buffer(chunk, bytes), asTuple);
         open = !writeError;
@@ -92,6 +93,11 @@
     this->sockets.erase(from);
 }
 
+bool RelayStandIn::passes(Direction direction) const
+{
+    return this->mode != Mode::BlackHole && (this->mode != Mode::OneWay || direction == Direction::ToTarget);
+}
+
 asio::awaitable<void> RelayStandIn::pauseFor(std::chrono::milliseconds duration)
 {
     asio::steady_timer timer(this->context, duration);
@@ -102,14 +108,20 @@
 {
     if (const auto* value = order.if_contains("delayMs"))
         this->delay = std::chrono::milliseconds(value->to_number<std::int64_t>());
-    if (const auto* value = order.if_contains("mode"))
-        this->mode = *value == "cut" ? Mode::Cut : *value == "black-hole" ? Mode::BlackHole
-                                                                          : Mode::Forward;
-    if (this->mode != Mode::Cut)
+    const auto* value = order.if_contains("mode");
+    const std::string mode = value ? std::string(value->as_string()) : std::string();
+    if (value)
+        this->mode = mode == "cut" ? Mode::Cut : mode == "black-hole" ? Mode::BlackHole
+            : mode == "one-way"                                       ? Mode::OneWay
+                                                                      : Mode::Forward;
+    if (mode != "cut" && mode != "reset")
         return;
     boost::system::error_code ignored;
-    for (const SharedSocket& socket : this->sockets)
+    for (const SharedSocket& socket : this->sockets) {
+        if (mode == "reset")
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
         socket->close(ignored);
+    }
 }
 
 }
--- a/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.h
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.h
@@ -16,7 +16,7 @@
 
 namespace filbertspoke {
 
-/** \brief Plays a link: forwards TCP connections, and delays, cuts or black-holes them on order. */
+/** \brief Plays a link: forwards TCP connections, and delays, resets, cuts or silences them on order. */
 class RelayStandIn {
 public:
     /** \param address where the relay listens
@@ -28,6 +28,11 @@
     HttpAddress address() const;
     HttpAddress controlAddress() const { return this->controlServer.address(); }
 
+    /** \brief Carries out an order: `delayMs`, and `mode` as "forward", "cut" (connections close, and new ones at once),
+     * "black-hole" (nothing passes), "one-way" (nothing comes back from the target) or "reset" (connections are reset
+     * once, new ones pass). */
+    void control(const boost::json::object&);
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
     using SharedSocket = std::shared_ptr<Socket>;
@@ -36,14 +41,19 @@
         Forward,
         Cut, ///< connections are closed, and new ones as soon as they come
         BlackHole, ///< connections stay open and nothing passes
+        OneWay, ///< connections stay open and nothing comes back
     };
 
     boost::asio::awaitable<void> listen();
     boost::asio::awaitable<void> connect(SharedSocket client);
-    boost::asio::awaitable<void> forward(SharedSocket from, SharedSocket to);
-    boost::asio::awaitable<void> pauseFor(std::chrono::milliseconds);
-    void control(const boost::json::object&);
+    enum class Direction {
+        ToTarget,
+        FromTarget,
+    };
 
+    boost::asio::awaitable<void> forward(SharedSocket from, SharedSocket to, Direction);
+    bool passes(Direction) const;
+    boost::asio::awaitable<void> pauseFor(std::chrono::milliseconds);
     boost::asio::io_context& context;
     boost::asio::ip::tcp::endpoint target;
     boost::asio::ip::tcp::acceptor acceptor;
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -24,20 +24,7 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 const std::string host = ownLoopbackAddress(1);
 
-struct EngineRange {
-    int first;
-    int last;
-};
-
-const std::map<std::string, EngineRange> engineRanges { { "engine-a1", { 0, 4 } }, { "engine-a2", { 4, 8 } }, { "engine-b1", { 0, 4 } }, { "engine-b2", { 4, 8 } } };
-
-ReplicaScript emptyReport()
-{
-    ReplicaScript script;
-    const std::string body = R"({"CallSeq":0,"Busy":false,"Stalled":[]})";
-    script.pieces = { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
-    return script;
-}
+const std::map<std::string, LayerRange> engineLayers { { "engine-a1", { 0, 4 } }, { "engine-a2", { 4, 8 } }, { "engine-b1", { 0, 4 } }, { "engine-b2", { 4, 8 } } };
 
 ReplicaScript serveWell(const HttpRequest& request)
 {
@@ -134,24 +121,19 @@
 
 void GatewayScene::putConfiguration(int version, const std::string& bookingService)
 {
-    const std::string engine = R"({"Slots":8,"KvTokenBytes":8000,"Stride":1,"step_ms":1,"per_seq_ms":0.001,"context_per_k":0.001,"read_per_s":100000.0,"usual":{"prompt":10,"answer":10},"Layers":8,"LayerMb":10.0,"ActBytes":100,"PipeMbps":1000.0,"Models":[{"Name":"m","LoadS":1}],"Kinds":[{"Name":"l4","Megabytes":1000.0,"pace":1.0,"ReadFactor":1.0}]})";
-    const std::string common = R"("Host":"h.example","TimeoutMs":5000,"TargetLatencyMs":500,)";
-    this->store.put("keyed.op", "config", R"({"Version":)" + std::to_string(version) + R"(,"Routes":[{"Name":"chat",)" + common + R"("PathPrefix":"/chat/","Kind":"stream","GapTargetMs":200,"Service":"llm","Attempts":2,"StreamResume":true},{"Name":"book",)" + common + R"("PathPrefix":"/book/","Kind":"non_idempotent","Service":")" + bookingService + R"("},{"Name":"stock",)" + common + R"("PathPrefix":"/stock/","Kind":"idempotent","Service":"app","Attempts":2}],"Services":[{"Name":"llm","Engine":)" + engine + R"(},{"Name":"app"}],"Tenants":[{"Name":"gold","ApiKeys":["key-1"]}]})");
+    this->store.put("keyed.op", "config", configurationText(version, { { "chat", "/chat/", "stream", "llm", 2 }, { "book", "/book/", "non_idempotent", bookingService }, { "stock", "/stock/", "idempotent", "app", 2 } }));
 }
 
 void GatewayScene::putEndpoint(const std::string& id, const std::string& state)
 {
-    const HttpAddress address = this->replicas.at(id)->address();
-    const auto range = engineRanges.find(id);
-    const std::string layers = range == engineRanges.end() ? "" : R"(,"Kind":"l4","Layers":{"From":)" + std::to_string(range->second.first) + R"(,"To":)" + std::to_string(range->second.last) + R"(,"Version":1})";
-    this->store.put("keyed.servers", id, R"({"Service":")" + std::string(range == engineRanges.end() ? "app" : "llm") + R"(","Address":")" + address.address + ":" + std::to_string(address.port) + R"(","Zone":"zone-a","Slots":6,"State":")" + state + R"(","CallSeq":)" + std::to_string(++this->heartbeat) + R"(,"born":1700000000000)" + layers + "}");
+    const auto layers = engineLayers.find(id);
+    this->store.put("keyed.servers", id, endpointText({ id, this->replicas.at(id)->address(), "zone-a", state, layers == engineLayers.end() ? LayerRange() : layers->second, ++this->heartbeat }));
 }
 
 Process GatewayScene::launch(const std::string& name, const HttpAddress& callersAddress, const HttpAddress& readinessAddress, const HttpAddress& peersAddress, const HttpAddress& storeAddress)
 {
-    const auto text = [](const HttpAddress& address) { return address.address + ":" + std::to_string(address.port); };
     const std::string file = this->folder + "/" + name + ".yaml";
-    std::ofstream(file) << "daemon: " << name << "\nfailureDomain: zone-a\ncallers: " << text(callersAddress) << "\nreadiness: " << text(readinessAddress) << "\npeers: " << text(peersAddress) << "\nseeds: [\"" << text(this->peers) << "\"]\nstore: " << text(storeAddress) << "\nretryBudget:\n    ratio: 0.2\n    reserve: 10\nstopTimeoutMs: 8000\n";
+    std::ofstream(file) << settingsText({ name, "zone-a", callersAddress, readinessAddress, peersAddress, storeAddress, { this->peers } });
     return Process("filbertspoked", { "gateway", "--settings", file });
 }
 
--- /dev/null
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -0,0 +1,61 @@
+#ifndef FILBERTSPOKE_PLATFORM_DOCUMENTS_H
+#define FILBERTSPOKE_PLATFORM_DOCUMENTS_H
+
+#include <filbertspoke/Core>
+#include <filbertspoke/Http>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief A route as the operator writes it. */
+struct RouteText {
+    std::string name;
+    std::string prefix;
+    std::string kind; ///< in the platform's words
+    std::string service;
+    unsigned attempts = 1;
+
+    bool operator==(const RouteText&) const = default;
+};
+
+/** \brief An endpoint's entry in the registry. */
+struct EndpointText {
+    std::string id;
+    HttpAddress address;
+    std::string domain = "zone-a";
+    std::string state = "ready";
+    LayerRange layers; ///< empty for a replica of the plain service
+    std::uint64_t heartbeat = 1;
+
+    bool operator==(const EndpointText&) const = default;
+};
+
+/** \brief What a gateway is told at its start. */
+struct GatewayText {
+    std::string name;
+    std::string domain = "zone-a";
+    HttpAddress callers;
+    HttpAddress readiness;
+    HttpAddress peers;
+    HttpAddress store;
+    std::vector<HttpAddress> seeds;
+    unsigned retryReserve = 10;
+
+    bool operator==(const GatewayText&) const = default;
+};
+
+/** \returns a configuration with the services "llm", a model of eight layers, and "app", and one account, "gold" with
+ * the key "key-1" */
+std::string configurationText(int version, const std::vector<RouteText>&);
+std::string endpointText(const EndpointText&);
+/** \returns a gateway's settings file */
+std::string settingsText(const GatewayText&);
+/** \returns the address and port as a settings file has them */
+std::string addressText(const HttpAddress&);
+
+}
+
+#endif
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -129,6 +129,14 @@
     this->state->answer = std::move(answer);
 }
 
+ReplicaScript emptyReport()
+{
+    ReplicaScript script;
+    const std::string body = R"({"CallSeq":0,"Busy":false,"Stalled":[]})";
+    script.pieces = { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
+    return script;
+}
+
 std::string wholeAnswer(const HttpRequest& request, unsigned status, const std::string& body)
 {
     return "HTTP/1.1 " + std::to_string(status) + " Status\r\nAttempt-Id: " + std::string(findHeader(request.headers, "Attempt-Id")) + "\r\nServer-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -139,9 +147,9 @@
     return "HTTP/1.1 200 OK\r\nAttempt-Id: " + std::string(findHeader(request.headers, "Attempt-Id")) + "\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-std::string eventChunk(int id)
+std::string eventChunk(int id, const std::string& data)
 {
-    const std::string event = "id: " + std::to_string(id) + "\ndata: token\n\n";
+    const std::string event = "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
     char size[16];
     std::snprintf(size, sizeof size, "%zx\r\n", event.size());
     return size + event + "\r\n";
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -50,12 +50,14 @@
     std::shared_ptr<State> state;
 };
 
+/** \returns an engine's report of itself with nothing in it */
+ReplicaScript emptyReport();
 /** \returns a whole answer with length, id and seal */
 std::string wholeAnswer(const HttpRequest& request, unsigned status, const std::string& body);
 /** \returns the head of a stream in chunks, with id and seal */
 std::string streamHead(const HttpRequest& request);
 /** \returns one event of a stream as a chunk */
-std::string eventChunk(int id);
+std::string eventChunk(int id, const std::string& data = "token");
 /** \returns the end of a stream */
 std::string lastChunk();
 
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
@@ -59,7 +59,7 @@
     this->away = value;
 }
 
-HttpResponse StoreStandIn::answer(const HttpRequest& request) const
+HttpResponse StoreStandIn::answer(const HttpRequest& request)
 {
     if (this->away)
         return respond(503);
@@ -72,12 +72,28 @@
     if (path == "/filbertspoke/log-read")
         return read(records, std::stoul(query["From"]));
     if (path == "/filbertspoke/log-join")
-        return respond(200, R"({"Generation":1,"TtlMs":1500,"parts":[["placement",0,0]]})");
+        return this->join(json::parse(request.body).as_object());
     if (path == "/filbertspoke/log-append")
         return respond(200, R"({"Offset":0,"EndOffset":0})");
     return respond(404);
 }
 
+HttpResponse StoreStandIn::join(const json::object& request)
+{
+    const std::string member(request.at("Member").as_string());
+    const auto now = std::chrono::steady_clock::now();
+    if (member != this->holder && now >= this->heldUntil) {
+        this->holder = member;
+        ++this->generation;
+    }
+    json::object answer { { "Generation", this->generation }, { "parts", json::array() } };
+    if (member == this->holder) {
+        this->heldUntil = now + std::chrono::milliseconds(request.at("TtlMs").to_number<std::int64_t>());
+        answer["parts"] = json::array { json::array { request.at("Topics").as_array().front(), 0, 0 } };
+    }
+    return respond(200, json::serialize(answer));
+}
+
 HttpResponse StoreStandIn::newest(const std::vector<Record>& records) const
 {
     std::map<std::string, std::optional<std::string>> latest;
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
@@ -4,7 +4,10 @@
 #include <filbertspoke/Http>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,7 +16,7 @@
 
 namespace filbertspoke {
 
-/** \brief Plays the platform's store: keyed topics, and a group whose only member owns everything. */
+/** \brief Plays the platform's store: keyed topics, and a group of which one member at a time owns everything. */
 class StoreStandIn {
 public:
     StoreStandIn(boost::asio::io_context&, const HttpAddress&);
@@ -28,12 +31,16 @@
 private:
     using Record = std::pair<std::string, std::optional<std::string>>;
 
-    HttpResponse answer(const HttpRequest&) const;
+    HttpResponse answer(const HttpRequest&);
+    HttpResponse join(const boost::json::object&);
     HttpResponse newest(const std::vector<Record>&) const;
     static HttpResponse read(const std::vector<Record>&, std::size_t from);
 
     std::map<std::string, std::vector<Record>> topics;
     bool away = false;
+    std::string holder; ///< member that owns the group's partition
+    std::chrono::steady_clock::time_point heldUntil;
+    std::uint64_t generation = 0;
     HttpServer server;
 };
 
--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -29,6 +29,11 @@
 constexpr int signalledExit = 128;
 constexpr std::chrono::seconds hangLimit { 30 };
 
+int exitCode(int waitStatus)
+{
+    return WIFEXITED(waitStatus) ? WEXITSTATUS(waitStatus) : signalledExit + WTERMSIG(waitStatus);
+}
+
 std::array<int, 2> openPipe()
 {
     std::array<int, 2> ends {};
@@ -163,10 +168,18 @@
         return *this->status;
     int raw = 0;
     ::waitpid(this->pid, &raw, 0);
-    this->status = WIFEXITED(raw) ? WEXITSTATUS(raw) : signalledExit + WTERMSIG(raw);
+    this->status = exitCode(raw);
     return *this->status;
 }
 
+bool Process::running()
+{
+    int raw = 0;
+    if (!this->status && ::waitpid(this->pid, &raw, WNOHANG) == this->pid)
+        this->status = exitCode(raw);
+    return !this->status;
+}
+
 StandInProcess StandInProcess::start(const std::vector<std::string>& arguments)
 {
     std::vector<std::string> all = arguments;
--- a/testing/filbertspoke/src/ProcessTesting/Process.h
+++ b/testing/filbertspoke/src/ProcessTesting/Process.h
@@ -45,6 +45,9 @@
      */
     int wait();
 
+    /** \returns whether the program has not ended yet */
+    bool running();
+
     pid_t id() const { return this->pid; }
 
 private:
