--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.cpp
@@ -73,8 +73,9 @@
         for (const Pool& group : deal(engines, copies)) {
             Lane lane = spreadEvenly(sizes, group, LayerRange(0, profile.layers));
             const double sequences = laneSequences(profile, lane);
-            if (sequences >= leastSequences)
-                add(draft, std::move(lane), laneThroughput(profile, lane, sequences, 0, 1));
+            const double perMs = sequences >= leastSequences ? laneThroughput(profile, lane, sequences, 0, 1) : 0;
+            if (perMs > 0)
+                add(draft, std::move(lane), perMs);
         }
         if (draft.sequencesPerMs > best.sequencesPerMs)
             best = std::move(draft);
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -106,7 +106,7 @@
 void SoakSite::changeConfiguration()
 {
     ++this->version;
-    std::vector<RouteText> routes { { "chat", "/chat/", "stream", "llm", 2 }, { "book", "/book/", "non_idempotent", "app" }, { "stock", "/stock/", "idempotent", "app", 2 } };
+    std::vector<RouteText> routes { { "chat", "/chat/", "stream", "llm", 2 }, { "book", "/book/", "non_idempotent", "app", 2 }, { "stock", "/stock/", "idempotent", "app", 2 } };
     for (int added = 1; added <= this->version; ++added)
         routes.push_back({ "probe-" + std::to_string(added), "/probe-" + std::to_string(added) + "/", "idempotent", "app", 2 });
     this->store.put("keyed.op", "config", configurationText(this->version, routes));
