Parts of older answers no longer clear an endpoint that breaks new requests; decisions tell what they rest on

Every sixteenth event of an older stream counted as a success and took the engines back. Ruled out: a full engine (it says so), slow answers (the resets came within 3 ms). Lines on decisions carry the configuration's version, the endpoint list's version and the age of what is known of others' work; endpoint-chosen and request-given-up are new.

--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -91,6 +91,7 @@
         if (!picked)
             break;
         const RegisteredEndpoint endpoint = picked->endpoint;
+        task.logDecision("endpoint-chosen", { { "endpoint", endpoint.id.str() }, { "requestsThere", std::to_string(static_cast<std::uint64_t>(task.context.loads.total(endpoint.id).requests)) }, { "slots", std::to_string(endpoint.slots) }, { "sends", std::to_string(task.sends) } });
         task.context.loads.begin(endpoint.id, load);
         const AttemptResult result = co_await attemptCall(task, endpoint);
         task.context.loads.end(endpoint.id, load);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -85,7 +85,7 @@
 void StreamRun::noteChainAlive()
 {
     for (const EndpointId& engine : this->engines)
-        this->task.context.registry.noteSuccess(engine);
+        this->task.context.registry.noteProgress(engine);
 }
 
 asio::awaitable<std::optional<LayerChain>> StreamRun::awaitChain()
@@ -266,7 +266,7 @@
 
 void StreamRun::logChain(const LayerChain& chain) const
 {
-    logLine(WriteLog::Level::Info, "chain-chosen", { { "request", this->task.request.id.str() }, { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
+    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" } });
 }
 
 asio::awaitable<AttemptResult> StreamRun::watchedAttempt(const ForwardOrder& order, const LayerChain& chain)
@@ -301,6 +301,10 @@
         this->logChain(*chain);
         const AttemptResult result = co_await this->watchedAttempt(*order, *chain);
         complete = !result.failure;
+        for (const LayerStage& stage : chain->stages) {
+            if (complete && !this->task.caller->gone())
+                this->task.context.registry.noteSuccess(stage.endpoint);
+        }
         goOn = result.failure && !this->task.caller->gone() && this->task.noteFailure(result, chain->stages.front().endpoint);
     }
     if (this->task.caller->gone())
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -89,10 +89,20 @@
     if (notRun)
         refusal = refusal.retryAfter(this->returnDelay());
     const HttpResponse response = this->context.wires.caller->encodeRefusal(refusal, this->request.id);
+    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "avoided", std::to_string(this->avoided.size()) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
     this->logEnd(std::string(name(refusal.code())), response.status);
     co_await this->caller->respond(response, this->keepAlive());
 }
 
+void ForwardTask::logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const
+{
+    fields.insert(fields.begin(), { "request", this->request.id.str() });
+    fields.emplace_back("configuration", this->context.table ? std::to_string(this->context.table->version()) : "none");
+    fields.emplace_back("endpointsRevision", std::to_string(this->context.registry.revision()));
+    fields.emplace_back("othersWorkAgeMs", this->context.loadsHeardAt ? milliseconds(bootNow() - *this->context.loadsHeardAt) : "none");
+    logLine(WriteLog::Level::Info, event, std::move(fields));
+}
+
 void ForwardTask::logEnd(const std::string& outcome, unsigned status) const
 {
     logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->sends) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -10,6 +10,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace filbertspoke {
 
@@ -37,6 +39,9 @@
 
     /** \brief Answers a request that is given up: with a refusal if it certainly has not run, else with a failure. */
     boost::asio::awaitable<void> giveUp(ErrorCode reason);
+    /** \brief Writes a line on a decision about the request, with the versions of what is known of configuration and
+     * endpoints, and the age of what is known of other daemons' work. */
+    void logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const;
     /** \brief Writes the line that ends the request's trace. */
     void logEnd(const std::string& outcome, unsigned status) const;
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -51,6 +51,7 @@
     EndpointRegistry registry;
     bool registryKnown = false;
     LoadBook loads;
+    std::optional<TimePoint> loadsHeardAt; ///< when another daemon last told of its work
     PeerRoster roster;
     std::optional<TimePoint> hubHeardAt; ///< when the hub last said that it follows the store
     CapacityWaiters waiters;
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -116,6 +116,7 @@
 
 void PeerExchange::takeWork(GatewayWord& word, TimePoint now)
 {
+    this->context.loadsHeardAt = now;
     const bool near = word.failureDomain == this->context.settings.failureDomain;
     const bool hub = this->context.roster.isHub();
     if (near && hub && !word.sum) {
