--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -20,12 +20,6 @@
 constexpr std::size_t unreachableForDomain = 3;
 constexpr Duration domainMemory = std::chrono::seconds(4);
 
-/** \returns whether an endpoint with the fault may have been out of reach, as far as it shows */
-bool isSilence(EndpointFault fault)
-{
-    return fault == EndpointFault::Unreachable || fault == EndpointFault::Silent;
-}
-
 EndpointRecord newRecord(const RegisteredEndpoint& endpoint)
 {
     EndpointRecord record;
@@ -138,43 +132,27 @@
     // Requests that were on their way together fail together, and say the same thing once.
     if (!known)
         ++record.faultsInRow;
+    const bool certain = fault == EndpointFault::Unreachable || fault == EndpointFault::Silent;
     if (fault == EndpointFault::Unreachable)
         this->unreachable[record.endpoint.failureDomain].insert_or_assign(id, now);
-    if (known || (!isSilence(fault) && record.faultsInRow < 2 && record.faultRate < tolerableFaultRate))
+    if (known || (!certain && record.faultsInRow < 2 && record.faultRate < tolerableFaultRate))
         return;
     const auto doublings = std::min<std::uint32_t>(record.faultsInRow - 1, 4);
     record.avoidedUntil = now + std::min<Duration>(firstAvoidance * (1 << doublings), longestAvoidance);
 }
 
-void EndpointRegistry::clearEvidence(EndpointRecord& record)
-{
-    record.faultsInRow = 0;
-    record.lastFault.reset();
-    record.avoidedUntil.reset();
-    record.hearsayUntil.reset();
-}
-
 void EndpointRegistry::noteSuccess(const EndpointId& id)
 {
     const auto entry = this->byId.find(id);
     if (entry == this->byId.end())
         return;
     EndpointRecord& record = entry->second;
+    record.faultsInRow = 0;
+    record.lastFault.reset();
     record.faultRate -= faultSmoothing * record.faultRate;
+    record.avoidedUntil.reset();
+    record.hearsayUntil.reset();
     this->unreachable.erase(record.endpoint.failureDomain);
-    if (record.faultRate < tolerableFaultRate)
-        clearEvidence(record);
-}
-
-void EndpointRegistry::noteProgress(const EndpointId& id)
-{
-    const auto entry = this->byId.find(id);
-    if (entry == this->byId.end())
-        return;
-    EndpointRecord& record = entry->second;
-    this->unreachable.erase(record.endpoint.failureDomain);
-    if (!record.lastFault || isSilence(*record.lastFault))
-        clearEvidence(record);
 }
 
 void EndpointRegistry::noteHearsay(const EndpointId& id, Duration remaining, TimePoint now)
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -55,10 +55,7 @@
     void expire(TimePoint now);
 
     void noteFault(const EndpointId&, EndpointFault, TimePoint now);
-    /** \brief Takes a whole answer. It clears the evidence against the endpoint, unless too many others went wrong lately. */
     void noteSuccess(const EndpointId&);
-    /** \brief Takes a part of an answer: the endpoint is reachable, which says nothing on how it treats new requests. */
-    void noteProgress(const EndpointId&);
     /** \brief Takes another daemon's word that an endpoint is better left alone for a while. */
     void noteHearsay(const EndpointId&, Duration remaining, TimePoint now);
     /** \returns whether own or other daemons' evidence speaks against the endpoint, or against its failure domain */
@@ -86,7 +83,6 @@
     /** \brief Endpoints of a failure domain that were unreachable since the last success with any of them. */
     using UnreachableEndpoints = std::map<EndpointId, TimePoint>;
 
-    static void clearEvidence(EndpointRecord&);
     void removeOthersAt(const SocketAddress&, const EndpointRecord& newest);
 
     std::map<EndpointId, EndpointRecord> byId;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -85,7 +85,7 @@
 void StreamRun::noteChainAlive()
 {
     for (const EndpointId& engine : this->engines)
-        this->task.context.registry.noteProgress(engine);
+        this->task.context.registry.noteSuccess(engine);
 }
 
 asio::awaitable<std::optional<LayerChain>> StreamRun::awaitChain()
@@ -301,10 +301,6 @@
         this->logChain(*chain);
         const AttemptResult result = co_await this->watchedAttempt(*order, *chain);
         complete = !result.failure;
-        for (const LayerStage& stage : chain->stages) {
-            if (complete && !this->task.caller->gone())
-                this->task.context.registry.noteSuccess(stage.endpoint);
-        }
         goOn = result.failure && !this->task.caller->gone() && this->task.noteFailure(result, chain->stages.front().endpoint);
     }
     if (this->task.caller->gone())
