The soak speaks the platform's words through PlatformTesting only

Cause: a reader met header names of the platform in packages/Soak, where they have no place; caller's requests, routes and answers stood in two places. Change: callText, readForwarded, usualRoutes, fullAnswer and the store's two collections in PlatformTesting, used by the gateway's scene and by the soak. The scene's booking may be sent twice as well, which makes its cases stricter. DaemonGatewayTest passes.

--- a/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
@@ -25,19 +25,27 @@
 constexpr auto connectLimit = 1s;
 constexpr auto pauseBetweenCalls = 15ms;
 
-std::string target(const CallRecord& call)
+CallText textOf(const CallRecord& call)
 {
+    CallText text;
+    text.method = call.kind == CallKind::Booking || call.kind == CallKind::Generation ? "POST" : "GET";
+    text.id = call.id;
+    text.limit = callLimit;
     switch (call.kind) {
     case CallKind::Booking:
-        return "POST /book/x";
+        text.target = "/book/x";
+        break;
     case CallKind::LookUp:
-        return "GET /stock/x";
+        text.target = "/stock/x";
+        break;
     case CallKind::Generation:
-        return "POST /chat/x";
+        text.target = "/chat/x";
+        break;
     case CallKind::Probe:
-        return "GET /probe-" + std::to_string(call.version) + "/x";
+        text.target = "/probe-" + std::to_string(call.version) + "/x";
+        break;
     }
-    return {};
+    return text;
 }
 
 }
@@ -51,13 +59,6 @@
 {
 }
 
-std::string SoakCaller::requestText(const CallRecord& call) const
-{
-    const std::string line = target(call);
-    return line + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + call.id + "\r\nDeadline-Ms: " + std::to_string(callLimit.count()) + "\r\nKey: key-1\r\nToken-Count: 10,10\r\n"
-        + (line.starts_with("POST") ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
-}
-
 asio::awaitable<bool> SoakCaller::connect(std::size_t gateway)
 {
     const HttpAddress& address = this->site.gateways[gateway].text.callers;
@@ -82,8 +83,9 @@
     call.version = std::max(1, this->site.version - std::uniform_int_distribution<int>(0, 2)(this->random));
     call.sentAt = Clock::now();
     const bool running = !process.handled;
+    const std::string text = callText(textOf(call));
     this->stream->expires_after(patience);
-    const auto [writeError, written] = co_await asio::async_write(*this->stream, asio::buffer(this->requestText(call)), asTuple);
+    const auto [writeError, written] = co_await asio::async_write(*this->stream, asio::buffer(text), asTuple);
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     const auto [error, bytes] = co_await http::async_read(*this->stream, this->buffer, parser, asTuple);
@@ -91,7 +93,7 @@
     call.undisturbed = running && !process.handled && process.disturbedAt < call.sentAt && process.starts == call.start;
     if (parser.is_header_done()) {
         call.status = parser.get().result_int();
-        call.echoedId = std::string(parser.get()["Attempt-Id"]);
+        call.echoedId = std::string(parser.get()[requestIdHeader()]);
         call.returnTime = std::string(parser.get()[http::field::retry_after]);
         call.body = parser.get().body();
         call.whole = !error;
--- a/packages/Soak/filbertspoke/src/Soak/SoakCaller.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakCaller.h
@@ -28,7 +28,6 @@
 private:
     boost::asio::awaitable<bool> connect(std::size_t gateway);
     boost::asio::awaitable<CallRecord> call(CallKind, std::size_t gateway);
-    std::string requestText(const CallRecord&) const;
 
     boost::asio::io_context& context;
     SoakSite& site;
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -106,10 +106,11 @@
 void SoakSite::changeConfiguration()
 {
     ++this->version;
-    std::vector<RouteText> routes { { "chat", "/chat/", "stream", "llm", 2 }, { "book", "/book/", "non_idempotent", "app", 2 }, { "stock", "/stock/", "idempotent", "app", 2 } };
+    std::vector<RouteText> routes = usualRoutes();
+    const RouteText lookUp = routes.back();
     for (int added = 1; added <= this->version; ++added)
-        routes.push_back({ "probe-" + std::to_string(added), "/probe-" + std::to_string(added) + "/", "idempotent", "app", 2 });
-    this->store.put("keyed.op", "config", configurationText(this->version, routes));
+        routes.push_back({ "probe-" + std::to_string(added), "/probe-" + std::to_string(added) + "/", lookUp.kind, lookUp.service, lookUp.attempts });
+    this->store.putConfiguration(configurationText(this->version, routes));
 }
 
 void SoakSite::drainLastReplica()
@@ -121,21 +122,20 @@
 void SoakSite::putEndpoint(const std::string& id, const std::string& state)
 {
     const auto plan = std::find_if(endpointPlans.begin(), endpointPlans.end(), [&](const EndpointPlan& candidate) { return candidate.id == id; });
-    this->store.put("keyed.servers", id, endpointText({ id, this->endpointLinks.at(id)->address(), plan->domain, state, plan->layers, ++this->heartbeat }));
+    this->store.putEndpoint(id, endpointText({ id, this->endpointLinks.at(id)->address(), plan->domain, state, plan->layers, ++this->heartbeat }));
 }
 
 ReplicaScript SoakSite::answerWell(const HttpRequest& request) const
 {
     ReplicaScript script;
-    const std::string id(findHeader(request.headers, "Attempt-Id"));
-    if (findHeader(request.headers, "Hop-Count").empty()) {
-        script.pieces = { wholeAnswer(request, 200, "served " + id) };
+    const ForwardedRequest forwarded = readForwarded(request);
+    if (!forwarded.chained) {
+        script.pieces = { wholeAnswer(request, 200, "served " + forwarded.id) };
         return script;
     }
-    const std::string resumed(findHeader(request.headers, "Last-Event-Id"));
     script.pieces = { streamHead(request) };
-    for (int event = resumed.empty() ? 1 : std::stoi(resumed) + 1; event <= eventsOfAStream; ++event)
-        script.pieces.push_back(eventChunk(event, id));
+    for (int event = forwarded.lastEvent + 1; event <= eventsOfAStream; ++event)
+        script.pieces.push_back(eventChunk(event, forwarded.id));
     script.pieces.push_back(lastChunk());
     script.pause = 20ms;
     return script;
@@ -147,20 +147,19 @@
         return emptyReport();
     const bool wrong = this->trouble;
     if (wrong && this->draw() < wrongShare)
-        return { { "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" }, 5ms, ReplicaScript::End::Keep };
-    this->record.note(RunRecord { std::string(findHeader(request.headers, "Attempt-Id")), endpoint, std::string(findHeader(request.headers, "Tenant")), !findHeader(request.headers, "Key").empty(), Clock::now() });
+        return { { fullAnswer() }, 5ms, ReplicaScript::End::Keep };
+    const ForwardedRequest forwarded = readForwarded(request);
+    this->record.note(RunRecord { forwarded.id, endpoint, forwarded.account, forwarded.keyPassedOn, Clock::now() });
     ReplicaScript script = this->answerWell(request);
     if (wrong)
-        this->spoil(script, request);
+        this->spoil(script);
     return script;
 }
 
-void SoakSite::spoil(ReplicaScript& script, const HttpRequest& request)
+void SoakSite::spoil(ReplicaScript& script)
 {
     const auto way = static_cast<int>(this->draw() / wrongShare);
     const bool stream = script.pieces.size() > 1;
-    HttpRequest other = request;
-    other.headers = { { "Attempt-Id", "another" } };
     switch (way) {
     case 0:
         script.pieces.resize(stream ? 2 : 0);
@@ -175,10 +174,10 @@
         script.end = ReplicaScript::End::Close;
         break;
     case 3:
-        script.pieces.push_back(wholeAnswer(other, 200, "served another"));
+        script.pieces.push_back(wholeAnswer("another", 200, "served another"));
         break;
     case 4:
-        script.pieces.insert(script.pieces.begin(), wholeAnswer(other, 200, "served another"));
+        script.pieces.insert(script.pieces.begin(), wholeAnswer("another", 200, "served another"));
         break;
     case 5:
         script.pieces.front() = "nonsense\r\n";
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.h
@@ -57,7 +57,7 @@
 private:
     ReplicaScript answer(const std::string& endpoint, const HttpRequest&);
     ReplicaScript answerWell(const HttpRequest&) const;
-    void spoil(ReplicaScript&, const HttpRequest&);
+    void spoil(ReplicaScript&);
     void putEndpoint(const std::string& id, const std::string& state);
     double draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
 
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -121,13 +121,18 @@
 
 void GatewayScene::putConfiguration(int version, const std::string& bookingService)
 {
-    this->store.put("keyed.op", "config", configurationText(version, { { "chat", "/chat/", "stream", "llm", 2 }, { "book", "/book/", "non_idempotent", bookingService }, { "stock", "/stock/", "idempotent", "app", 2 } }));
+    std::vector<RouteText> routes = usualRoutes();
+    for (RouteText& route : routes) {
+        if (route.name == "book")
+            route.service = bookingService;
+    }
+    this->store.putConfiguration(configurationText(version, routes));
 }
 
 void GatewayScene::putEndpoint(const std::string& id, const std::string& state)
 {
     const auto layers = engineLayers.find(id);
-    this->store.put("keyed.servers", id, endpointText({ id, this->replicas.at(id)->address(), "zone-a", state, layers == engineLayers.end() ? LayerRange() : layers->second, ++this->heartbeat }));
+    this->store.putEndpoint(id, endpointText({ id, this->replicas.at(id)->address(), "zone-a", state, layers == engineLayers.end() ? LayerRange() : layers->second, ++this->heartbeat }));
 }
 
 Process GatewayScene::launch(const std::string& name, const HttpAddress& callersAddress, const HttpAddress& readinessAddress, const HttpAddress& peersAddress, const HttpAddress& storeAddress)
@@ -167,7 +172,7 @@
 
 std::unique_ptr<RawCaller> GatewayScene::call(const std::string& method, const std::string& path, const std::string& extraHeaders, const std::string& key)
 {
-    const std::string text = method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: request-" + std::to_string(++this->calls) + "\r\nDeadline-Ms: 4000\r\nKey: " + key + "\r\nToken-Count: 10,10\r\n" + extraHeaders + (method == "POST" ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
+    const std::string text = callText({ method, path, "request-" + std::to_string(++this->calls), std::chrono::seconds(4), key, extraHeaders });
     return std::make_unique<RawCaller>(this->context, this->callers, text);
 }
 
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
@@ -7,6 +7,29 @@
     return address.address + ":" + std::to_string(address.port);
 }
 
+std::vector<RouteText> usualRoutes()
+{
+    return { { "chat", "/chat/", "stream", "llm", 2 }, { "book", "/book/", "non_idempotent", "app", 2 }, { "stock", "/stock/", "idempotent", "app", 2 } };
+}
+
+std::string callText(const CallText& call)
+{
+    return call.method + " " + call.target + " HTTP/1.1\r\nHost: h.example\r\n" + requestIdHeader() + ": " + call.id + "\r\nDeadline-Ms: " + std::to_string(call.limit.count())
+        + "\r\nKey: " + call.key + "\r\nToken-Count: 10,10\r\n" + call.extraHeaders + (call.method == "POST" ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
+}
+
+ForwardedRequest readForwarded(const HttpRequest& request)
+{
+    const std::string lastEvent(findHeader(request.headers, "Last-Event-Id"));
+    return { std::string(findHeader(request.headers, requestIdHeader())), std::string(findHeader(request.headers, "Tenant")), !findHeader(request.headers, "Key").empty(),
+        !findHeader(request.headers, "Hop-Count").empty(), lastEvent.empty() ? 0 : std::stoi(lastEvent) };
+}
+
+std::string requestIdHeader()
+{
+    return "Attempt-Id";
+}
+
 std::string configurationText(int version, const std::vector<RouteText>& routes)
 {
     std::string text = R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)";
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -4,6 +4,7 @@
 #include <filbertspoke/Core>
 #include <filbertspoke/Http>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -47,6 +48,36 @@
     bool operator==(const GatewayText&) const = default;
 };
 
+/** \brief A caller's request. */
+struct CallText {
+    std::string method;
+    std::string target;
+    std::string id;
+    std::chrono::milliseconds limit { 4000 };
+    std::string key = "key-1";
+    std::string extraHeaders;
+
+    bool operator==(const CallText&) const = default;
+};
+
+/** \brief A request as a gateway passes it on. */
+struct ForwardedRequest {
+    std::string id;
+    std::string account;
+    bool keyPassedOn = false;
+    bool chained = false; ///< it names a chain of engines
+    int lastEvent = 0; ///< that the caller has of a stream which goes on
+
+    bool operator==(const ForwardedRequest&) const = default;
+};
+
+/** \returns the routes of a generation, a booking and a look-up, of which each may be sent twice */
+std::vector<RouteText> usualRoutes();
+/** \returns the request with a body of four bytes if its method has one */
+std::string callText(const CallText&);
+ForwardedRequest readForwarded(const HttpRequest&);
+/** \returns the header by which answers name their request */
+std::string requestIdHeader();
 /** \returns a configuration with the services "llm", a model of eight layers, and "app", and one account, "gold" with
  * the key "key-1" */
 std::string configurationText(int version, const std::vector<RouteText>&);
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -139,12 +139,22 @@
 
 std::string wholeAnswer(const HttpRequest& request, unsigned status, const std::string& body)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nAttempt-Id: " + std::string(findHeader(request.headers, "Attempt-Id")) + "\r\nServer-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return wholeAnswer(readForwarded(request).id, status, body);
+}
+
+std::string wholeAnswer(const std::string& requestId, unsigned status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + requestIdHeader() + ": " + requestId + "\r\nServer-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string fullAnswer()
+{
+    return "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
 std::string streamHead(const HttpRequest& request)
 {
-    return "HTTP/1.1 200 OK\r\nAttempt-Id: " + std::string(findHeader(request.headers, "Attempt-Id")) + "\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return "HTTP/1.1 200 OK\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string eventChunk(int id, const std::string& data)
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -54,6 +54,9 @@
 ReplicaScript emptyReport();
 /** \returns a whole answer with length, id and seal */
 std::string wholeAnswer(const HttpRequest& request, unsigned status, const std::string& body);
+std::string wholeAnswer(const std::string& requestId, unsigned status, const std::string& body);
+/** \returns an answer that says that the endpoint is full and has not run the request */
+std::string fullAnswer();
 /** \returns the head of a stream in chunks, with id and seal */
 std::string streamHead(const HttpRequest& request);
 /** \returns one event of a stream as a chunk */
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
@@ -23,6 +23,8 @@
 
     /** \brief Writes a record; without a value the key is dropped. */
     void put(const std::string& topic, const std::string& key, std::optional<std::string> value);
+    void putConfiguration(const std::string& text) { this->put("keyed.op", "config", text); }
+    void putEndpoint(const std::string& id, const std::string& text) { this->put("keyed.servers", id, text); }
     /** \brief Answers 503 to everything while it is away. */
     void setAway(bool);
 
