--- a/packages/Observability/tests/LineBuffer.cpp
+++ b/packages/Observability/tests/LineBuffer.cpp
@@ -48,7 +48,7 @@
     }
 
     std::array<int, 2> ends = openPipe();
-    LineBuffer buffer { ends[1], 1000, [](std::uint64_t lines) { return "dropped " + std::to_string(lines) + "\n"; } };
+    LineBuffer buffer { this->ends[1], 1000, [](std::uint64_t lines) { return "dropped " + std::to_string(lines) + "\n"; } };
 };
 
 }
