--- a/packages/Gateway/tests/LayerPlacement.cpp
+++ b/packages/Gateway/tests/LayerPlacement.cpp
@@ -206,6 +206,62 @@
     BOOST_TEST(uncovered(this->pool, "a") == 0);
 }
 
+// An order may be lost or take seconds; what it will bring is no copy yet.
+BOOST_AUTO_TEST_CASE(layersAreNotTakenFromTheirOnlyHolderForACopyOnOrder)
+{
+    std::vector<PlaceableEngine> pool = engines("a", { { "small", 8 } });
+    for (std::uint32_t index = 0; index < 7; ++index)
+        pool[index].layers = LayerRange(index * 10, index * 10 + 10);
+    pool[7].layers = LayerRange(0, 10);
+    pool[7].changing = true;
+    const auto changes = placeLayers(profile, pool);
+    BOOST_TEST(std::none_of(changes.begin(), changes.end(), [&](const LayerAssignment& change) { return change.endpoint == pool[0].endpoint; }));
+}
+
+BOOST_AUTO_TEST_CASE(engineWithAnOrderUnderWayGetsNoOther)
+{
+    std::vector<PlaceableEngine> pool = engines("a", { { "small", 9 } });
+    for (std::uint32_t index = 0; index < 8; ++index)
+        pool[index].layers = LayerRange(index * 8, index * 8 + 8);
+    pool[8].layers = LayerRange(0, 8);
+    pool[8].changing = true;
+    const auto changes = placeLayers(profile, pool);
+    BOOST_TEST(std::none_of(changes.begin(), changes.end(), [&](const LayerAssignment& change) { return change.endpoint == pool[8].endpoint; }));
+}
+
+BOOST_AUTO_TEST_CASE(noOrderTakesALayersLastCopyAway)
+{
+    testing::checkProperty([] {
+        std::vector<PlaceableEngine> pool = site();
+        carryOut(pool, placeLayers(profile, pool));
+        for (int round = 0; round < 12; ++round) {
+            const auto lost = *rc::gen::inRange<std::size_t>(0, pool.size() * 4);
+            if (lost < pool.size())
+                pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(lost));
+            const auto assignments = placeLayers(profile, pool);
+            std::vector<std::uint32_t> before(profile.layers, 0);
+            std::vector<std::uint32_t> after(profile.layers, 0);
+            for (PlaceableEngine& engine : pool) {
+                const auto change = std::find_if(assignments.begin(), assignments.end(), [&](const LayerAssignment& assignment) { return assignment.endpoint == engine.endpoint; });
+                const LayerRange kept = change == assignments.end() ? engine.layers : change->layers;
+                for (std::uint32_t layer = engine.layers.first(); !engine.changing && layer < engine.layers.last(); ++layer) {
+                    ++before[layer];
+                    after[layer] += kept.first() <= layer && layer < kept.last() ? 1 : 0;
+                }
+                if (change != assignments.end()) {
+                    RC_ASSERT(!engine.changing);
+                    engine.layers = change->layers;
+                    engine.changing = true;
+                }
+            }
+            for (std::uint32_t layer = 0; layer < profile.layers; ++layer)
+                RC_ASSERT(before[layer] == 0U || after[layer] > 0U);
+            for (PlaceableEngine& engine : pool)
+                engine.changing = engine.changing && *rc::gen::arbitrary<bool>();
+        }
+    });
+}
+
 BOOST_AUTO_TEST_CASE(domainsThatCannotHoldACopyShareOne)
 {
     std::vector<PlaceableEngine> pool = engines("a", { { "small", 4 } });
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -31,7 +31,7 @@
 // A caller that takes no bytes for so long is treated as gone.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
 // Unacknowledged bytes end the connection after this time.
-constexpr unsigned userTimeoutMs = 5000;
+constexpr unsigned callerUserTimeoutMs = 5000;
 
 CallerReadFailure readFailure(const beast::error_code& error, bool headerRead)
 {
@@ -81,7 +81,7 @@
     beast::error_code ignored;
     auto& inner = this->state->stream.socket();
     inner.set_option(tcp::no_delay(true), ignored);
-    ::setsockopt(inner.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    ::setsockopt(inner.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &callerUserTimeoutMs, sizeof callerUserTimeoutMs);
 }
 
 CallerConnection::~CallerConnection() = default;
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerServer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -29,18 +29,18 @@
 
 }
 
-CallerServer::CallerServer(GatewayContext& context)
+CallerListener::CallerListener(GatewayContext& context)
     : context(context)
     , acceptor(context.io, endpointOf(context.settings.callers))
 {
 }
 
-void CallerServer::start()
+void CallerListener::start()
 {
     asio::co_spawn(this->context.io, this->listen(), asio::detached);
 }
 
-void CallerServer::stopListening()
+void CallerListener::stopListening()
 {
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
@@ -50,7 +50,7 @@
     }
 }
 
-asio::awaitable<void> CallerServer::listen()
+asio::awaitable<void> CallerListener::listen()
 {
     while (this->acceptor.is_open()) {
         auto [error, socket] = co_await this->acceptor.async_accept(asTuple);
@@ -63,7 +63,7 @@
     }
 }
 
-asio::awaitable<void> CallerServer::serve(std::shared_ptr<CallerConnection> connection)
+asio::awaitable<void> CallerListener::serve(std::shared_ptr<CallerConnection> connection)
 {
     this->connections.insert(connection);
     bool open = true;
@@ -83,7 +83,7 @@
     this->connections.erase(connection);
 }
 
-asio::awaitable<void> CallerServer::rejectUnread(std::shared_ptr<CallerConnection> connection, CallerReadFailure failure)
+asio::awaitable<void> CallerListener::rejectUnread(std::shared_ptr<CallerConnection> connection, CallerReadFailure failure)
 {
     if (failure == CallerReadFailure::Closed)
         co_return;
@@ -94,7 +94,7 @@
     co_await connection->respond(response, false);
 }
 
-asio::awaitable<bool> CallerServer::handle(std::shared_ptr<CallerConnection> connection, HttpRequest http)
+asio::awaitable<bool> CallerListener::handle(std::shared_ptr<CallerConnection> connection, HttpRequest http)
 {
     const TimePoint received = bootNow();
     auto decoded = this->context.wires.caller->decodeRequest(std::move(http));
@@ -108,14 +108,14 @@
     co_return connection->keepAlive() && !connection->gone() && !this->context.stopping;
 }
 
-asio::awaitable<void> CallerServer::refuse(std::shared_ptr<CallerConnection> connection, const Refusal& refusal, const CallerRequest& request)
+asio::awaitable<void> CallerListener::refuse(std::shared_ptr<CallerConnection> connection, const Refusal& refusal, const CallerRequest& request)
 {
     const HttpResponse response = this->context.wires.caller->encodeRefusal(refusal, request.id);
     logLine(WriteLog::Level::Info, "request-refused", { { "request", request.id.str() }, { "host", request.host }, { "target", request.http.target }, { "reason", std::string(name(refusal.code())) }, { "status", std::to_string(response.status) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
     co_await connection->respond(response, connection->keepAlive() && !this->context.stopping);
 }
 
-asio::awaitable<void> CallerServer::forward(std::shared_ptr<CallerConnection> connection, CallerRequest request, TimePoint received)
+asio::awaitable<void> CallerListener::forward(std::shared_ptr<CallerConnection> connection, CallerRequest request, TimePoint received)
 {
     const auto table = this->context.table;
     if (!table || !this->context.registryKnown) {
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerServer.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
@@ -1,5 +1,5 @@
-#ifndef FILBERTSPOKE_CALLER_SERVER_H
-#define FILBERTSPOKE_CALLER_SERVER_H
+#ifndef FILBERTSPOKE_CALLER_LISTENER_H
+#define FILBERTSPOKE_CALLER_LISTENER_H
 
 #include "CallerConnection.h"
 #include "GatewayContext.h"
@@ -13,10 +13,10 @@
 namespace filbertspoke {
 
 /** \brief Takes callers' connections and their requests, and finds for each request its route. */
-class CallerServer {
+class CallerListener {
 public:
     /** \throws boost::system::system_error when the address can't be bound */
-    explicit CallerServer(GatewayContext&);
+    explicit CallerListener(GatewayContext&);
 
     void start();
     /** \brief Takes no further connections and closes those without a request in progress. */
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -32,7 +32,7 @@
     return best;
 }
 
-Duration answerTimeout(const ForwardTask& task)
+Duration callTimeout(const ForwardTask& task)
 {
     const bool mayAskElsewhere = task.route.kind == RouteKind::Idempotent && task.countedRuns + 1 < task.route.attempts;
     if (!mayAskElsewhere)
@@ -42,7 +42,7 @@
 
 asio::awaitable<AttemptResult> readAnswer(ForwardTask& task, UpstreamPointer connection, const SocketAddress& address)
 {
-    const Duration timeout = answerTimeout(task);
+    const Duration timeout = callTimeout(task);
     const Result<EndpointReply> reply = co_await task.readReply(connection, timeout);
     if (!reply)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -21,6 +21,9 @@
 
 namespace filbertspoke {
 
+/** \brief How long the store may take to answer, beside what a read waits for records: a hundred times its usual 4 ms. */
+constexpr Duration storeTimeout = std::chrono::milliseconds(400);
+
 /** \brief The translations that a gateway works through. */
 struct GatewayWires {
     std::shared_ptr<const CallerWire> caller;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -110,7 +110,7 @@
     GatewayContext context;
     StoreFollower follower;
     LayerOrderer orderer;
-    CallerServer callers;
+    CallerListener callers;
     std::optional<PeerExchange> peers;
     HttpServer readiness;
     std::optional<HttpServer> metricsServer;
--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
@@ -19,11 +19,9 @@
 // The duty passes on when its holder has been silent for so long.
 constexpr Duration dutyLifetime = std::chrono::milliseconds(1500);
 constexpr Duration claimPause = std::chrono::milliseconds(500);
-constexpr Duration storeTimeout = std::chrono::milliseconds(400);
 constexpr Duration engineTimeout = std::chrono::milliseconds(500);
-// A live engine reports within a few milliseconds; two silences in a row, a round apart, count as its loss.
+// A live engine reports within a few milliseconds.
 constexpr Duration probeTimeout = std::chrono::milliseconds(300);
-constexpr int silencesForLost = 2;
 // Engines that start together are registered within a heartbeat; the first placement waits for the last one.
 constexpr Duration settleTime = std::chrono::milliseconds(1500);
 // An order without an answer may still be carried out; the engine is left alone for so long.
--- a/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.cpp
@@ -16,8 +16,6 @@
 constexpr Duration reportTimeout = std::chrono::milliseconds(250);
 // An answer serves all streams that ask within this time.
 constexpr Duration findingLifetime = std::chrono::milliseconds(200);
-// One silence may be this daemon's own delay.
-constexpr int silencesForLost = 2;
 constexpr Duration sharedAnswerPause = std::chrono::milliseconds(20);
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.h
@@ -13,6 +13,9 @@
 
 namespace filbertspoke {
 
+/** \brief Reports in a row to which an engine gave no answer when it counts as lost; one may be this daemon's own delay. */
+constexpr int silencesForLost = 2;
+
 /** \brief Finds out which engine a silent chain waits for.
  *
  * Many streams fall silent together when an engine is lost. They share one question to each first engine, so that
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -21,7 +21,7 @@
 constexpr Duration rosterPause = std::chrono::milliseconds(100);
 constexpr std::uint64_t roundsOfMembers = 2;
 // A peer answers within a millisecond or two; a longer silence counts as a failure.
-constexpr Duration answerTimeout = std::chrono::milliseconds(300);
+constexpr Duration peerTimeout = std::chrono::milliseconds(300);
 constexpr Duration connectionIdleTime = std::chrono::seconds(10);
 constexpr std::size_t maximumWordBytes = 64 * 1024 * 1024;
 // The group under which a member keeps its hub's sum.
@@ -206,12 +206,12 @@
 {
     auto& connection = this->connections[address];
     if (!connection)
-        connection = std::make_unique<HttpConnection>(this->context.io, httpAddress(address), HttpLimits { answerTimeout, connectionIdleTime, maximumWordBytes });
+        connection = std::make_unique<HttpConnection>(this->context.io, httpAddress(address), HttpLimits { peerTimeout, connectionIdleTime, maximumWordBytes });
     if (connection->busy())
         co_return;
     this->context.roster.noteAsked(address, bootNow());
     HttpRequest request { "POST", std::string(wordTarget), {}, encodeGatewayWord(this->wordFor(address)) };
-    const HttpOutcome outcome = co_await exchange(*connection, std::move(request), answerTimeout);
+    const HttpOutcome outcome = co_await exchange(*connection, std::move(request), peerTimeout);
     std::string reason;
     const HttpResponse* response = successfulResponse(outcome, reason);
     auto word = response ? decodeGatewayWord(response->body) : Result<GatewayWord>(make_error_code(ErrorCode::PeerUnreachable));
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -21,8 +21,6 @@
 // Endpoints write every second or so, so that a read always finds something: reads are paced instead. A quarter of
 // the time within which a leaving endpoint must get no more work.
 constexpr Duration endpointsPause = std::chrono::milliseconds(350);
-// Answer time of the store beside the wait: a hundred times its usual one.
-constexpr Duration answerTimeout = std::chrono::milliseconds(400);
 // Pause before the store is asked again after a failure.
 constexpr Duration failurePause = std::chrono::milliseconds(300);
 // A daemon whose hub follows the store looks this often whether it still does.
@@ -69,7 +67,7 @@
     std::optional<std::string> after;
     std::optional<LogOffset> next;
     while (true) {
-        const auto response = co_await this->ask(connection, this->context.wires.store->encodeSnapshot(collection, after), answerTimeout);
+        const auto response = co_await this->ask(connection, this->context.wires.store->encodeSnapshot(collection, after), storeTimeout);
         if (!response)
             co_return std::nullopt;
         const auto page = this->context.wires.store->decodeSnapshot(*response);
@@ -92,7 +90,7 @@
 asio::awaitable<std::error_code> StoreFollower::readChanges(HttpConnection& connection, StoreCollection collection, LogOffset& next)
 {
     const Duration wait = collection == StoreCollection::Configuration ? configurationWait : Duration::zero();
-    const auto response = co_await this->ask(connection, this->context.wires.store->encodeFollow(collection, next, wait), wait + answerTimeout);
+    const auto response = co_await this->ask(connection, this->context.wires.store->encodeFollow(collection, next, wait), wait + storeTimeout);
     if (!response)
         co_return response.error();
     const auto page = this->context.wires.store->decodeFollow(*response, next);
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t bodyChunkBytes = 16 * 1024;
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
 // Unacknowledged bytes end the connection after this time, so that a host that fell silent is noticed.
-constexpr unsigned userTimeoutMs = 2000;
+constexpr unsigned endpointUserTimeoutMs = 2000;
 
 std::string requestText(const HttpRequest& request)
 {
@@ -89,7 +89,7 @@
     if (connectError)
         co_return connectError;
     state->stream.socket().set_option(tcp::no_delay(true), error);
-    ::setsockopt(state->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    ::setsockopt(state->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &endpointUserTimeoutMs, sizeof endpointUserTimeoutMs);
     state->usable = true;
     co_return std::error_code {};
 }
--- a/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
@@ -82,7 +82,7 @@
             break;
         if (this->delay.count() > 0)
             co_await this->pauseFor(this->delay);
-        while (!this->passes(direction))
+        while (!this->passes(from, direction))
             co_await this->pauseFor(blackHoleCheck);
         const auto [writeError, written] = co_await asio::async_write(*to, asio::buffer(chunk, bytes), asTuple);
         open = !writeError;
@@ -91,11 +91,12 @@
     to->close(ignored);
     from->close(ignored);
     this->sockets.erase(from);
+    this->silenced.erase(from);
 }
 
-bool RelayStandIn::passes(Direction direction) const
+bool RelayStandIn::passes(const SharedSocket& from, Direction direction) const
 {
-    return this->mode != Mode::BlackHole && (this->mode != Mode::OneWay || direction == Direction::ToTarget);
+    return !this->silenced.contains(from) && this->mode != Mode::BlackHole && (this->mode != Mode::OneWay || direction == Direction::ToTarget);
 }
 
 asio::awaitable<void> RelayStandIn::pauseFor(std::chrono::milliseconds duration)
@@ -114,6 +115,8 @@
         this->mode = mode == "cut" ? Mode::Cut : mode == "black-hole" ? Mode::BlackHole
             : mode == "one-way"                                       ? Mode::OneWay
                                                                       : Mode::Forward;
+    if (mode == "silence")
+        this->silenced = this->sockets;
     if (mode != "cut" && mode != "reset")
         return;
     boost::system::error_code ignored;
--- a/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.h
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.h
@@ -29,8 +29,8 @@
     HttpAddress controlAddress() const { return this->controlServer.address(); }
 
     /** \brief Carries out an order: `delayMs`, and `mode` as "forward", "cut" (connections close, and new ones at once),
-     * "black-hole" (nothing passes), "one-way" (nothing comes back from the target) or "reset" (connections are reset
-     * once, new ones pass). */
+     * "black-hole" (nothing passes), "one-way" (nothing comes back from the target), "reset" (connections are reset
+     * once, new ones pass) or "silence" (nothing passes any more over connections that are open, new ones pass). */
     void control(const boost::json::object&);
 
 private:
@@ -52,7 +52,7 @@
     };
 
     boost::asio::awaitable<void> forward(SharedSocket from, SharedSocket to, Direction);
-    bool passes(Direction) const;
+    bool passes(const SharedSocket& from, Direction) const;
     boost::asio::awaitable<void> pauseFor(std::chrono::milliseconds);
     boost::asio::io_context& context;
     boost::asio::ip::tcp::endpoint target;
@@ -60,6 +60,7 @@
     Mode mode = Mode::Forward;
     std::chrono::milliseconds delay {};
     std::set<SharedSocket> sockets;
+    std::set<SharedSocket> silenced; ///< of them, those over which nothing passes any more
     HttpServer controlServer;
 };
 
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -94,6 +94,7 @@
 
 GatewayScene::GatewayScene()
     : store(this->context, { host, 0 })
+    , secondStore(this->context, { host, 0 })
     , folder("/tmp/filbertspoke-gateway-" + std::to_string(getpid()))
 {
     std::filesystem::create_directories(this->folder);
@@ -105,6 +106,9 @@
     this->callers = this->free(host);
     this->readiness = this->free(host);
     this->peers = this->free(host);
+    this->secondPeers = this->free(host);
+    if (this->secondPeers.port < this->peers.port)
+        std::swap(this->peers, this->secondPeers);
 }
 
 GatewayScene::~GatewayScene()
@@ -126,19 +130,35 @@
         if (route.name == "book")
             route.service = bookingService;
     }
-    this->store.putConfiguration(configurationText(version, routes));
+    const std::string text = configurationText(version, routes);
+    this->store.putConfiguration(text);
+    this->secondStore.putConfiguration(text);
+}
+
+void GatewayScene::put(const EndpointText& endpoint)
+{
+    const std::string text = endpointText(endpoint);
+    this->store.putEndpoint(endpoint.id, text);
+    this->secondStore.putEndpoint(endpoint.id, text);
 }
 
 void GatewayScene::putEndpoint(const std::string& id, const std::string& state)
 {
     const auto layers = engineLayers.find(id);
-    this->store.putEndpoint(id, endpointText({ id, this->replicas.at(id)->address(), "zone-a", state, layers == engineLayers.end() ? LayerRange() : layers->second, ++this->heartbeat }));
+    this->put({ id, this->replicas.at(id)->address(), "zone-a", state, layers == engineLayers.end() ? LayerRange() : layers->second, ++this->heartbeat });
 }
 
-Process GatewayScene::launch(const std::string& name, const HttpAddress& callersAddress, const HttpAddress& readinessAddress, const HttpAddress& peersAddress, const HttpAddress& storeAddress)
+void GatewayScene::putEngine(const std::string& id, const LayerRange& layers)
 {
-    const std::string file = this->folder + "/" + name + ".yaml";
-    std::ofstream(file) << settingsText({ name, "zone-a", callersAddress, readinessAddress, peersAddress, storeAddress, { this->peers } });
+    EndpointText endpoint { id, this->replicas.at(id)->address(), "zone-a", "ready", layers, ++this->heartbeat };
+    endpoint.engine = true;
+    this->put(endpoint);
+}
+
+Process GatewayScene::launch(const GatewayText& gateway)
+{
+    const std::string file = this->folder + "/" + gateway.name + ".yaml";
+    std::ofstream(file) << settingsText(gateway);
     return Process("filbertspoked", { "gateway", "--settings", file });
 }
 
@@ -156,20 +176,30 @@
 
 void GatewayScene::start()
 {
-    this->gateway = this->launch("gateway-1", this->callers, this->readiness, this->peers, this->store.address());
+    this->gateway = this->launch({ "gateway-1", "zone-a", this->callers, this->readiness, this->peers, this->store.address(), { this->peers } });
     if (!this->await([&] { return this->ready(this->readiness); }))
         throw std::runtime_error("the gateway is not ready");
 }
 
-void GatewayScene::startSecondWithoutStore()
+void GatewayScene::launchSecond(const std::string& failureDomain, const HttpAddress& storeAddress)
 {
     this->secondCallers = this->free(host);
     const HttpAddress secondReadiness = this->free(host);
-    this->second = this->launch("gateway-2", this->secondCallers, secondReadiness, this->free(host), this->free(host));
+    this->second = this->launch({ "gateway-2", failureDomain, this->secondCallers, secondReadiness, this->secondPeers, storeAddress, { this->peers } });
     if (!this->await([&] { return this->ready(secondReadiness); }))
         throw std::runtime_error("the second gateway is not ready");
 }
 
+void GatewayScene::startSecondWithoutStore()
+{
+    this->launchSecond("zone-a", this->free(host));
+}
+
+void GatewayScene::startSecond(const std::string& failureDomain, const HttpAddress& storeAddress)
+{
+    this->launchSecond(failureDomain, storeAddress);
+}
+
 std::unique_ptr<RawCaller> GatewayScene::call(const std::string& method, const std::string& path, const std::string& extraHeaders, const std::string& key)
 {
     const std::string text = callText({ method, path, "request-" + std::to_string(++this->calls), std::chrono::seconds(4), key, extraHeaders });
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -33,7 +33,7 @@
     std::shared_ptr<State> state;
 };
 
-/** \brief A gateway process before a store, two replicas of a plain service and two copies of a two-engine chain. */
+/** \brief One or two gateway processes, each before a store that holds the same records, two replicas of a plain service and two copies of a two-engine chain. */
 class GatewayScene {
 public:
     GatewayScene();
@@ -41,8 +41,11 @@
 
     /** \brief Starts the gateway and waits until it is ready. */
     void start();
-    /** \brief Starts another gateway that can't reach the store, and knows the first one. */
+    /** \brief Starts another gateway that can't reach a store, and knows the first one. */
     void startSecondWithoutStore();
+    /** \brief Starts another gateway before the second store.
+     * \param storeAddress where it finds that store */
+    void startSecond(const std::string& failureDomain, const HttpAddress& storeAddress);
 
     bool await(const std::function<bool()>& condition) { return runUntil(this->context, condition); }
     /** \brief Sends a request for a path as a caller with a sound key. */
@@ -52,9 +55,12 @@
 
     void putConfiguration(int version, const std::string& bookingService = "app");
     void putEndpoint(const std::string& id, const std::string& state = "ready");
+    /** \brief Writes the entry of an engine that holds the layers. */
+    void putEngine(const std::string& id, const LayerRange&);
 
     boost::asio::io_context context;
     StoreStandIn store;
+    StoreStandIn secondStore;
     std::map<std::string, std::unique_ptr<ReplicaStandIn>> replicas; ///< by id
     std::optional<Process> gateway;
     std::optional<Process> second;
@@ -64,10 +70,13 @@
 
 private:
     HttpAddress free(const std::string& address) const;
-    Process launch(const std::string& name, const HttpAddress& callers, const HttpAddress& readiness, const HttpAddress& peers, const HttpAddress& store);
+    Process launch(const GatewayText&);
+    void launchSecond(const std::string& failureDomain, const HttpAddress& store);
+    void put(const EndpointText&);
     bool ready(const HttpAddress&);
 
     HttpAddress peers;
+    HttpAddress secondPeers; ///< the higher of the two, so that the first gateway is the hub of a domain that they share
     std::uint64_t heartbeat = 0;
     int calls = 0;
     std::string folder;
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
@@ -45,10 +45,9 @@
 
 std::string endpointText(const EndpointText& endpoint)
 {
-    const bool engine = !endpoint.layers.empty();
-    std::string text = R"({"Service":")" + std::string(engine ? "llm" : "app") + R"(","Address":")" + addressText(endpoint.address) + R"(","Zone":")" + endpoint.domain
+    std::string text = R"({"Service":")" + std::string(endpoint.engine ? "llm" : "app") + R"(","Address":")" + addressText(endpoint.address) + R"(","Zone":")" + endpoint.domain
         + R"(","Slots":6,"State":")" + endpoint.state + R"(","CallSeq":)" + std::to_string(endpoint.heartbeat) + R"(,"born":1700000000000)";
-    if (engine)
+    if (endpoint.engine)
         text += R"(,"Kind":"l4","Layers":{"From":)" + std::to_string(endpoint.layers.first()) + R"(,"To":)" + std::to_string(endpoint.layers.last()) + R"(,"Version":1})";
     return text + "}";
 }
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -28,8 +28,9 @@
     HttpAddress address;
     std::string domain = "zone-a";
     std::string state = "ready";
-    LayerRange layers; ///< empty for a replica of the plain service
+    LayerRange layers;
     std::uint64_t heartbeat = 1;
+    bool engine = !this->layers.empty(); ///< otherwise a replica of the plain service
 
     bool operator==(const EndpointText&) const = default;
 };
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
@@ -42,8 +42,12 @@
 StoreStandIn::StoreStandIn(boost::asio::io_context& context, const HttpAddress& address)
     : server(context, address, [this, &context](HttpRequest request) -> boost::asio::awaitable<std::optional<HttpResponse>> {
         // Reads that wait for records are paced here, so that a follower doesn't spin.
-        boost::asio::steady_timer pace(context, std::chrono::milliseconds(5));
-        co_await pace.async_wait(boost::asio::use_awaitable);
+        boost::asio::steady_timer pace(context);
+        do {
+            pace.expires_after(std::chrono::milliseconds(5));
+            co_await pace.async_wait(boost::asio::use_awaitable);
+        } while (this->silent);
+        ++this->answered;
         co_return this->answer(request);
     })
 {
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
@@ -27,6 +27,10 @@
     void putEndpoint(const std::string& id, const std::string& text) { this->put("keyed.servers", id, text); }
     /** \brief Answers 503 to everything while it is away. */
     void setAway(bool);
+    /** \brief Answers nothing while it is silent. */
+    void setSilent(bool value) { this->silent = value; }
+    /** \returns how many calls it answered */
+    std::size_t calls() const { return this->answered; }
 
     HttpAddress address() const { return this->server.address(); }
 
@@ -40,6 +44,8 @@
 
     std::map<std::string, std::vector<Record>> topics;
     bool away = false;
+    bool silent = false;
+    std::size_t answered = 0;
     std::string holder; ///< member that owns the group's partition
     std::chrono::steady_clock::time_point heldUntil;
     std::uint64_t generation = 0;
