Files are linted together with fewer clashes; one asTuple and one statusOk

Cause: a cold lint of 260 files took 220 s beside nothing else, since each group read its headers once for the compiler and once for the linter, and 25 files could not be read with others: constants of one name, flags with quotes that were unescaped once too seldom.

--- a/packages/Control/filbertspoke/src/Control/ConfigurationLog.cpp
+++ b/packages/Control/filbertspoke/src/Control/ConfigurationLog.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
 constexpr unsigned statusGone = 410;
 constexpr unsigned firstClientError = 400; // a client error leaves no record; any other failure may
 constexpr unsigned firstServerError = 500;
--- a/packages/Control/filbertspoke/src/Control/internal/DaemonQuery.cpp
+++ b/packages/Control/filbertspoke/src/Control/internal/DaemonQuery.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
 constexpr std::size_t indentWidth = 2;
 
--- a/packages/Endpoint/filbertspoke/src/Endpoint/internal/ControlChannel.cpp
+++ b/packages/Endpoint/filbertspoke/src/Endpoint/internal/ControlChannel.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
 constexpr std::size_t maximumWaitingCancels = 1024;
 
 }
--- a/packages/Endpoint/filbertspoke/src/Endpoint/internal/StepChannel.cpp
+++ b/packages/Endpoint/filbertspoke/src/Endpoint/internal/StepChannel.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
-
 bool answers(const StepReceipt& receipt, const Step& step)
 {
     const Step& echo = receipt.step();
--- a/packages/Http/filbertspoke/src/Http/HttpMessage.h
+++ b/packages/Http/filbertspoke/src/Http/HttpMessage.h
@@ -8,6 +8,8 @@
 
 namespace filbertspoke {
 
+constexpr unsigned statusOk = 200; ///< of an answer that is what was asked for
+
 /** \brief One header field. */
 struct HttpHeader {
     std::string name;
--- a/packages/Http/filbertspoke/src/Http/HttpServer.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpServer.cpp
@@ -27,7 +27,6 @@
 namespace {
 
 constexpr std::size_t maximumBodyBytes = 256 * 1024 * 1024;
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 HttpRequest toRequest(http::request<http::string_body> message)
 {
--- a/packages/Platform/filbertspoke/src/Platform/PlatformClient.cpp
+++ b/packages/Platform/filbertspoke/src/Platform/PlatformClient.cpp
@@ -13,12 +13,6 @@
 
 namespace filbertspoke {
 
-namespace {
-
-constexpr unsigned statusOk = 200;
-
-}
-
 class PlatformClient::State {
 public:
     State(boost::asio::io_context& context, PlatformSettings settings, Sink sink)
--- a/packages/Platform/filbertspoke/src/Platform/internal/StreamAppender.cpp
+++ b/packages/Platform/filbertspoke/src/Platform/internal/StreamAppender.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
 constexpr unsigned firstClientError = 400;
 constexpr unsigned firstServerError = 500;
 
--- a/packages/Platform/filbertspoke/src/Platform/internal/StreamReader.cpp
+++ b/packages/Platform/filbertspoke/src/Platform/internal/StreamReader.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
 constexpr unsigned statusGone = 410;
 
 // Spreads the retries of many daemons after an outage of the log.
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -26,8 +26,6 @@
 
 namespace {
 
-using internal::asTuple;
-
 // A caller that takes no bytes for so long is treated as gone.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
 // Unacknowledged bytes end the connection after this time.
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-using internal::asTuple;
 using internal::sleepFor;
 
 // Before a configuration is known, callers are sent back for about one read of the store.
--- a/packages/Proxy/filbertspoke/src/Proxy/CapacityWaiters.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CapacityWaiters.cpp
@@ -9,7 +9,7 @@
 asio::awaitable<void> CapacityWaiters::wait(Duration limit)
 {
     const auto timer = this->timers.emplace(this->timers.end(), this->context, limit);
-    co_await timer->async_wait(internal::asTuple);
+    co_await timer->async_wait(asTuple);
     this->timers.erase(timer);
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-using internal::asTuple;
 using internal::sleepFor;
 
 constexpr Duration housekeepingPause = std::chrono::milliseconds(500);
--- a/packages/Proxy/filbertspoke/src/Proxy/SettingsWatcher.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/SettingsWatcher.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-using internal::asTuple;
 using internal::sleepFor;
 
 constexpr Duration pollPause = std::chrono::seconds(1);
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -25,8 +25,6 @@
 
 namespace {
 
-using internal::asTuple;
-
 constexpr std::size_t bodyChunkBytes = 16 * 1024;
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
 // Unacknowledged bytes end the connection after this time, so that a host that fell silent is noticed.
--- a/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 // Callers wait somewhat longer than they say, so that a late answer is seen as one.
 constexpr auto patience = callLimit + 2s;
 constexpr auto connectLimit = 1s;
--- a/packages/Soak/filbertspoke/src/Soak/SoakRecord.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRecord.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
 constexpr unsigned statusNotFound = 404;
 // Statuses that say that the request has not run and never will.
 const std::set<unsigned> refusals { 408, 421, 429, 503 };
--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int callerCount = 16;
 // Pauses between faults, and how long they last: shorter and longer than every time-out of a gateway.
 constexpr int shortestPauseMs = 80;
--- a/packages/StandIns/filbertspoke/src/StandIns/EngineStandIn.cpp
+++ b/packages/StandIns/filbertspoke/src/StandIns/EngineStandIn.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds stallCheck { 2 };
 constexpr std::size_t activationDigits = 16;
 constexpr std::size_t maximumRunsKept = 200'000;
--- a/packages/StandIns/filbertspoke/src/StandIns/LogStandIn.cpp
+++ b/packages/StandIns/filbertspoke/src/StandIns/LogStandIn.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t defaultReadLimit = 1000;
 constexpr std::string_view streamsPrefix = "/streams/";
 constexpr std::string_view recordsSuffix = "/records";
--- a/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds blackHoleCheck { 5 };
 constexpr std::size_t chunkBytes = 64 * 1024;
 
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -21,7 +21,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 const std::string host = ownLoopbackAddress(1);
 
 const std::map<std::string, LayerRange> engineLayers { { "engine-a1", { 0, 4 } }, { "engine-a2", { 4, 8 } }, { "engine-b1", { 0, 4 } }, { "engine-b2", { 4, 8 } } };
--- a/testing/filbertspoke/src/PlatformTesting/OrderedEngine.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/OrderedEngine.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-ReplicaScript respond(unsigned status, const std::string& body = {})
+ReplicaScript reply(unsigned status, const std::string& body = {})
 {
     ReplicaScript script;
     script.pieces = { "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
@@ -30,7 +30,7 @@
         json::object report { { "CallSeq", this->orders }, { "Busy", false }, { "Stalled", json::array() } };
         if (!this->held.empty())
             report["Layers"] = json::object { { "From", this->held.first() }, { "To", this->held.last() }, { "Version", 1 } };
-        return respond(200, json::serialize(report));
+        return reply(200, json::serialize(report));
     }
     const json::object order = json::parse(request.body).as_object();
     const LayerRange layers(order.at("From").to_number<std::uint32_t>(), order.at("To").to_number<std::uint32_t>());
@@ -41,10 +41,10 @@
     }
     if (order.at("Expected").to_number<std::uint64_t>() != this->orders) {
         ++this->mismatches;
-        return respond(409);
+        return reply(409);
     }
     this->hold(layers);
-    return respond(202);
+    return reply(202);
 }
 
 void OrderedEngine::carryOutLate()
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -19,12 +19,6 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-namespace {
-
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-
-}
-
 class ReplicaStandIn::State : public std::enable_shared_from_this<State> {
 public:
     State(asio::io_context& context, const std::string& address, Answer answer)
--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -27,7 +27,7 @@
 namespace {
 
 constexpr int signalledExit = 128;
-constexpr std::chrono::seconds hangLimit { 30 };
+constexpr std::chrono::seconds outputLimit { 30 };
 
 int exitCode(int waitStatus)
 {
@@ -63,7 +63,7 @@
     std::optional<std::string> takeLine()
     {
         std::unique_lock lock(this->mutex);
-        this->changed.wait_for(lock, hangLimit, [this] { return this->ended || !this->lines.empty(); });
+        this->changed.wait_for(lock, outputLimit, [this] { return this->ended || !this->lines.empty(); });
         if (this->lines.empty())
             return std::nullopt;
         std::string line = std::move(this->lines.front());
