--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
@@ -91,7 +91,7 @@
 
 void SoakRun::begin()
 {
-    static const std::vector<std::string> modes { "cut", "black-hole", "one-way", "reset", "delay" };
+    static const std::vector<std::string> modes { "cut", "black-hole", "one-way", "reset", "silence", "delay" };
     const auto lasting = std::chrono::milliseconds(this->draw(shortestFaultMs, longestFaultMs));
     SoakGateway& gateway = this->site.gateways[static_cast<std::size_t>(this->draw(0, static_cast<int>(this->site.gateways.size()) - 1))];
     const std::string& mode = modes[static_cast<std::size_t>(this->draw(0, static_cast<int>(modes.size()) - 1))];
