Tests of the placement and of two gateways say what they set up once

Cause: two tests built the same lane; GatewayScene had two names for starting a second gateway. Change: laneWithCopyOnOrder, isChanged; startSecond alone. No check is changed. Conclusion: reading only.

--- a/packages/Gateway/tests/LayerPlacement.cpp
+++ b/packages/Gateway/tests/LayerPlacement.cpp
@@ -89,6 +89,23 @@
 // The room that placements aim for at every engine, as internal/LayerPool.h has it.
 constexpr double aimedSequences = 80;
 
+/** \returns engines that hold so many layers each, from the first on, with the last layers open, and one that is only
+ * ordered to hold what the first one holds */
+std::vector<PlaceableEngine> laneWithCopyOnOrder(std::uint32_t holders, std::uint32_t layersEach)
+{
+    std::vector<PlaceableEngine> pool = engines("a", { { "small", static_cast<int>(holders) + 1 } });
+    for (std::uint32_t index = 0; index < holders; ++index)
+        pool[index].layers = LayerRange(index * layersEach, (index + 1) * layersEach);
+    pool.back().layers = pool.front().layers;
+    pool.back().changing = true;
+    return pool;
+}
+
+bool isChanged(const std::vector<LayerAssignment>& changes, const PlaceableEngine& engine)
+{
+    return std::any_of(changes.begin(), changes.end(), [&](const LayerAssignment& change) { return change.endpoint == engine.endpoint; });
+}
+
 struct Fixture {
     Fixture() { carryOut(this->pool, placeLayers(profile, this->pool)); }
 
@@ -209,24 +226,14 @@
 // An order may be lost or take seconds; what it will bring is no copy yet.
 BOOST_AUTO_TEST_CASE(layersAreNotTakenFromTheirOnlyHolderForACopyOnOrder)
 {
-    std::vector<PlaceableEngine> pool = engines("a", { { "small", 8 } });
-    for (std::uint32_t index = 0; index < 7; ++index)
-        pool[index].layers = LayerRange(index * 10, index * 10 + 10);
-    pool[7].layers = LayerRange(0, 10);
-    pool[7].changing = true;
-    const auto changes = placeLayers(profile, pool);
-    BOOST_TEST(std::none_of(changes.begin(), changes.end(), [&](const LayerAssignment& change) { return change.endpoint == pool[0].endpoint; }));
+    const std::vector<PlaceableEngine> pool = laneWithCopyOnOrder(7, 10);
+    BOOST_TEST(!isChanged(placeLayers(profile, pool), pool.front()));
 }
 
 BOOST_AUTO_TEST_CASE(engineWithAnOrderUnderWayGetsNoOther)
 {
-    std::vector<PlaceableEngine> pool = engines("a", { { "small", 9 } });
-    for (std::uint32_t index = 0; index < 8; ++index)
-        pool[index].layers = LayerRange(index * 8, index * 8 + 8);
-    pool[8].layers = LayerRange(0, 8);
-    pool[8].changing = true;
-    const auto changes = placeLayers(profile, pool);
-    BOOST_TEST(std::none_of(changes.begin(), changes.end(), [&](const LayerAssignment& change) { return change.endpoint == pool[8].endpoint; }));
+    const std::vector<PlaceableEngine> pool = laneWithCopyOnOrder(8, 8);
+    BOOST_TEST(!isChanged(placeLayers(profile, pool), pool.back()));
 }
 
 BOOST_AUTO_TEST_CASE(noOrderTakesALayersLastCopyAway)
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -180,7 +180,7 @@
         throw std::runtime_error("the gateway is not ready");
 }
 
-void GatewayScene::launchSecond(const std::string& failureDomain, const HttpAddress& storeAddress)
+void GatewayScene::startSecond(const std::string& failureDomain, const HttpAddress& storeAddress)
 {
     this->secondCallers = this->free(host);
     const HttpAddress secondReadiness = this->free(host);
@@ -191,12 +191,7 @@
 
 void GatewayScene::startSecondWithoutStore()
 {
-    this->launchSecond("zone-a", this->free(host));
-}
-
-void GatewayScene::startSecond(const std::string& failureDomain, const HttpAddress& storeAddress)
-{
-    this->launchSecond(failureDomain, storeAddress);
+    this->startSecond("zone-a", this->free(host));
 }
 
 std::unique_ptr<RawCaller> GatewayScene::call(const std::string& method, const std::string& path, const std::string& extraHeaders, const std::string& key)
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -33,7 +33,8 @@
     std::shared_ptr<State> state;
 };
 
-/** \brief One or two gateway processes, each before a store that holds the same records, two replicas of a plain service and two copies of a two-engine chain. */
+/** \brief One or two gateway processes before stores that hold the same records, two replicas of a plain service and
+ * two copies of a two-engine chain. */
 class GatewayScene {
 public:
     GatewayScene();
@@ -43,8 +44,8 @@
     void start();
     /** \brief Starts another gateway that can't reach a store, and knows the first one. */
     void startSecondWithoutStore();
-    /** \brief Starts another gateway before the second store.
-     * \param storeAddress where it finds that store */
+    /** \brief Starts another gateway, which knows the first one, and waits until it is ready.
+     * \param storeAddress of its store: the second one, the first one or a link to either */
     void startSecond(const std::string& failureDomain, const HttpAddress& storeAddress);
 
     bool await(const std::function<bool()>& condition) { return runUntil(this->context, condition); }
@@ -55,12 +56,13 @@
 
     void putConfiguration(int version, const std::string& bookingService = "app");
     void putEndpoint(const std::string& id, const std::string& state = "ready");
-    /** \brief Writes the entry of an engine that holds the layers. */
-    void putEngine(const std::string& id, const LayerRange&);
+    /** \brief Writes the entry of an engine.
+     * \param layers that it holds; empty for none */
+    void putEngine(const std::string& id, const LayerRange& layers);
 
     boost::asio::io_context context;
     StoreStandIn store;
-    StoreStandIn secondStore;
+    StoreStandIn secondStore; ///< gives the duty to place layers for itself
     std::map<std::string, std::unique_ptr<ReplicaStandIn>> replicas; ///< by id
     std::optional<Process> gateway;
     std::optional<Process> second;
@@ -71,7 +73,6 @@
 private:
     HttpAddress free(const std::string& address) const;
     Process launch(const GatewayText&);
-    void launchSecond(const std::string& failureDomain, const HttpAddress& store);
     void put(const EndpointText&);
     bool ready(const HttpAddress&);
 
