Repairs count copies on order again: without them they squeeze busy engines, and LOST broke

Next: a repair that waits for orders under way before it squeezes an engine that is in use, and placement that knows how much memory is in use.

--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
@@ -2,7 +2,6 @@
 #include "LayerBalance.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace filbertspoke::internal {
@@ -79,21 +78,12 @@
         return best;
     }
 
-    /** \returns whether the engine holds its layers now; an order may be lost, and takes seconds */
-    bool holds(const PlaceableEngine& engine) const
-    {
-        return !engine.changing && std::none_of(this->assignments.begin(), this->assignments.end(), [&](const LayerAssignment& assignment) { return assignment.endpoint == engine.endpoint; });
-    }
-
-    /** \returns an engine all of whose layers others hold, so that no layer is without a holder while it changes */
     PlaceableEngine* pickRedundant()
     {
-        Pool holders;
-        std::copy_if(this->pool.begin(), this->pool.end(), std::back_inserter(holders), [this](const PlaceableEngine& engine) { return this->holds(engine); });
-        const auto copies = copiesByLayer(holders, this->profile.layers);
+        const auto copies = this->copies();
         PlaceableEngine* best = nullptr;
         for (PlaceableEngine& engine : this->pool) {
-            if (this->holds(engine) && isRedundant(engine, copies) && (!best || best->accelerator.memoryMegabytes < engine.accelerator.memoryMegabytes))
+            if (isRedundant(engine, copies) && (!best || best->accelerator.memoryMegabytes < engine.accelerator.memoryMegabytes))
                 best = &engine;
         }
         return best;
@@ -106,7 +96,7 @@
         for (PlaceableEngine& engine : this->pool) {
             const bool touches = engine.layers.last() == gap.first() || engine.layers.first() == gap.last();
             const std::uint32_t most = this->sizes.fitting(engine, sequences);
-            if (engine.changing || engine.layers.empty() || !touches || most <= engine.layers.size())
+            if (engine.layers.empty() || !touches || most <= engine.layers.size())
                 continue;
             if (most - engine.layers.size() > bestRoom) {
                 bestRoom = most - engine.layers.size();
