--- a/models/placement-duty.pml
+++ b/models/placement-duty.pml
@@ -7,6 +7,8 @@
 // Two cases: the duty moves and engines restart; or one daemon keeps the duty, gives engines with nothing further copies, and an
 // engine is removed for good.
 //
+// The program counts copies on order as the mutant COUNT_COPIES_ON_ORDER does: see KNOWN-RED.txt.
+//
 // Two daemons order engines to hold layers, each while it believes to have the duty. The store moves the duty at any moment, and
 // both may believe to have it for a while. An engine's entry in the registry lags behind the engine. An order takes two steps: the
 // engine's report, then the order with the count of accepted orders that the report gave. An order's answer may be lost; the order
