--- a/packages/Daemon/tests/Gateway.cpp
+++ b/packages/Daemon/tests/Gateway.cpp
@@ -224,6 +224,23 @@
     BOOST_TEST(this->await([&] { return this->replicas.at("engine-a1")->abandoned() + this->replicas.at("engine-b1")->abandoned() == 1; }));
 }
 
+// A gateway that was short of processor time read requests seconds after their callers had left, and passed them on.
+BOOST_FIXTURE_TEST_CASE(requestWhoseCallerLeftBeforeItWasReadIsNotPassedOn, Fixture)
+{
+    // With a connection to each replica at hand, nothing is waited for between the reading of a request and its sending.
+    constexpr std::size_t before = 6;
+    for (std::size_t call = 0; call < before; ++call)
+        this->answer(*this->call("POST", "/book/x"), "served");
+    this->gateway->signal(SIGSTOP);
+    const auto gone = this->call("POST", "/book/x");
+    this->context.poll();
+    gone->leave();
+    this->context.poll();
+    this->gateway->signal(SIGCONT);
+    this->answer(*this->call("POST", "/book/x"), "served");
+    BOOST_TEST(this->requestsAt(applications) == before + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(drainingReplicaGetsNoNewWork, Fixture)
 {
     this->putEndpoint("app-1", "draining");
