--- a/models/placement-duty.pml
+++ b/models/placement-duty.pml
@@ -18,8 +18,8 @@
 // and a heartbeat take.
 //
 // Holds: an order that is carried out in time finds the layers that its sender saw, within one run of the engine. While one daemon
-// alone orders and no engine restarts, no order takes a layer's last copy. Once faults end, every layer is held. Two daemons that both order may undo each other's work for
-// as long as both do; that it ends is not shown.
+// alone orders and no engine restarts, no order takes a layer's last copy. Once faults end, every layer is held. Two daemons that
+// both order may undo each other's work for as long as both do; that it ends is not shown.
 
 #define ENGINES 3
 #define LAYERS 2
