A request whose caller has left is not passed on

What callers saw: nothing; the replicas saw it.

Cause: one gateway of 34 was left, short of processor time, and read requests up to 9.6 s after they came. The end of a caller's connection is seen by a handler that waits for the socket, and that handler runs only after the request was read, routed and sent. Ruled out: connections that end while a request runs (Daemon.Gateway.workStopsWhenTheCallerLeaves).

Change: the connection itself is asked, by a look at its next byte, when a request has been read and again just before each send. Such a request is logged as request-abandoned, counted, and earns no retry.

--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -124,18 +124,10 @@
     State& state = *this->state;
     const std::uint64_t epoch = ++state.watch;
     state.stream.socket().async_wait(asio::socket_base::wait_read, [self = this->shared_from_this(), epoch, onGone = std::move(onGone)](beast::error_code error) {
-        State& watched = *self->state;
-        if (epoch != watched.watch || error)
+        if (epoch != self->state->watch || error)
             return;
-        char byte = 0;
-        beast::error_code peekError;
-        watched.stream.socket().non_blocking(true, peekError);
-        watched.stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peekError);
-        // Bytes are the caller's next request; only an end or a reset says that it left.
-        if (!peekError || peekError == asio::error::would_block)
-            return;
-        watched.gone = true;
-        onGone();
+        if (self->checkGone())
+            onGone();
     });
 }
 
@@ -151,6 +143,18 @@
     return this->state->gone;
 }
 
+bool CallerConnection::checkGone()
+{
+    tcp::socket& socket = this->state->stream.socket();
+    char byte = 0;
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    // Bytes are the caller's next request; only an end or a reset says that it left.
+    this->state->gone = this->state->gone || (error && error != asio::error::would_block);
+    return this->state->gone;
+}
+
 asio::awaitable<void> CallerConnection::respond(const HttpResponse& response, bool keepAlive)
 {
     State& state = *this->state;
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
@@ -37,8 +37,11 @@
     /** \brief Calls \a onGone when the caller closes its connection before unwatch(). */
     void watch(std::function<void()> onGone);
     void unwatch();
-    /** \returns whether the caller closed the connection */
+    /** \returns whether the caller is known to have closed the connection */
     bool gone() const;
+    /** \brief Looks at the connection itself, whose end may have arrived without being noticed yet.
+     * \returns whether the caller closed it */
+    bool checkGone();
 
     /** \brief Sends a whole response. */
     boost::asio::awaitable<void> respond(const HttpResponse&, bool keepAlive);
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -103,6 +103,12 @@
         co_await connection->respond(response, false);
         co_return false;
     }
+    // A daemon that is short of processor time reads requests after their callers gave up; others wait for that time.
+    if (connection->checkGone()) {
+        logLine(WriteLog::Level::Info, "request-abandoned", { { "request", decoded->id.str() }, { "target", decoded->http.target } });
+        this->context.metrics.count({ "requests_total", "abandoned" });
+        co_return false;
+    }
     co_await this->forward(connection, std::move(*decoded), received);
     co_return connection->keepAlive() && !connection->gone() && !this->context.stopping;
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -125,6 +125,11 @@
         }
     }
     this->upstream = connection;
+    if (this->caller->checkGone()) {
+        this->context.pool.giveBack(address, connection);
+        result = { AttemptEnd::NotSent, EndpointFault::Broken, {}, "caller-gone" };
+        co_return nullptr;
+    }
     const std::error_code error = co_await connection->send(message, this->timeLeft());
     // A failed write may still have delivered the whole request, and its answer may be waiting.
     if (error)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -45,7 +45,7 @@
     /** \brief Writes the line that ends the request's trace. */
     void logEnd(const std::string& outcome, unsigned status) const;
 
-    /** \brief Sends the request, on a kept connection if there is one.
+    /** \brief Sends the request, on a kept connection if there is one, unless the caller has left.
      * \returns the connection, or nothing when no byte reached the endpoint */
     boost::asio::awaitable<UpstreamPointer> open(const ForwardOrder&, AttemptResult&);
     /** \brief Reads heads until one answers this request; late answers to others are dropped. */
