Repairs take no layer from its only holder, and wait for orders before they widen an engine in use

Cause: a repair counted a copy on order as held, and took an engine whose layers only that order was to hold: the gap that it filled gave way to another one for the time of a load, and for good when the order was dropped.

Change: an engine is taken only when others hold all of its layers now and it carries out no order. When none can be taken but one will be, once the orders under way are carried out, the repair waits for them; orders expire, so that the wait ends. Only when no order relieves any engine is one in use widened.

--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
@@ -2,12 +2,20 @@
 #include "LayerBalance.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace filbertspoke::internal {
 
 namespace {
 
+/** \brief How the gaps of a pool stand after a repair. */
+enum class GapsLeft {
+    None,
+    UntilOrdersEnd, ///< engines that can fill them are relieved by orders under way
+    Some, ///< no engine can fill them
+};
+
 /** \brief Changes to a pool that holds layers already. */
 class Repair {
 public:
@@ -18,16 +26,22 @@
     {
     }
 
-    /** \brief Fills all gaps, such that every engine that changes keeps room for so many sequences.
-     * \returns whether no gap is left */
-    bool fillGaps(double sequences)
+    /** \brief Fills the gaps, such that every engine that changes keeps room for so many sequences. */
+    GapsLeft fillGaps(double sequences)
     {
         while (true) {
             const std::vector<LayerRange> open = gaps(this->copies());
             if (open.empty())
-                return true;
-            if (!this->fill(open.front(), sequences))
-                return false;
+                return GapsLeft::None;
+            PlaceableEngine* engine = this->pickEmpty();
+            if (!engine)
+                engine = this->pickRedundant();
+            // An engine in use is not squeezed for a gap that another one can fill seconds later.
+            if (!engine && this->isRelievedSoon())
+                return GapsLeft::UntilOrdersEnd;
+            const bool filled = engine ? this->fill(open.front(), *engine, sequences) : this->extendNeighbour(open.front(), sequences);
+            if (!filled)
+                return GapsLeft::Some;
         }
     }
 
@@ -47,16 +61,11 @@
 private:
     std::vector<std::uint32_t> copies() const { return copiesByLayer(this->pool, this->profile.layers); }
 
-    bool fill(const LayerRange& gap, double sequences)
+    bool fill(const LayerRange& gap, PlaceableEngine& engine, double sequences)
     {
-        PlaceableEngine* engine = this->pickEmpty();
-        if (!engine)
-            engine = this->pickRedundant();
-        if (!engine)
-            return this->extendNeighbour(gap, sequences);
-        const std::uint32_t most = this->sizes.fitting(*engine, sequences);
+        const std::uint32_t most = this->sizes.fitting(engine, sequences);
         const std::uint32_t size = std::min(gap.size(), most);
-        return size > 0 && this->assign(*engine, size < gap.size() ? LayerRange(gap.first(), gap.first() + size) : this->widened(gap, most));
+        return size > 0 && this->assign(engine, size < gap.size() ? LayerRange(gap.first(), gap.first() + size) : this->widened(gap, most));
     }
 
     /** \returns the gap with as many layers round it as an engine of the size relieves its neighbours of */
@@ -78,12 +87,28 @@
         return best;
     }
 
-    PlaceableEngine* pickRedundant()
+    /** \returns whether the engine holds its layers now; an order may be lost, and takes seconds */
+    bool holds(const PlaceableEngine& engine) const
+    {
+        return !engine.changing && std::none_of(this->assignments.begin(), this->assignments.end(), [&](const LayerAssignment& assignment) { return assignment.endpoint == engine.endpoint; });
+    }
+
+    /** \returns whether an engine's layers will all have other holders once the orders under way are carried out */
+    bool isRelievedSoon() const
     {
         const auto copies = this->copies();
+        return std::any_of(this->pool.begin(), this->pool.end(), [&](const PlaceableEngine& engine) { return isRedundant(engine, copies); });
+    }
+
+    /** \returns an engine all of whose layers others hold, so that no layer is without a holder while it changes */
+    PlaceableEngine* pickRedundant()
+    {
+        Pool holders;
+        std::copy_if(this->pool.begin(), this->pool.end(), std::back_inserter(holders), [this](const PlaceableEngine& engine) { return this->holds(engine); });
+        const auto copies = copiesByLayer(holders, this->profile.layers);
         PlaceableEngine* best = nullptr;
         for (PlaceableEngine& engine : this->pool) {
-            if (isRedundant(engine, copies) && (!best || best->accelerator.memoryMegabytes < engine.accelerator.memoryMegabytes))
+            if (this->holds(engine) && isRedundant(engine, copies) && (!best || best->accelerator.memoryMegabytes < engine.accelerator.memoryMegabytes))
                 best = &engine;
         }
         return best;
@@ -96,7 +121,7 @@
         for (PlaceableEngine& engine : this->pool) {
             const bool touches = engine.layers.last() == gap.first() || engine.layers.first() == gap.last();
             const std::uint32_t most = this->sizes.fitting(engine, sequences);
-            if (engine.layers.empty() || !touches || most <= engine.layers.size())
+            if (engine.changing || engine.layers.empty() || !touches || most <= engine.layers.size())
                 continue;
             if (most - engine.layers.size() > bestRoom) {
                 bestRoom = most - engine.layers.size();
@@ -150,8 +175,10 @@
     std::vector<LayerAssignment> best;
     for (double sequences = wantedSequences; sequences >= leastRepairSequences; sequences /= 2) {
         Repair attempt(profile, pool);
-        const bool whole = attempt.fillGaps(sequences);
-        if (whole) {
+        const GapsLeft left = attempt.fillGaps(sequences);
+        if (left == GapsLeft::UntilOrdersEnd)
+            return attempt.changes();
+        if (left == GapsLeft::None) {
             attempt.useEmpty();
             return attempt.changes().empty() ? balanceLayers(profile, pool) : attempt.changes();
         }
--- a/packages/Gateway/tests/LayerPlacement.cpp
+++ b/packages/Gateway/tests/LayerPlacement.cpp
@@ -230,6 +230,16 @@
     BOOST_TEST(!isChanged(placeLayers(profile, pool), pool.front()));
 }
 
+// A repair that widened an engine in use took the memory of the requests that ran there.
+BOOST_AUTO_TEST_CASE(repairWaitsForAnOrderUnderWayBeforeItSqueezesAnEngine)
+{
+    std::vector<PlaceableEngine> pool = laneWithCopyOnOrder(7, 10);
+    BOOST_TEST(placeLayers(profile, pool).empty());
+    pool.back().changing = false;
+    carryOut(pool, placeLayers(profile, pool));
+    BOOST_TEST(uncovered(pool, "a") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(engineWithAnOrderUnderWayGetsNoOther)
 {
     const std::vector<PlaceableEngine> pool = laneWithCopyOnOrder(8, 8);
