No engine is widened into the memory of the requests that run on it

Cause: during a release of seven engines a gap of layers was filled by widening its neighbours at once. The room that a repair leaves was counted in sequences of usual length, whatever was running.

Change: the placement knows the KV cache that all daemons have set aside on each engine. Widening, by a repair or by the balance, stops at it. A gap then waits until requests end or an empty engine comes; chains through other failure domains go on meanwhile.

Before: Gateway.LayerPlacement.engineIsNotWidenedIntoTheMemoryOfItsRequests fails (no such knowledge: the engine is changed). After: passes.

--- a/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/LayerPlacer.h
@@ -17,6 +17,7 @@
     AcceleratorProfile accelerator;
     LayerRange layers; ///< that it holds, or was ordered to hold; empty for none
     bool changing = false; ///< it has an order that it has not carried out yet
+    double usedMegabytes = 0; ///< KV cache that is set aside for requests in progress
 
     auto operator<=>(const PlaceableEngine&) const = default;
 };
--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerBalance.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerBalance.cpp
@@ -118,7 +118,7 @@
             ++first;
         while (last > std::max(first, stage.layers.last()) && ownerHolds(target, last - 1))
             --last;
-        const std::uint32_t most = this->sizes.fitting(stage.engine, leastRepairSequences);
+        const std::uint32_t most = this->sizes.fittingInUse(stage.engine, leastRepairSequences);
         while (last - first < most && first > stage.layers.first())
             --first;
         while (last - first < most && last < stage.layers.last())
--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerPool.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerPool.h
@@ -3,6 +3,7 @@
 
 #include "../LayerPlacer.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -33,6 +34,13 @@
         return static_cast<std::uint32_t>(engine.accelerator.memoryMegabytes / (this->layer + sequences * this->sequence));
     }
 
+    /** \returns how many layers fit beside KV cache for \a sequences, and for what is in progress on the engine */
+    std::uint32_t fittingInUse(const PlaceableEngine& engine, double sequences) const
+    {
+        const double unused = std::max(0.0, engine.accelerator.memoryMegabytes - engine.usedMegabytes);
+        return std::min(this->fitting(engine, sequences), static_cast<std::uint32_t>(unused / this->layer));
+    }
+
     /** \returns for how many sequences there is KV cache where so many megabytes stand behind each layer */
     double sequences(double megabytesPerLayer) const { return (megabytesPerLayer - this->layer) / this->sequence; }
 
--- a/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/internal/LayerRepair.cpp
@@ -120,7 +120,7 @@
         std::uint32_t bestRoom = 0;
         for (PlaceableEngine& engine : this->pool) {
             const bool touches = engine.layers.last() == gap.first() || engine.layers.first() == gap.last();
-            const std::uint32_t most = this->sizes.fitting(engine, sequences);
+            const std::uint32_t most = this->sizes.fittingInUse(engine, sequences);
             if (engine.changing || engine.layers.empty() || !touches || most <= engine.layers.size())
                 continue;
             if (most - engine.layers.size() > bestRoom) {
--- a/packages/Gateway/tests/LayerPlacement.cpp
+++ b/packages/Gateway/tests/LayerPlacement.cpp
@@ -240,6 +240,18 @@
     BOOST_TEST(uncovered(pool, "a") == 0);
 }
 
+// A lane that has lost its last engine under load: memory that requests fill is not given to layers.
+BOOST_AUTO_TEST_CASE(engineIsNotWidenedIntoTheMemoryOfItsRequests)
+{
+    std::vector<PlaceableEngine> pool = engines("a", { { "small", 7 } });
+    for (std::uint32_t index = 0; index < pool.size(); ++index)
+        pool[index].layers = LayerRange(index * 10, (index + 1) * 10);
+    BOOST_TEST(isChanged(placeLayers(profile, pool), pool.back()));
+    for (PlaceableEngine& engine : pool)
+        engine.usedMegabytes = engine.accelerator.memoryMegabytes - engine.layers.size() * profile.layerMegabytes;
+    BOOST_TEST(placeLayers(profile, pool).empty());
+}
+
 BOOST_AUTO_TEST_CASE(engineWithAnOrderUnderWayGetsNoOther)
 {
     const std::vector<PlaceableEngine> pool = laneWithCopyOnOrder(8, 8);
--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
@@ -105,7 +105,8 @@
             continue;
         const auto order = this->pending.find(id);
         const bool changing = order != this->pending.end();
-        engines.push_back({ id, record.endpoint.failureDomain, accelerator->second, changing ? order->second.layers : record.endpoint.layers, changing });
+        const double used = this->context.loads.total(id).tokenLayers * service.engine->kvMegabytesPerTokenLayer();
+        engines.push_back({ id, record.endpoint.failureDomain, accelerator->second, changing ? order->second.layers : record.endpoint.layers, changing, used });
     }
     return engines;
 }
