A broken stream goes on at a first engine that had it already, when its route's attempts are used

Cause: each run behind the last event counted against the route's attempts, though these bound how many endpoints get the request. A run whose chain begins at an engine that had the request sends it to no further one; what was lost was a later engine of the chain.

Change: the endpoints at which runs count are kept, not the number of runs. When the route's attempts are used, a resumable stream may still go on with a chain that begins at one of them, unless that one is at fault. Sends, time and the retry budget bound it as before.

Before: Daemon.Gateway.streamThatLosesAnEngineOfItsSecondChainGoesOnAtTheSameFirstEngine fails (the stream ends after event 3, three of three runs). After: passes in ten of ten; Gateway.Attempts.brokenStreamMayGoOnWhereItRanBefore, Gateway.ChainPlanning.chainBeginsOnlyWhereItMay.

--- a/packages/Daemon/tests/Gateway.cpp
+++ b/packages/Daemon/tests/Gateway.cpp
@@ -49,6 +49,14 @@
     return text.find(part) != std::string::npos;
 }
 
+/** \returns the report of an engine on which requests wait for the engine at an address */
+ReplicaScript stalledReport(const std::string& address)
+{
+    const std::string entry = address.empty() ? "" : R"({"Id":"any","Address":")" + address + R"("})";
+    const std::string body = R"({"CallSeq":0,"Busy":false,"Stalled":[)" + entry + "]}";
+    return ReplicaScript { { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body }, 5ms, ReplicaScript::End::Keep };
+}
+
 ReplicaScript breaking(const HttpRequest& request, ReplicaScript::End end)
 {
     ReplicaScript script;
@@ -178,6 +186,37 @@
     BOOST_TEST(this->requestsAt(firstEngines) == 2U);
 }
 
+// The route allows two endpoints: what breaks the stream after the second one took it over is a later engine of the chain.
+BOOST_FIXTURE_TEST_CASE(streamThatLosesAnEngineOfItsSecondChainGoesOnAtTheSameFirstEngine, Fixture)
+{
+    // Ten requests save up for two retries.
+    for (int call = 0; call < 10; ++call)
+        this->answer(*this->call("POST", "/chat/x"), "0\r\n\r\n");
+    int runs = 0;
+    std::string stalled;
+    for (const std::string& id : firstEngines) {
+        this->replicas.at(id)->setAnswer([&runs, &stalled](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return stalledReport(stalled);
+            ReplicaScript script;
+            if (++runs == 1)
+                return breaking(request, ReplicaScript::End::Close);
+            if (runs == 2) {
+                const std::string chain(findHeader(request.headers, "Hop-Count"));
+                stalled = chain.substr(chain.find(',') + 1, chain.rfind('=') - chain.find(',') - 1);
+                script.pieces = { streamHead(request), eventChunk(3) };
+                script.end = ReplicaScript::End::Silence;
+                return script;
+            }
+            script.pieces = { streamHead(request), eventChunk(4), lastChunk() };
+            return script;
+        });
+    }
+    const std::string received = this->answer(*this->call("POST", "/chat/x"), "0\r\n\r\n");
+    BOOST_TEST(eventIds(received) == "1 2 3 4 ");
+    BOOST_TEST(has(received, "0\r\n\r\n"));
+}
+
 BOOST_FIXTURE_TEST_CASE(streamThatCannotGoOnDoesNotLookComplete, Fixture)
 {
     for (const std::string& id : firstEngines) {
--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
@@ -15,14 +15,16 @@
 {
     if (state.sends >= maximumSends || state.timeLeft < leastTimeForRetry)
         return false;
+    // A route's attempts bound the endpoints that get the request, not how often one of them gets it.
+    const bool endpointLeft = state.countedEndpoints < state.allowedRuns || state.mayReturn;
     switch (end) {
     case AttemptEnd::NotSent:
     case AttemptEnd::NotExecuted:
-        return state.countedRuns < state.allowedRuns;
+        return endpointLeft;
     case AttemptEnd::Lost:
     case AttemptEnd::ReportedFailure: {
         const bool repeatable = state.kind == RouteKind::Idempotent || (state.kind == RouteKind::Stream && state.resumable);
-        return repeatable && state.countedRuns < state.allowedRuns;
+        return repeatable && endpointLeft;
     }
     }
     return false;
--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
@@ -23,7 +23,8 @@
     bool resumable = false;
     std::uint32_t allowedRuns = 1; ///< the route's attempts
     std::uint32_t possibleRuns = 0; ///< attempts that ran or may have run, the last one included
-    std::uint32_t countedRuns = 0; ///< of these, the ones that count against the route's attempts
+    std::uint32_t countedEndpoints = 0; ///< at which such a run counts against the route's attempts
+    bool mayReturn = false; ///< one of these endpoints can take the request again
     std::uint32_t sends = 0; ///< all attempts, the last one included
     Duration timeLeft {};
 
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -103,10 +103,15 @@
     }
 
 private:
+    bool mayBegin(const StageCandidate& candidate) const
+    {
+        return this->request.firstStages.empty() || this->request.firstStages.contains(candidate.endpoint);
+    }
+
     void extend(std::uint32_t layer, std::size_t index)
     {
         const StageCandidate& candidate = this->candidates[index];
-        if (candidate.layers.first() > layer || candidate.layers.last() <= layer)
+        if (candidate.layers.first() > layer || candidate.layers.last() <= layer || (layer == 0 && !this->mayBegin(candidate)))
             return;
         this->relax(layer, candidate.layers.last(), index);
         if (this->whole.contains(index))
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
@@ -54,6 +54,7 @@
     double promptTokens = 0;
     double outputTokens = 0; ///< expected
     std::set<DomainLink> fullLinks; ///< that take no further generation
+    std::set<EndpointId> firstStages; ///< that may begin the chain; empty for any
 
     auto operator<=>(const ChainRequest&) const = default;
 };
--- a/packages/Gateway/tests/Attempts.cpp
+++ b/packages/Gateway/tests/Attempts.cpp
@@ -13,7 +13,7 @@
     state.kind = kind;
     state.allowedRuns = 2;
     state.possibleRuns = possibleRuns;
-    state.countedRuns = possibleRuns;
+    state.countedEndpoints = possibleRuns;
     state.sends = sends;
     state.timeLeft = 1s;
     return state;
@@ -50,6 +50,17 @@
     BOOST_TEST(mayRetry(stream, AttemptEnd::Lost));
 }
 
+BOOST_AUTO_TEST_CASE(brokenStreamMayGoOnWhereItRanBefore)
+{
+    AttemptState stream = state(RouteKind::Stream, 2);
+    stream.resumable = true;
+    BOOST_TEST(!mayRetry(stream, AttemptEnd::Lost));
+    stream.mayReturn = true;
+    BOOST_TEST(mayRetry(stream, AttemptEnd::Lost));
+    stream.sends = 4;
+    BOOST_TEST(!mayRetry(stream, AttemptEnd::Lost));
+}
+
 BOOST_AUTO_TEST_CASE(sendsAndTimeAreBounded)
 {
     BOOST_TEST(!mayRetry(state(RouteKind::Idempotent, 0, 4), AttemptEnd::NotSent));
--- a/packages/Gateway/tests/ChainPlanning.cpp
+++ b/packages/Gateway/tests/ChainPlanning.cpp
@@ -85,6 +85,16 @@
     BOOST_TEST(!planLayerChain(profile, candidates, wanted).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(chainBeginsOnlyWhereItMay)
+{
+    const std::vector<StageCandidate> candidates { candidate("x", { 0, 40 }), candidate("slow", { 0, 40 }, "small"), candidate("y", { 40, 80 }) };
+    ChainRequest wanted = request();
+    wanted.firstStages = { EndpointId("slow") };
+    BOOST_TEST((planLayerChain(profile, candidates, wanted)->stages.front().endpoint == EndpointId("slow")));
+    wanted.firstStages = { EndpointId("y") };
+    BOOST_TEST(!planLayerChain(profile, candidates, wanted).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(linksTakeAsManyGenerationsAsTheirRateCarries)
 {
     BOOST_TEST(linkCapacity(profile) > 50);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -46,7 +46,8 @@
     state.resumable = this->route.resumable;
     state.allowedRuns = this->route.attempts;
     state.possibleRuns = this->possibleRuns;
-    state.countedRuns = this->countedRuns;
+    state.countedEndpoints = static_cast<std::uint32_t>(this->countedAt.size());
+    state.mayReturn = this->route.kind == RouteKind::Stream && this->route.resumable && std::any_of(this->countedAt.begin(), this->countedAt.end(), [this](const EndpointId& endpoint) { return !this->avoided.contains(endpoint); });
     state.sends = this->sends;
     state.timeLeft = this->timeLeft();
     return state;
@@ -62,7 +63,7 @@
     if (*result.failure == AttemptEnd::Lost || *result.failure == AttemptEnd::ReportedFailure)
         ++this->possibleRuns;
     if (countsAsRun(this->route.kind, *result.failure, result.answerBegun))
-        ++this->countedRuns;
+        this->countedAt.insert(first);
     const AttemptState state = this->attemptState();
     bool retry = mayRetry(state, *result.failure);
     if (retry && chargesBudget(*result.failure))
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -33,6 +33,8 @@
 
     Duration timeLeft() const { return this->deadline - bootNow(); }
     AttemptState attemptState() const;
+    /** \returns whether only endpoints that had the request already may get it again */
+    bool attemptsUsed() const { return this->countedAt.size() >= this->route.attempts; }
     /** \brief Counts an attempt that ended without an answer.
      * \returns whether another endpoint may be asked */
     bool noteFailure(const AttemptResult&, const EndpointId& first);
@@ -71,7 +73,7 @@
     std::set<EndpointId> avoided; ///< endpoints at which attempts failed
     std::uint32_t sends = 0;
     std::uint32_t possibleRuns = 0;
-    std::uint32_t countedRuns = 0;
+    std::set<EndpointId> countedAt; ///< endpoints at which a run counts against the route's attempts
 };
 
 /** \brief Forwards a call to a replica of a plain service and its answer to the caller. */
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
@@ -66,6 +66,8 @@
     request.origin = task.context.settings.failureDomain;
     request.promptTokens = task.request.promptTokens;
     request.outputTokens = expectedOutput(task.request, engine);
+    if (task.attemptsUsed())
+        request.firstStages = task.countedAt;
     request.fullLinks = fullLinks(task.context.loads, candidates, linkCapacity(engine));
     return planLayerChain(engine, candidates, request);
 }
