Whether a stream may return to an engine is a question of its own

Cause: one line of attemptState held a condition of three parts. Tests of Gateway, Proxy and Daemon.Gateway pass. Conclusion: reading only.

--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -47,12 +47,18 @@
     state.allowedRuns = this->route.attempts;
     state.possibleRuns = this->possibleRuns;
     state.countedEndpoints = static_cast<std::uint32_t>(this->countedAt.size());
-    state.mayReturn = this->route.kind == RouteKind::Stream && this->route.resumable && std::any_of(this->countedAt.begin(), this->countedAt.end(), [this](const EndpointId& endpoint) { return !this->avoided.contains(endpoint); });
+    state.mayReturn = this->mayReturn();
     state.sends = this->sends;
     state.timeLeft = this->timeLeft();
     return state;
 }
 
+bool ForwardTask::mayReturn() const
+{
+    const bool resumable = this->route.kind == RouteKind::Stream && this->route.resumable;
+    return resumable && std::any_of(this->countedAt.begin(), this->countedAt.end(), [this](const EndpointId& endpoint) { return !this->avoided.contains(endpoint); });
+}
+
 bool ForwardTask::noteFailure(const AttemptResult& result, const EndpointId& first)
 {
     const EndpointId blamed = result.blamed.value_or(first);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -59,6 +59,9 @@
     /** \returns when a caller that is refused now had better come back */
     Duration returnDelay();
 
+    /** \returns whether an endpoint that had the request, and isn't at fault, can take it again */
+    bool mayReturn() const;
+
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
 
     GatewayContext& context;
