A hangup before the settings are read no longer ends the program

Cause: until the settings' watcher takes SIGHUP over, its default action ends the process. Restarts and reloads overlap. Ruled out: the watcher itself (Daemon.Gateway.hangupEndsNothing).

Change: the program ignores SIGHUP from its first statement until the watcher takes it; the settings are read after that. What is left is the time between the start of the process and that statement, in which its libraries are loaded.

Before: Daemon.Gateway.hangupBeforeTheSettingsAreReadEndsNothing fails (129 for 2). After: passes in three of three.

--- a/packages/Daemon/program/main.cpp
+++ b/packages/Daemon/program/main.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
@@ -92,6 +93,8 @@
 
 int main(int argc, char** argv)
 {
+    // A hangup before the settings are read says nothing new; the gateway takes the signal over when it has read them.
+    std::signal(SIGHUP, SIG_IGN);
     CLI::App app("filbertspoked: routes requests to pipelines of engines and to plain services", "filbertspoked");
     std::string file;
     bool checkOnly = false;
--- a/packages/Daemon/tests/Gateway.cpp
+++ b/packages/Daemon/tests/Gateway.cpp
@@ -4,8 +4,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <string>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 using namespace filbertspoke;
 using namespace std::chrono_literals;
 
@@ -318,6 +323,24 @@
     BOOST_TEST(has(this->answer(*this->call("POST", "/book/x"), "served"), "HTTP/1.1 200"));
 }
 
+// Settings that come through a pipe hold the program where it has read none yet.
+BOOST_AUTO_TEST_CASE(hangupBeforeTheSettingsAreReadEndsNothing)
+{
+    const std::string pipe = "/tmp/filbertspoke-settings-" + std::to_string(getpid());
+    BOOST_REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
+    Process program("filbertspoked", { "gateway", "--settings", pipe });
+    boost::asio::io_context context;
+    int writer = -1;
+    BOOST_REQUIRE(runUntil(context, [&] { return (writer = open(pipe.c_str(), O_WRONLY | O_NONBLOCK)) >= 0; }));
+    program.signal(SIGHUP);
+    const std::string text = "no: settings\n";
+    BOOST_TEST(write(writer, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    close(writer);
+    constexpr int malformedSettings = 2;
+    BOOST_TEST(program.wait() == malformedSettings);
+    std::filesystem::remove(pipe);
+}
+
 BOOST_FIXTURE_TEST_CASE(gracefulStopLetsStreamsFinish, Fixture)
 {
     for (const std::string& id : firstEngines) {
