--- a/packages/Soak/tests/ShortRun.cpp
+++ b/packages/Soak/tests/ShortRun.cpp
@@ -26,3 +26,9 @@
 {
     keepsEveryPromise(1);
 }
+
+// A hangup that came while a gateway was being started again ended it.
+BOOST_AUTO_TEST_CASE(gatewayThatIsStartedAgainTakesAHangup)
+{
+    keepsEveryPromise(418);
+}
