--- a/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.h
@@ -23,6 +23,9 @@
     /** \returns whether a retry may be made now, and counts it when it may */
     bool takeRetry() { return this->budget.takeRetry(); }
 
+    /** \returns the retries that this gateway has saved up */
+    double saved() const { return this->budget.saved(); }
+
     /** \brief Shares the reserve among so many gateways, this one included. */
     void setGateways(std::size_t known);
 
--- a/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
+++ b/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
@@ -36,6 +36,7 @@
         , ready(this->gauge("ready", "1 when the daemon takes requests"))
         , endpoints(this->gauge("endpoints_available", "Endpoints that take new work"))
         , peers(this->gauge("peers_alive", "Other daemons that are alive"))
+        , budgetGateways(this->gauge("retry_budget_gateways", "Gateways among which the reserve of retries is shared"))
     {
     }
 
@@ -60,7 +61,18 @@
         return *entry->second;
     }
 
+    prometheus::Gauge& retriesSaved(const ServiceId& service)
+    {
+        auto [entry, added] = this->retriesSavedByService.try_emplace(service, nullptr);
+        if (added) {
+            auto& family = prometheus::BuildGauge().Name(metricPrefix + "retries_saved").Help("Retries that may be made at once").Register(this->registry);
+            entry->second = &family.Add({ { "service", service.str() } });
+        }
+        return *entry->second;
+    }
+
     prometheus::Registry registry;
+    std::map<ServiceId, prometheus::Gauge*> retriesSavedByService;
     std::map<std::pair<std::string, std::string>, prometheus::Counter*> counters;
     prometheus::Histogram& firstToken;
     prometheus::Histogram& tokenGap;
@@ -71,6 +83,7 @@
     prometheus::Gauge& ready;
     prometheus::Gauge& endpoints;
     prometheus::Gauge& peers;
+    prometheus::Gauge& budgetGateways;
 };
 
 Metrics::Metrics()
@@ -100,6 +113,12 @@
     this->state->call.Observe(seconds(duration));
 }
 
+void Metrics::observeRetryBudget(const ServiceId& service, double saved, std::size_t gateways)
+{
+    this->state->retriesSaved(service).Set(saved);
+    this->state->budgetGateways.Set(static_cast<double>(gateways));
+}
+
 void Metrics::update(const RouterStatus& status)
 {
     double available = 0;
--- a/packages/Observability/filbertspoke/src/Observability/Metrics.h
+++ b/packages/Observability/filbertspoke/src/Observability/Metrics.h
@@ -24,6 +24,10 @@
     /** \brief Notes the time from the arrival of a call to its answer. */
     void observeCall(Duration);
 
+    /** \brief Notes the retries that this daemon has saved up for the service.
+     * \param gateways among which the service's reserve of retries is shared */
+    void observeRetryBudget(const ServiceId&, double saved, std::size_t gateways);
+
     /** \brief Takes the daemon's state into the gauges. */
     void update(const RouterStatus&);
 
--- a/packages/Routing/filbertspoke/src/Routing/RetryBudget.h
+++ b/packages/Routing/filbertspoke/src/Routing/RetryBudget.h
@@ -32,15 +32,21 @@
         this->balance = std::min(this->balance, value);
     }
 
+    /** \returns whether a retry may be made now */
+    bool hasRetry() const { return this->balance >= 1; }
+
     /** \returns whether a retry may be made now, and counts it when it may */
     bool takeRetry()
     {
-        if (this->balance < 1)
+        if (!this->hasRetry())
             return false;
         this->balance -= 1;
         return true;
     }
 
+    /** \returns the retries that are saved up */
+    double saved() const { return this->balance; }
+
 private:
     double part;
     double reserve;
