--- /dev/null
+++ b/packages/Daemon/tests/Repeats.cpp
@@ -0,0 +1,112 @@
+// How often a gateway process sends one request to endpoints that lose, withhold or delay their answers.
+#include <filbertspoke/PlatformTesting>
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::string> firstEngines { "engine-a1", "engine-b1", "engine-c1" };
+const std::vector<std::string> applications { "app-1", "app-2" };
+const LayerRange firstLayers { 0, 4 };
+const std::string endOfStream = "0\r\n\r\n";
+// Longer than the gateway waits for a first event, or for a look-up, before it asks elsewhere.
+constexpr Duration late = 1300ms;
+
+ReplicaScript wholeStream(const HttpRequest& request)
+{
+    ReplicaScript script;
+    script.pieces = { streamHead(request), eventChunk(1), lastChunk() };
+    return script;
+}
+
+/** \brief A gateway before three engines for the first layers; routes allow two attempts. */
+struct Fixture : GatewayScene {
+    Fixture()
+    {
+        this->start();
+        this->replicas.emplace("engine-c1", std::make_unique<ReplicaStandIn>(this->context, ownLoopbackAddress(1), wholeStream));
+        this->putEngine("engine-c1", firstLayers);
+    }
+
+    /** \brief Has every first engine treat requests for streams so. */
+    void setStreams(const ReplicaStandIn::Answer& answer)
+    {
+        for (const std::string& id : firstEngines)
+            this->replicas.at(id)->setAnswer([answer](const HttpRequest& request) { return request.target.starts_with("/filbertspoke/") ? emptyReport() : answer(request); });
+    }
+
+    std::vector<std::size_t> sendsByFirstEngine() const
+    {
+        std::vector<std::size_t> sends;
+        for (const std::string& id : firstEngines)
+            sends.push_back(this->replicas.at(id)->requests().size());
+        return sends;
+    }
+
+    /** \brief Serves streams until the gateway knows all engines and has saved up for some retries. */
+    void saveUp()
+    {
+        // Streams that last for a while spread over all engines.
+        this->setStreams([](const HttpRequest& request) {
+            ReplicaScript script = wholeStream(request);
+            script.pause = 50ms;
+            return script;
+        });
+        const auto allEnginesServe = [this] {
+            std::vector<std::unique_ptr<RawCaller>> callers;
+            for (int caller = 0; caller < 12; ++caller)
+                callers.push_back(this->call("POST", "/chat/x"));
+            for (const auto& caller : callers)
+                this->answer(*caller, endOfStream);
+            return this->sendsByFirstEngine().back() > 0;
+        };
+        this->await(allEnginesServe);
+        for (int round = 0; round < 3; ++round)
+            allEnginesServe();
+    }
+
+    /** \returns at how many first engines one stream arrived */
+    std::ptrdiff_t enginesOfOneStream()
+    {
+        const auto before = this->sendsByFirstEngine();
+        this->answer(*this->call("POST", "/chat/x"), "\r\n\r\n");
+        const auto after = this->sendsByFirstEngine();
+        std::ptrdiff_t engines = 0;
+        for (std::size_t index = 0; index < after.size(); ++index)
+            engines += after[index] > before[index] ? 1 : 0;
+        return engines;
+    }
+};
+
+}
+
+// A stream without an event did not count against its route's attempts, though its engine may have run it.
+BOOST_FIXTURE_TEST_CASE(streamWhoseAnswerIsLostGoesToNoMoreEnginesThanItsRouteAllows, Fixture)
+{
+    this->saveUp();
+    this->setStreams([](const HttpRequest&) { return ReplicaScript { {}, 5ms, ReplicaScript::End::Reset }; });
+    BOOST_TEST(this->enginesOfOneStream() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(silentStreamGoesToNoMoreEnginesThanItsRouteAllows, Fixture)
+{
+    this->saveUp();
+    this->setStreams([](const HttpRequest&) { return ReplicaScript { {}, 5ms, ReplicaScript::End::Silence }; });
+    BOOST_TEST(this->enginesOfOneStream() == 2);
+}
+
+// Engines that refuse a stream have not run it.
+BOOST_FIXTURE_TEST_CASE(streamThatDidNotRunMayGoToMoreEnginesThanItsRouteAllows, Fixture)
+{
+    this->saveUp();
+    this->setStreams([](const HttpRequest&) { return ReplicaScript { { fullAnswer() }, 5ms, ReplicaScript::End::Keep }; });
+    BOOST_TEST(this->enginesOfOneStream() == 3);
+}
