A stream that gave no event counts against its route's attempts

What callers saw: nothing at once; engines ran one request three and four times, and the operator's rule on attempts can break. Cause: an attempt without an event was taken for one that had hardly begun. An engine that loses its answers, is mute or slow may have run it all the same, and nobody can tell from silence. Change: whatever was sent and neither refused nor unsent counts. In exchange a stream whose attempts are used may return to an engine that only broke the connection, which is no further endpoint. A first event that doesn't come in time is silence, no broken connection. Gateway.Attempts.generationWithoutAnEventDoesNotCountAsRun asked for the fault; attemptWithoutAnswerMayHaveRun takes its place and bounds more: no attempt that may have run is left out. Daemon.Gateway and Gateway.Attempts pass.

--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
@@ -16,7 +16,7 @@
     if (state.sends >= maximumSends || state.timeLeft < leastTimeForRetry)
         return false;
     // A route's attempts bound the endpoints that get the request, not how often one of them gets it.
-    const bool endpointLeft = state.countedEndpoints < state.allowedRuns || state.mayReturn;
+    const bool endpointLeft = state.endpointsUsed < state.allowedRuns || state.mayReturn;
     switch (end) {
     case AttemptEnd::NotSent:
     case AttemptEnd::NotExecuted:
@@ -30,11 +30,9 @@
     return false;
 }
 
-bool countsAsRun(RouteKind kind, AttemptEnd end, bool answerBegun)
+bool mayHaveRun(AttemptEnd end)
 {
-    if (end == AttemptEnd::NotSent || end == AttemptEnd::NotExecuted)
-        return false;
-    return kind != RouteKind::Stream || answerBegun || end == AttemptEnd::ReportedFailure;
+    return end == AttemptEnd::Lost || end == AttemptEnd::ReportedFailure;
 }
 
 bool chargesBudget(AttemptEnd end)
--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
@@ -23,7 +23,7 @@
     bool resumable = false;
     std::uint32_t allowedRuns = 1; ///< the route's attempts
     std::uint32_t possibleRuns = 0; ///< attempts that ran or may have run, the last one included
-    std::uint32_t countedEndpoints = 0; ///< at which such a run counts against the route's attempts
+    std::uint32_t endpointsUsed = 0; ///< at which these attempts were; counts against the route's attempts
     bool mayReturn = false; ///< one of these endpoints can take the request again
     std::uint32_t sends = 0; ///< all attempts, the last one included
     Duration timeLeft {};
@@ -37,10 +37,9 @@
 /** \returns whether a retry after \a end is charged to the retry budget: the endpoint has seen the request */
 bool chargesBudget(AttemptEnd end);
 
-/** \returns whether an attempt counts against the route's attempts: a generation that gave no event has hardly begun,
- * while of other requests nobody can tell
- * \param answerBegun some of the answer arrived */
-bool countsAsRun(RouteKind, AttemptEnd, bool answerBegun);
+/** \returns whether the endpoint may have run the request, so that it counts against the route's attempts; silence
+ * tells nothing, as an answer can be lost after the run */
+bool mayHaveRun(AttemptEnd);
 
 /** \returns whether the request certainly has not run, so that the caller may be told to come back */
 bool certainlyNotRun(const AttemptState&);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -18,7 +18,7 @@
     const EndpointRecord* best = nullptr;
     double bestScore = 0;
     for (const EndpointRecord* candidate : candidates) {
-        if (task.avoided.contains(candidate->endpoint.id))
+        if (!task.mayUse(candidate->endpoint.id))
             continue;
         const double load = task.context.loads.total(candidate->endpoint.id).requests / std::max(1U, candidate->endpoint.slots);
         const bool near = candidate->endpoint.failureDomain == task.context.settings.failureDomain;
@@ -34,7 +34,7 @@
 
 Duration callTimeout(const ForwardTask& task)
 {
-    const bool mayAskElsewhere = task.route.kind == RouteKind::Idempotent && task.countedAt.size() + 1 < task.route.attempts;
+    const bool mayAskElsewhere = task.route.kind == RouteKind::Idempotent && task.usedEndpoints.size() + 1 < task.route.attempts;
     if (!mayAskElsewhere)
         return task.timeLeft();
     return std::min(task.timeLeft(), std::max<Duration>(leastSilence, task.route.targetLatency * silenceFactor));
@@ -56,7 +56,7 @@
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-broken-off" };
     task.context.pool.giveBack(address, connection);
     if (const auto failure = task.judge(*reply)) {
-        const bool last = failure->failure == AttemptEnd::ReportedFailure && (task.route.kind == RouteKind::NonIdempotent || task.countedAt.size() + 1 >= task.route.attempts);
+        const bool last = failure->failure == AttemptEnd::ReportedFailure && (task.route.kind == RouteKind::NonIdempotent || task.usedEndpoints.size() + 1 >= task.route.attempts);
         // The endpoint's own failure is the answer when nobody else may be asked.
         if (!last)
             co_return *failure;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -222,7 +222,8 @@
     if (this->task.caller->gone())
         co_return AttemptResult {};
     if (!reply) {
-        result = { AttemptEnd::Lost, EndpointFault::Broken, {}, "no-answer" };
+        const bool silent = isTimeout(reply.error());
+        result = { AttemptEnd::Lost, silent ? EndpointFault::Silent : EndpointFault::Broken, {}, silent ? "no-answer" : "broken-off-unanswered" };
         connection->close();
         co_return result;
     }
@@ -287,7 +288,6 @@
     this->task.upstream = nullptr;
     if (result.failure && this->lostEngine)
         result = { result.failure, this->lostFault, this->lostEngine, "engine-lost" };
-    result.answerBegun = this->eventsInAttempt > 0;
     co_return result;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -46,7 +46,7 @@
     state.resumable = this->route.resumable;
     state.allowedRuns = this->route.attempts;
     state.possibleRuns = this->possibleRuns;
-    state.countedEndpoints = static_cast<std::uint32_t>(this->countedAt.size());
+    state.endpointsUsed = static_cast<std::uint32_t>(this->usedEndpoints.size());
     state.mayReturn = this->mayReturn();
     state.sends = this->sends;
     state.timeLeft = this->timeLeft();
@@ -56,20 +56,28 @@
 bool ForwardTask::mayReturn() const
 {
     const bool resumable = this->route.kind == RouteKind::Stream && this->route.resumable;
-    return resumable && std::any_of(this->countedAt.begin(), this->countedAt.end(), [this](const EndpointId& endpoint) { return !this->avoided.contains(endpoint); });
+    return resumable && std::any_of(this->usedEndpoints.begin(), this->usedEndpoints.end(), [this](const EndpointId& endpoint) { return this->mayUse(endpoint); });
+}
+
+bool ForwardTask::mayUse(const EndpointId& endpoint) const
+{
+    const auto fault = this->faults.find(endpoint);
+    if (fault == this->faults.end())
+        return true;
+    return this->attemptsUsed() && this->usedEndpoints.contains(endpoint) && fault->second == EndpointFault::Broken;
 }
 
 bool ForwardTask::noteFailure(const AttemptResult& result, const EndpointId& first)
 {
     const EndpointId blamed = result.blamed.value_or(first);
-    this->avoided.insert(blamed);
+    this->faults.insert_or_assign(blamed, result.fault);
     this->context.registry.noteFault(blamed, result.fault, bootNow());
     if (result.fault == EndpointFault::Unreachable)
         this->context.streams.suspect(blamed);
-    if (*result.failure == AttemptEnd::Lost || *result.failure == AttemptEnd::ReportedFailure)
+    if (mayHaveRun(*result.failure)) {
         ++this->possibleRuns;
-    if (countsAsRun(this->route.kind, *result.failure, result.answerBegun))
-        this->countedAt.insert(first);
+        this->usedEndpoints.insert(first);
+    }
     const AttemptState state = this->attemptState();
     bool retry = mayRetry(state, *result.failure);
     SharedRetryBudget& budget = this->context.retryBudget(this->service);
@@ -101,7 +109,7 @@
     if (notRun)
         refusal = refusal.retryAfter(this->returnDelay());
     const HttpResponse response = this->context.wires.caller->encodeRefusal(refusal, this->request.id);
-    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "avoided", std::to_string(this->avoided.size()) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
+    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "avoided", std::to_string(this->faults.size()) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
     this->logEnd(std::string(name(refusal.code())), response.status);
     co_await this->caller->respond(response, this->keepAlive());
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,7 +22,6 @@
     EndpointFault fault = EndpointFault::Broken;
     std::optional<EndpointId> blamed; ///< the endpoint to avoid; without one, the first of the attempt
     std::string reason; ///< for the log
-    bool answerBegun = false; ///< some of the answer arrived
 
     bool operator==(const AttemptResult&) const = default;
 };
@@ -34,7 +34,10 @@
     Duration timeLeft() const { return this->deadline - bootNow(); }
     AttemptState attemptState() const;
     /** \returns whether only endpoints that had the request already may get it again */
-    bool attemptsUsed() const { return this->countedAt.size() >= this->route.attempts; }
+    bool attemptsUsed() const { return this->usedEndpoints.size() >= this->route.attempts; }
+    /** \returns whether the endpoint may get the request as far as this request's own attempts tell; when the route's
+     * attempts are used, one that only broke the connection may get it again */
+    bool mayUse(const EndpointId&) const;
     /** \brief Counts an attempt that ended without an answer.
      * \returns whether another endpoint may be asked */
     bool noteFailure(const AttemptResult&, const EndpointId& first);
@@ -59,7 +62,7 @@
     /** \returns when a caller that is refused now had better come back */
     Duration returnDelay();
 
-    /** \returns whether an endpoint that had the request, and isn't at fault, can take it again */
+    /** \returns whether an endpoint that had the request may get it again */
     bool mayReturn() const;
 
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
@@ -73,10 +76,10 @@
     const TimePoint received;
     const TimePoint deadline;
     UpstreamPointer upstream; ///< of the attempt in progress
-    std::set<EndpointId> avoided; ///< endpoints at which attempts failed
+    std::map<EndpointId, EndpointFault> faults; ///< of endpoints at which attempts failed, the last one of each
     std::uint32_t sends = 0;
     std::uint32_t possibleRuns = 0;
-    std::set<EndpointId> countedAt; ///< endpoints at which a run counts against the route's attempts
+    std::set<EndpointId> usedEndpoints; ///< that may have run the request
 };
 
 /** \brief Forwards a call to a replica of a plain service and its answer to the caller. */
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
@@ -59,7 +59,7 @@
     const EngineProfile& engine = *service->engine;
     std::vector<StageCandidate> candidates;
     for (const EndpointRecord* record : task.context.registry.candidates(task.service, bootNow())) {
-        if (!record->endpoint.layers.empty() && !task.avoided.contains(record->endpoint.id))
+        if (!record->endpoint.layers.empty() && task.mayUse(record->endpoint.id))
             candidates.push_back(stageCandidate(task.context.loads, *record, engine));
     }
     ChainRequest request;
@@ -67,7 +67,7 @@
     request.promptTokens = task.request.promptTokens;
     request.outputTokens = expectedOutput(task.request, engine);
     if (task.attemptsUsed())
-        request.firstStages = task.countedAt;
+        request.firstStages = task.usedEndpoints;
     request.fullLinks = fullLinks(task.context.loads, candidates, linkCapacity(engine));
     return planLayerChain(engine, candidates, request);
 }
