A fresh gateway starts with no retry saved

What callers saw: nothing; restarts in series add one repeat for each gateway and restart. Cause: the retry that a fresh gateway had saved. Six restarts of 34 gateways in ten seconds make 204 of them, where a fifth of the reserve, 71, is not dealt out. That a gateway needs it was asserted by a test and never measured. Change: a gateway earns its first retry like all others, by five to seven requests. Tests of one gateway process set a ratio with which its first request suffices; they are about other things than the budget.

--- a/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.cpp
@@ -12,8 +12,6 @@
 constexpr double ratioFraction = 0.85;
 // Before a gateway knows the others, it takes a part as if there were so many.
 constexpr std::size_t leastGateways = 4;
-// A fresh gateway may repeat its first request; the part of the reserve that is not dealt out covers a site's gateways.
-constexpr double savedAtStart = 1;
 
 double share(double reserve, std::size_t gateways)
 {
@@ -24,7 +22,7 @@
 
 SharedRetryBudget::SharedRetryBudget(double ratio, double reserve)
     : reserve(reserve)
-    , budget(ratio * ratioFraction, share(reserve, 0), savedAtStart)
+    , budget(ratio * ratioFraction, share(reserve, 0), 0)
 {
 }
 
--- a/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.h
@@ -9,8 +9,8 @@
 
 /** \brief One gateway's part of the retries that all gateways of a site may make at a service together.
  *
- * It starts with one retry saved: gateways that restart together, before they know each other, would otherwise spend
- * the shared reserve many times over.
+ * It starts with no retry saved: gateways that restart in series would otherwise spend the reserve many times over. What
+ * all of them make in any window is at most what they hold at its start and what they earn in it.
  */
 class SharedRetryBudget {
 public:
@@ -20,6 +20,9 @@
 
     void firstAttempt() { this->budget.firstAttempt(); }
 
+    /** \returns whether a retry may be made now */
+    bool hasRetry() const { return this->budget.hasRetry(); }
+
     /** \returns whether a retry may be made now, and counts it when it may */
     bool takeRetry() { return this->budget.takeRetry(); }
 
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -154,8 +154,9 @@
     this->put(endpoint);
 }
 
-Process GatewayScene::launch(const GatewayText& gateway)
+Process GatewayScene::launch(GatewayText gateway)
 {
+    gateway.retryRatio = this->retryRatio;
     const std::string file = this->folder + "/" + gateway.name + ".yaml";
     std::ofstream(file) << settingsText(gateway);
     return Process("filbertspoked", { "gateway", "--settings", file });
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -69,10 +69,11 @@
     HttpAddress callers;
     HttpAddress secondCallers;
     HttpAddress readiness;
+    double retryRatio = 10; ///< retries that a gateway saves up for with each request: by default the first one suffices
 
 private:
     HttpAddress free(const std::string& address) const;
-    Process launch(const GatewayText&);
+    Process launch(GatewayText);
     void put(const EndpointText&);
     bool ready(const HttpAddress&);
 
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -45,6 +45,7 @@
     HttpAddress store;
     std::vector<HttpAddress> seeds;
     unsigned retryReserve = 10;
+    double retryRatio = 0.2;
 
     bool operator==(const GatewayText&) const = default;
 };
