A gateway that does not know its site's size takes no share of the reserve of retries

What callers saw: nothing; repeats beyond the shared budget after restarts behind a cut. Cause: a gateway shares the reserve among the gateways that it has met since its start, at least four. Ruled out: the ratio, which each gateway earns from its own requests whoever else there is. Change: the size of the site is known by hearing from most seeds since the start, which one side of a cut at most can do, or from a gateway that knows; the word carries the age of that knowledge, so that gateways that repeat it don't keep it alive. Until then a gateway saves up for one retry. Gateway.PeerRoster, Peer.GatewayWord, Daemon.Gateway, Daemon.HubLoss pass.

--- a/packages/Gateway/filbertspoke/src/Gateway/GatewayWord.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GatewayWord.h
@@ -2,6 +2,7 @@
 #define FILBERTSPOKE_GATEWAY_WORD_H
 
 #include "LoadBook.h"
+#include "PeerRoster.h"
 #include "RegisteredEndpoint.h"
 
 #include <filbertspoke/Configuration>
@@ -43,6 +44,7 @@
     bool followsStore = false; ///< the sender reads the store itself, and reaches it
     std::vector<AvoidedEndpoint> avoided;
     std::vector<SocketAddress> peers; ///< that it knows
+    std::optional<RosterSize> siteSize; ///< gateways that there may be, as far as the sender can tell
     bool wantsEndpoints = false; ///< it can't read the registry itself
     std::optional<ConfigurationDocument> configuration; ///< for a receiver that has an older one
     std::optional<std::vector<RegisteredEndpoint>> endpoints; ///< for a receiver that wants them
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.cpp
@@ -14,6 +14,8 @@
 // A gateway that does not answer is tried again after this time.
 constexpr Duration unreachablePause = std::chrono::seconds(1);
 constexpr std::uint32_t failuresForUnreachable = 2;
+// A word on the site's size outlives the longest cuts, of an hour, and hosts that were replaced are forgotten in the end.
+constexpr Duration toldLifetime = std::chrono::hours(2);
 
 bool answers(const KnownPeer& peer)
 {
@@ -34,6 +36,47 @@
         this->peers.try_emplace(address);
 }
 
+void PeerRoster::meetSeed(const SocketAddress& address)
+{
+    if (address == this->self)
+        this->ownSeeds = 1;
+    else
+        this->peers[address].seed = true;
+}
+
+void PeerRoster::noteTold(const RosterSize& size, TimePoint now)
+{
+    const bool expired = now - this->toldAt >= toldLifetime;
+    if (expired || size.gateways > this->toldGateways) {
+        this->toldGateways = size.gateways;
+        this->toldAt = now - size.age;
+    } else if (size.gateways == this->toldGateways) {
+        this->toldAt = std::max(this->toldAt, now - size.age);
+    }
+}
+
+bool PeerRoster::heardMostSeeds() const
+{
+    std::size_t seeds = this->ownSeeds;
+    std::size_t heard = this->ownSeeds;
+    for (const auto& [address, peer] : this->peers) {
+        seeds += peer.seed ? 1 : 0;
+        heard += peer.seed && !peer.failureDomain.empty() ? 1 : 0;
+    }
+    return seeds == 0 || 2 * heard > seeds;
+}
+
+std::optional<RosterSize> PeerRoster::siteSize(TimePoint now) const
+{
+    const bool told = this->toldGateways > 0 && now - this->toldAt < toldLifetime;
+    const bool knows = this->heardMostSeeds();
+    if (knows && (!told || this->known() >= this->toldGateways))
+        return RosterSize { this->known(), Duration::zero() };
+    if (told)
+        return RosterSize { std::max(this->known(), this->toldGateways), now - this->toldAt };
+    return std::nullopt;
+}
+
 void PeerRoster::noteHeard(const SocketAddress& address, const FailureDomainId& failureDomain)
 {
     if (address == this->self)
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerRoster.h
@@ -12,8 +12,17 @@
 
 namespace filbertspoke {
 
+/** \brief How many gateways a site may have, and how long ago a gateway that could know said so. */
+struct RosterSize {
+    std::size_t gateways = 0;
+    Duration age {};
+
+    auto operator<=>(const RosterSize&) const = default;
+};
+
 /** \brief Another gateway as this one knows it. */
 struct KnownPeer {
+    bool seed = false; ///< named in the settings
     FailureDomainId failureDomain; ///< empty until it has been heard
     std::uint32_t failures = 0; ///< exchanges without an answer, since the last answer
     std::optional<TimePoint> askedAt; ///< when the last exchange began
@@ -34,6 +43,10 @@
 
     /** \brief Learns that there may be a gateway at the address. */
     void meet(const SocketAddress&);
+    /** \brief Learns of a gateway that the settings name. */
+    void meetSeed(const SocketAddress&);
+    /** \brief Takes another gateway's word on the size of the site. */
+    void noteTold(const RosterSize&, TimePoint now);
     void noteHeard(const SocketAddress&, const FailureDomainId&);
     void noteFailure(const SocketAddress&);
     void noteAsked(const SocketAddress&, TimePoint now);
@@ -53,15 +66,22 @@
     std::size_t size() const { return this->reachable().size() + 1; }
     /** \returns how many gateways there may be, the unreachable ones and this one included */
     std::size_t known() const { return this->peers.size() + 1; }
+    /** \returns how many gateways there may be, or nothing while this one knows too few to tell: it has neither heard
+     * from most seeds nor been told by a gateway that knows. Behind a cut only one side can hear from most seeds. */
+    std::optional<RosterSize> siteSize(TimePoint now) const;
     /** \returns how many other gateways of this one's failure domain are reachable */
     std::size_t neighbours() const;
 
 private:
     bool isPartner(const SocketAddress&, const KnownPeer&) const;
+    bool heardMostSeeds() const;
 
     SocketAddress self;
     FailureDomainId domain;
     std::map<SocketAddress, KnownPeer> peers;
+    std::size_t ownSeeds = 0; ///< 1 when the settings name this gateway itself
+    std::size_t toldGateways = 0;
+    TimePoint toldAt {}; ///< when the gateway that could know said so
 };
 
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/SharedRetryBudget.h
@@ -4,6 +4,7 @@
 #include <filbertspoke/Routing>
 
 #include <cstddef>
+#include <optional>
 
 namespace filbertspoke {
 
@@ -29,8 +30,9 @@
     /** \returns the retries that this gateway has saved up */
     double saved() const { return this->budget.saved(); }
 
-    /** \brief Shares the reserve among so many gateways, this one included. */
-    void setGateways(std::size_t known);
+    /** \brief Shares the reserve among so many gateways, this one included.
+     * \param known nothing while this gateway can't tell; it then saves up for one retry at most */
+    void setGateways(std::optional<std::size_t> known);
 
 private:
     double reserve;
--- a/packages/Gateway/tests/PeerRoster.cpp
+++ b/packages/Gateway/tests/PeerRoster.cpp
@@ -116,3 +116,44 @@
     this->roster.noteHeard(at(5), near);
     BOOST_TEST(this->roster.due(this->now).empty());
 }
+
+BOOST_FIXTURE_TEST_CASE(siteSizeIsUnknownUntilMostSeedsAreHeard, Fixture)
+{
+    for (int seed = 1; seed <= 3; ++seed)
+        this->roster.meetSeed(at(seed));
+    this->roster.noteHeard(at(1), near);
+    this->roster.noteHeard(at(7), near);
+    BOOST_TEST(!this->roster.siteSize(this->now).has_value());
+    this->roster.noteHeard(at(2), far);
+    BOOST_TEST((this->roster.siteSize(this->now) == RosterSize { 5, 0s }));
+}
+
+BOOST_FIXTURE_TEST_CASE(gatewayThatIsASeedHasHeardItself, Fixture)
+{
+    this->roster.meetSeed(at(5));
+    BOOST_TEST((this->roster.siteSize(this->now) == RosterSize { 1, 0s }));
+    this->roster.meetSeed(at(6));
+    BOOST_TEST(!this->roster.siteSize(this->now).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(siteSizeIsTakenFromAGatewayThatKnows, Fixture)
+{
+    this->roster.meetSeed(at(1));
+    this->roster.noteTold({ 34, 10s }, this->now);
+    BOOST_TEST((this->roster.siteSize(this->now) == RosterSize { 34, 10s }));
+    this->roster.noteTold({ 20, 0s }, this->now);
+    BOOST_TEST((this->roster.siteSize(this->now) == RosterSize { 34, 10s }));
+    this->roster.noteHeard(at(1), near);
+    BOOST_TEST((this->roster.siteSize(this->now) == RosterSize { 34, 10s }));
+}
+
+// Gateways that repeat each other's word would keep it alive for good.
+BOOST_FIXTURE_TEST_CASE(repeatedWordOnTheSiteSizeExpires, Fixture)
+{
+    this->roster.meetSeed(at(1));
+    this->roster.noteTold({ 34, 0s }, this->now);
+    const TimePoint said = this->now;
+    for (; this->now < said + 2h; this->now += 60s)
+        this->roster.noteTold(*this->roster.siteSize(this->now), this->now);
+    BOOST_TEST(!this->roster.siteSize(this->now).has_value());
+}
--- a/packages/Gateway/tests/RetryWindow.cpp
+++ b/packages/Gateway/tests/RetryWindow.cpp
@@ -49,7 +49,7 @@
     {
         this->roster = PeerRoster(addressOf(this->index), domainOf(this->index));
         for (int seed = 0; seed < seedCount; ++seed)
-            this->roster.meet(addressOf(seed));
+            this->roster.meetSeed(addressOf(seed));
         this->budget = SharedRetryBudget(ratio, reserve);
     }
 
@@ -80,6 +80,8 @@
             gateway.restart();
     }
 
+    void restart(std::size_t gateway) { this->gateways[gateway % this->gateways.size()].restart(); }
+
     /** \brief Cuts the failure domains from each other, or ends the cut. */
     void cutDomain(int domain)
     {
@@ -160,11 +162,14 @@
         listener.roster.noteHeard(addressOf(speaker.index), domainOf(speaker.index));
         for (const SocketAddress& address : speaker.roster.reachable())
             listener.roster.meet(address);
+        if (const auto size = speaker.roster.siteSize(this->now))
+            listener.roster.noteTold(*size, this->now);
     }
 
     void serve(SimulatedGateway& gateway, bool failing)
     {
-        gateway.budget.setGateways(gateway.roster.known());
+        const auto size = gateway.roster.siteSize(this->now);
+        gateway.budget.setGateways(size ? std::optional(size->gateways) : std::nullopt);
         gateway.budget.firstAttempt();
         this->requests.push_back(this->now - this->readingDelay);
         while (failing && gateway.budget.takeRetry())
@@ -231,7 +236,7 @@
     for (const double rate : { 10 * busy, busy, quiet }) {
         Site site(rate);
         site.readingDelay = 1s;
-        site.longestWay = 1s;
+        site.longestWay = 2s;
         site.run(30s, false);
         site.run(20s, true);
         BOOST_TEST(site.worstExcess() <= 0);
@@ -254,9 +259,9 @@
         std::mt19937 random(seed);
         Site site(seed % 2 == 0 ? busy : quiet);
         site.readingDelay = 1s;
-        site.longestWay = 1s;
+        site.longestWay = 2s;
         for (int step = 0; step < 24; ++step) {
-            switch (random() % 6) {
+            switch (random() % 9) {
             case 0:
                 site.restartAll();
                 break;
@@ -269,6 +274,16 @@
             case 3:
                 site.rate *= random() % 2 == 0 ? 1.7 : 1 / 1.7;
                 break;
+            case 4:
+                for (int restart = 0; restart < gatewayCount / 2; ++restart)
+                    site.restart(random());
+                break;
+            case 5:
+                site.join(1 + static_cast<int>(random() % 3));
+                break;
+            case 6:
+                site.isolateAll();
+                break;
             default:
                 break;
             }
--- a/packages/Gateway/tests/SharedRetryBudget.cpp
+++ b/packages/Gateway/tests/SharedRetryBudget.cpp
@@ -62,6 +62,16 @@
     BOOST_TEST(!budget.takeRetry());
 }
 
+BOOST_AUTO_TEST_CASE(gatewayThatDoesNotKnowItsNumberSavesUpForOneRetry)
+{
+    SharedRetryBudget budget(ratio, reserve);
+    budget.setGateways(std::nullopt);
+    for (int request = 0; request < 1000; ++request)
+        budget.firstAttempt();
+    BOOST_TEST(budget.takeRetry());
+    BOOST_TEST(!budget.takeRetry());
+}
+
 // All gateways were killed within one window. Each took itself for one of four when it came back, and together they
 // made 1,050 repeats where 912 were allowed.
 BOOST_FIXTURE_TEST_CASE(gatewaysThatRestartTogetherKeepToTheSharedBudget, Fixture)
--- a/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
+++ b/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
@@ -36,7 +36,7 @@
         , ready(this->gauge("ready", "1 when the daemon takes requests"))
         , endpoints(this->gauge("endpoints_available", "Endpoints that take new work"))
         , peers(this->gauge("peers_alive", "Other daemons that are alive"))
-        , budgetGateways(this->gauge("retry_budget_gateways", "Gateways among which the reserve of retries is shared"))
+        , budgetGateways(this->gauge("retry_budget_gateways", "Gateways among which the reserve of retries is shared, 0 while unknown"))
     {
     }
 
--- a/packages/Observability/filbertspoke/src/Observability/Metrics.h
+++ b/packages/Observability/filbertspoke/src/Observability/Metrics.h
@@ -25,7 +25,7 @@
     void observeCall(Duration);
 
     /** \brief Notes the retries that this daemon has saved up for the service.
-     * \param gateways among which the service's reserve of retries is shared */
+     * \param gateways among which the service's reserve of retries is shared; 0 while unknown */
     void observeRetryBudget(const ServiceId&, double saved, std::size_t gateways);
 
     /** \brief Takes the daemon's state into the gauges. */
--- a/packages/Peer/filbertspoke/src/Peer/GatewayWordFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GatewayWordFrame.cpp
@@ -5,6 +5,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <exception>
 #include <memory>
 #include <utility>
@@ -74,6 +75,8 @@
     word.knownRevision = static_cast<std::uint64_t>(message.knownRevision);
     word.followsStore = message.followsStore;
     word.wantsEndpoints = message.wantsEndpoints;
+    if (message.__isset.siteGateways && message.siteGateways > 0)
+        word.siteSize = RosterSize { static_cast<std::size_t>(message.siteGateways), std::max(Duration(message.siteGatewaysAgeMicroseconds), Duration::zero()) };
     if (message.__isset.configurationKey && message.__isset.configurationDocument)
         word.configuration = ConfigurationDocument { std::move(message.configurationKey), std::move(message.configurationDocument) };
     if (message.__isset.endpoints) {
@@ -115,6 +118,10 @@
     message.__set_knownRevision(static_cast<std::int64_t>(word.knownRevision));
     message.__set_followsStore(word.followsStore);
     message.wantsEndpoints = word.wantsEndpoints;
+    if (word.siteSize) {
+        message.__set_siteGateways(static_cast<std::int64_t>(word.siteSize->gateways));
+        message.__set_siteGatewaysAgeMicroseconds(word.siteSize->age.count());
+    }
     if (word.configuration) {
         message.__set_configurationKey(word.configuration->key);
         message.__set_configurationDocument(word.configuration->text);
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4248,6 +4248,16 @@
   this->followsStore = val;
 __isset.followsStore = true;
 }
+
+void GatewayWord::__set_siteGateways(const int64_t val) {
+  this->siteGateways = val;
+__isset.siteGateways = true;
+}
+
+void GatewayWord::__set_siteGatewaysAgeMicroseconds(const int64_t val) {
+  this->siteGatewaysAgeMicroseconds = val;
+__isset.siteGatewaysAgeMicroseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -4459,6 +4469,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->siteGateways);
+          this->__isset.siteGateways = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->siteGatewaysAgeMicroseconds);
+          this->__isset.siteGatewaysAgeMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4595,6 +4621,16 @@
     xfer += oprot->writeBool(this->followsStore);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.siteGateways) {
+    xfer += oprot->writeFieldBegin("siteGateways", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->siteGateways);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.siteGatewaysAgeMicroseconds) {
+    xfer += oprot->writeFieldBegin("siteGatewaysAgeMicroseconds", ::apache::thrift::protocol::T_I64, 18);
+    xfer += oprot->writeI64(this->siteGatewaysAgeMicroseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4618,6 +4654,8 @@
   swap(a.endpointsRevision, b.endpointsRevision);
   swap(a.knownRevision, b.knownRevision);
   swap(a.followsStore, b.followsStore);
+  swap(a.siteGateways, b.siteGateways);
+  swap(a.siteGatewaysAgeMicroseconds, b.siteGatewaysAgeMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -4638,6 +4676,8 @@
   endpointsRevision = other144.endpointsRevision;
   knownRevision = other144.knownRevision;
   followsStore = other144.followsStore;
+  siteGateways = other144.siteGateways;
+  siteGatewaysAgeMicroseconds = other144.siteGatewaysAgeMicroseconds;
   __isset = other144.__isset;
 }
 GatewayWord::GatewayWord(GatewayWord&& other145) noexcept {
@@ -4657,6 +4697,8 @@
   endpointsRevision = other145.endpointsRevision;
   knownRevision = other145.knownRevision;
   followsStore = other145.followsStore;
+  siteGateways = other145.siteGateways;
+  siteGatewaysAgeMicroseconds = other145.siteGatewaysAgeMicroseconds;
   __isset = other145.__isset;
 }
 GatewayWord& GatewayWord::operator=(const GatewayWord& other146) {
@@ -4676,6 +4718,8 @@
   endpointsRevision = other146.endpointsRevision;
   knownRevision = other146.knownRevision;
   followsStore = other146.followsStore;
+  siteGateways = other146.siteGateways;
+  siteGatewaysAgeMicroseconds = other146.siteGatewaysAgeMicroseconds;
   __isset = other146.__isset;
   return *this;
 }
@@ -4696,6 +4740,8 @@
   endpointsRevision = other147.endpointsRevision;
   knownRevision = other147.knownRevision;
   followsStore = other147.followsStore;
+  siteGateways = other147.siteGateways;
+  siteGatewaysAgeMicroseconds = other147.siteGatewaysAgeMicroseconds;
   __isset = other147.__isset;
   return *this;
 }
@@ -4718,6 +4764,8 @@
   out << ", " << "endpointsRevision="; (__isset.endpointsRevision ? (out << to_string(endpointsRevision)) : (out << "<null>"));
   out << ", " << "knownRevision="; (__isset.knownRevision ? (out << to_string(knownRevision)) : (out << "<null>"));
   out << ", " << "followsStore="; (__isset.followsStore ? (out << to_string(followsStore)) : (out << "<null>"));
+  out << ", " << "siteGateways="; (__isset.siteGateways ? (out << to_string(siteGateways)) : (out << "<null>"));
+  out << ", " << "siteGatewaysAgeMicroseconds="; (__isset.siteGatewaysAgeMicroseconds ? (out << to_string(siteGatewaysAgeMicroseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -1501,7 +1501,7 @@
 std::ostream& operator<<(std::ostream& out, const AvoidedEndpoint& obj);
 
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1511,6 +1511,8 @@
   bool endpointsRevision :1;
   bool knownRevision :1;
   bool followsStore :1;
+  bool siteGateways :1;
+  bool siteGatewaysAgeMicroseconds :1;
 } _GatewayWord__isset;
 
 /**
@@ -1535,7 +1537,9 @@
                 sum(0),
                 endpointsRevision(0),
                 knownRevision(0),
-                followsStore(0) {
+                followsStore(0),
+                siteGateways(0),
+                siteGatewaysAgeMicroseconds(0) {
   }
 
   virtual ~GatewayWord() noexcept;
@@ -1555,6 +1559,8 @@
   int64_t endpointsRevision;
   int64_t knownRevision;
   bool followsStore;
+  int64_t siteGateways;
+  int64_t siteGatewaysAgeMicroseconds;
 
   _GatewayWord__isset __isset;
 
@@ -1590,6 +1596,10 @@
 
   void __set_followsStore(const bool val);
 
+  void __set_siteGateways(const int64_t val);
+
+  void __set_siteGatewaysAgeMicroseconds(const int64_t val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1642,6 +1652,14 @@
       return false;
     else if (__isset.followsStore && !(followsStore == rhs.followsStore))
       return false;
+    if (__isset.siteGateways != rhs.__isset.siteGateways)
+      return false;
+    else if (__isset.siteGateways && !(siteGateways == rhs.siteGateways))
+      return false;
+    if (__isset.siteGatewaysAgeMicroseconds != rhs.__isset.siteGatewaysAgeMicroseconds)
+      return false;
+    else if (__isset.siteGatewaysAgeMicroseconds && !(siteGatewaysAgeMicroseconds == rhs.siteGatewaysAgeMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -213,4 +213,6 @@
   14: optional i64 endpointsRevision
   15: optional i64 knownRevision
   16: optional bool followsStore
+  17: optional i64 siteGateways
+  18: optional i64 siteGatewaysAgeMicroseconds
 }
--- a/packages/Peer/tests/GatewayWord.cpp
+++ b/packages/Peer/tests/GatewayWord.cpp
@@ -14,6 +14,7 @@
     word.work = { { EndpointId("e1"), { 2, 1500.5 } } };
     word.avoided = { { EndpointId("e2"), 400ms } };
     word.peers = { { "10.0.0.2", 8229 } };
+    word.siteSize = RosterSize { 34, 2s };
     word.failureDomain = FailureDomainId("a");
     word.sum = true;
     word.endpointsRevision = 8;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -81,14 +81,15 @@
     const AttemptState state = this->attemptState();
     bool retry = mayRetry(state, *result.failure);
     SharedRetryBudget& budget = this->context.retryBudget(this->service);
+    const auto gateways = this->context.siteGateways();
     const bool charged = retry && chargesBudget(*result.failure) && budget.takeRetry();
     if (retry && chargesBudget(*result.failure))
         retry = charged;
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "sends", std::to_string(this->sends) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", charged ? "yes" : "no" }, { "retriesSaved", std::to_string(budget.saved()) }, { "gateways", std::to_string(this->context.roster.known()) } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "sends", std::to_string(this->sends) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", charged ? "yes" : "no" }, { "retriesSaved", std::to_string(budget.saved()) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
     if (charged)
         this->context.metrics.count({ "retries_charged_total", this->service.str() });
-    this->context.metrics.observeRetryBudget(this->service, budget.saved(), this->context.roster.known());
+    this->context.metrics.observeRetryBudget(this->service, budget.saved(), gateways.value_or(0));
     return retry;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -28,10 +28,16 @@
 {
     const RetryBudgetSettings& shared = this->settings.retryBudget;
     SharedRetryBudget& budget = this->budgets.try_emplace(service, shared.ratio, shared.reserve).first->second;
-    budget.setGateways(this->roster.known());
+    budget.setGateways(this->siteGateways());
     return budget;
 }
 
+std::optional<std::size_t> GatewayContext::siteGateways() const
+{
+    const auto size = this->roster.siteSize(bootNow());
+    return size ? std::optional(size->gateways) : std::nullopt;
+}
+
 bool GatewayContext::followsStore() const
 {
     return this->roster.isHub() || !this->hubHeardAt || bootNow() - *this->hubHeardAt > hubLifetime;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -17,6 +17,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace filbertspoke {
@@ -38,6 +39,8 @@
 
     /** \returns this daemon's part of the budget of retries at the service */
     SharedRetryBudget& retryBudget(const ServiceId&);
+    /** \returns how many gateways share the retry budgets, or nothing while this one can't tell */
+    std::optional<std::size_t> siteGateways() const;
     /** \returns whether this daemon has to follow the store itself: it is the hub, or has no hub that does */
     bool followsStore() const;
     /** \returns a number in [0, 1) */
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -42,7 +42,7 @@
 void PeerExchange::start()
 {
     for (const SocketAddress& seed : this->context.settings.seeds)
-        this->context.roster.meet(seed);
+        this->context.roster.meetSeed(seed);
     asio::co_spawn(this->context.io, this->run(), asio::detached);
 }
 
@@ -97,6 +97,7 @@
     word.address = *this->context.settings.peers;
     word.configurationVersion = this->context.table ? this->context.table->version() : 0;
     word.peers = this->context.roster.reachable();
+    word.siteSize = this->context.roster.siteSize(bootNow());
     word.followsStore = this->hasCurrentEndpoints();
     // A member takes the list from its hub only, as long as there is one that has it.
     word.wantsEndpoints = !word.followsStore && (this->context.followsStore() || this->isMyHub(receiver));
@@ -147,6 +148,8 @@
     this->context.roster.noteHeard(word.address, word.failureDomain);
     for (const SocketAddress& address : word.peers)
         this->context.roster.meet(address);
+    if (word.siteSize)
+        this->context.roster.noteTold(*word.siteSize, now);
     this->noteRole();
     Heard& peer = this->heard[word.address];
     peer.daemon = word.daemon;
