A request that is given up does not arrive when its link heals

What callers saw: nothing; endpoints got requests seconds after they had been given up, in the window of other repeats. Cause: the connection was closed in good order, so that the system went on delivering what its socket held. The repeats of a whole cut arrive together when it ends, while the budget was charged for them one window before. Bookings whose caller had long been answered could run as well. Ruled out: TCP_USER_TIMEOUT, which bounds it to two seconds where the link is down all the while, but not where it heals before.

--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
@@ -55,7 +55,7 @@
     bool reusable();
     /** \returns how long the endpoint keeps the idle connection, where it says so */
     std::optional<Duration> keepAlive() const;
-    /** \brief Ends what is in progress with a failure. */
+    /** \brief Ends what is in progress with a failure. What was sent and has not reached the endpoint never does. */
     void close();
 
 private:
