A silent endpoint is given up only when another one may be asked

What callers saw: 502 after 0.9 s of silence while an engine worked on their stream, again and again where engines are slow, with 20 s to wait. Cause: the time-outs of the first event, of pauses and of look-ups closed the connection first and asked the retry budget afterwards. Where the budget was empty or the attempts were used, the work was lost and the caller came again as a new request, which multiplies repeats. The budget was also charged at the decision, up to 1.9 s before the repeat was sent. Change: AttemptHistory holds what the attempts of a request tell, apart from input and output; a copy of it answers whether the request could go on if the silent attempt were given up. Only with a chain or replica to go to, and a retry paid for, is the attempt ended; else it is waited for until the deadline or until the caller leaves. Engines found lost are still given up at once. A repeat is charged just before it is sent. An endpoint's own failure is passed on when no retry is affordable.

--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.cpp
@@ -35,11 +35,6 @@
     return end == AttemptEnd::Lost || end == AttemptEnd::ReportedFailure;
 }
 
-bool chargesBudget(AttemptEnd end)
-{
-    return end != AttemptEnd::NotSent;
-}
-
 bool certainlyNotRun(const AttemptState& state)
 {
     return state.possibleRuns == 0;
--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptPolicy.h
@@ -34,9 +34,6 @@
 /** \returns whether the request may be sent to another endpoint, the shared retry budget apart */
 bool mayRetry(const AttemptState&, AttemptEnd);
 
-/** \returns whether a retry after \a end is charged to the retry budget: the endpoint has seen the request */
-bool chargesBudget(AttemptEnd end);
-
 /** \returns whether the endpoint may have run the request, so that it counts against the route's attempts; silence
  * tells nothing, as an answer can be lost after the run */
 bool mayHaveRun(AttemptEnd);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -1,6 +1,13 @@
 #include <filbertspoke/Proxy>
 
+#include "internal/Awaiting.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace filbertspoke {
 
@@ -8,17 +15,21 @@
 
 namespace {
 
+using internal::sleepFor;
+
 // A look-up that may be repeated is asked elsewhere after this part of its target latency, and not before the least time.
 constexpr int silenceFactor = 2;
 constexpr Duration leastSilence = std::chrono::milliseconds(150);
+// Between two looks for another endpoint for a look-up that is silent.
+constexpr Duration silencePause = std::chrono::milliseconds(50);
 
-const EndpointRecord* pickEndpoint(ForwardTask& task)
+const EndpointRecord* pickEndpoint(ForwardTask& task, const AttemptHistory& history)
 {
     const auto candidates = task.context.registry.candidates(task.service, bootNow());
     const EndpointRecord* best = nullptr;
     double bestScore = 0;
     for (const EndpointRecord* candidate : candidates) {
-        if (!task.mayUse(candidate->endpoint.id))
+        if (!history.mayUse(candidate->endpoint.id))
             continue;
         const double load = task.context.loads.total(candidate->endpoint.id).requests / std::max(1U, candidate->endpoint.slots);
         const bool near = candidate->endpoint.failureDomain == task.context.settings.failureDomain;
@@ -32,18 +43,34 @@
     return best;
 }
 
-Duration callTimeout(const ForwardTask& task)
+/** \brief The watch over one attempt, which may outlive it. */
+struct SilenceWatch {
+    bool over = false; ///< the answer has begun, or the attempt has ended
+};
+
+/** \brief Ends the attempt at an endpoint that is silent for too long, as soon as another one may be asked. */
+asio::awaitable<void> watchSilence(ForwardTask& task, std::shared_ptr<SilenceWatch> watch, EndpointId endpoint)
 {
-    const bool mayAskElsewhere = task.route.kind == RouteKind::Idempotent && task.usedEndpoints.size() + 1 < task.route.attempts;
-    if (!mayAskElsewhere)
-        return task.timeLeft();
-    return std::min(task.timeLeft(), std::max<Duration>(leastSilence, task.route.targetLatency * silenceFactor));
+    GatewayContext& context = task.context;
+    co_await sleepFor(context.io, std::max<Duration>(leastSilence, task.route.targetLatency * silenceFactor));
+    // The task may end while this waits, so that nothing of it is touched before the check.
+    while (!watch->over) {
+        const auto assumed = task.afterSilence(endpoint);
+        if (assumed && task.upstream && pickEndpoint(task, *assumed) && task.payForSend()) {
+            task.upstream->close();
+            co_return;
+        }
+        co_await sleepFor(context.io, silencePause);
+    }
 }
 
-asio::awaitable<AttemptResult> readAnswer(ForwardTask& task, UpstreamPointer connection, const SocketAddress& address)
+asio::awaitable<AttemptResult> readAnswer(ForwardTask& task, UpstreamPointer connection, const RegisteredEndpoint endpoint)
 {
-    const Duration timeout = callTimeout(task);
-    const Result<EndpointReply> reply = co_await task.readReply(connection, timeout);
+    const auto watch = std::make_shared<SilenceWatch>();
+    if (task.route.kind == RouteKind::Idempotent)
+        asio::co_spawn(task.context.io, watchSilence(task, watch, endpoint.id), asio::detached);
+    const Result<EndpointReply> reply = co_await task.readReply(connection, task.timeLeft());
+    watch->over = true;
     if (!reply)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
     HttpResponse response;
@@ -54,9 +81,11 @@
         ended = co_await connection->readBody(response.body, std::max<Duration>(task.timeLeft(), std::chrono::milliseconds(1)));
     if (!ended)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-broken-off" };
-    task.context.pool.giveBack(address, connection);
+    task.context.pool.giveBack(endpoint.address, connection);
     if (const auto failure = task.judge(*reply)) {
-        const bool last = failure->failure == AttemptEnd::ReportedFailure && (task.route.kind == RouteKind::NonIdempotent || task.usedEndpoints.size() + 1 >= task.route.attempts);
+        AttemptHistory history = task.history;
+        history.noteFailure({ *failure->failure, endpoint.id, failure->blamed.value_or(endpoint.id), failure->fault });
+        const bool last = failure->failure == AttemptEnd::ReportedFailure && !task.mayGoOn(history, AttemptEnd::ReportedFailure);
         // The endpoint's own failure is the answer when nobody else may be asked.
         if (!last)
             co_return *failure;
@@ -78,7 +107,7 @@
     UpstreamPointer connection = co_await task.open(order, result);
     if (!connection)
         co_return result;
-    co_return co_await readAnswer(task, connection, endpoint.address);
+    co_return co_await readAnswer(task, connection, endpoint);
 }
 
 }
@@ -87,11 +116,11 @@
 {
     const WorkInProgress load { 1, 0 };
     while (!task.caller->gone()) {
-        const EndpointRecord* picked = pickEndpoint(task);
-        if (!picked)
+        const EndpointRecord* picked = pickEndpoint(task, task.history);
+        if (!picked || !task.payForSend())
             break;
         const RegisteredEndpoint endpoint = picked->endpoint;
-        task.logDecision("endpoint-chosen", { { "endpoint", endpoint.id.str() }, { "requestsThere", std::to_string(static_cast<std::uint64_t>(task.context.loads.total(endpoint.id).requests)) }, { "slots", std::to_string(endpoint.slots) }, { "sends", std::to_string(task.sends) } });
+        task.logDecision("endpoint-chosen", { { "endpoint", endpoint.id.str() }, { "requestsThere", std::to_string(static_cast<std::uint64_t>(task.context.loads.total(endpoint.id).requests)) }, { "slots", std::to_string(endpoint.slots) }, { "sends", std::to_string(task.history.state(task.timeLeft()).sends) } });
         task.context.loads.begin(endpoint.id, load);
         const TimePoint begun = bootNow();
         const AttemptResult result = co_await attemptCall(task, endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -30,9 +30,12 @@
 constexpr Duration leastGapTimeout = std::chrono::milliseconds(400);
 // Callers leave a stream that is silent for two seconds; a started one is carried on until shortly before.
 constexpr Duration callerPatience = std::chrono::milliseconds(1900);
-// A chain whose engines all seem alive is given up after so much silence; a second one may still serve the caller.
+// A chain whose engines all seem alive is given up after so much silence, if the stream may go on elsewhere; a second
+// one may still serve the caller.
 constexpr Duration silenceTimeout = std::chrono::milliseconds(1300);
 constexpr Duration firstEventTimeout = std::chrono::milliseconds(900);
+// Between two looks for another chain for a stream that is silent for longer.
+constexpr Duration silencePause = std::chrono::milliseconds(100);
 // Every so many events of a stream are a sign that all engines of its chain are alive.
 constexpr std::uint32_t eventsPerSign = 16;
 // A stream that is silent for so long when one of its engines comes under suspicion takes that for the cause; well
@@ -66,6 +69,10 @@
     asio::awaitable<AttemptResult> pump(const UpstreamPointer&, const LayerChain&);
     asio::awaitable<std::optional<AttemptResult>> passOn(std::vector<StreamEvent>);
     asio::awaitable<void> supervise(std::shared_ptr<Supervision>, ForwardOrder);
+    Duration silence() const { return bootNow() - std::max(this->lastProgress, this->attemptBegun); }
+    Duration tolerableSilence() const { return this->eventsInAttempt == 0 ? firstEventTimeout : silenceTimeout; }
+    bool leaveSilentChain(const EndpointId& first);
+    AttemptResult failedRead(const std::error_code&, const std::string& whenSilent, const std::string& whenBroken) const;
     std::uint64_t watchEngines(const LayerChain&);
     asio::awaitable<void> end(bool complete);
     void noteChainAlive();
@@ -75,6 +82,7 @@
     std::optional<std::uint64_t> lastEventId; ///< that the caller has
     bool headSent = false;
     bool firstEventSent = false;
+    bool leftSilentChain = false; ///< the attempt in progress was ended because it was silent
     std::optional<EndpointId> lostEngine; ///< because of which the attempt in progress was ended
     EndpointFault lostFault = EndpointFault::Failed; ///< what is known of it
     std::vector<EndpointId> engines; ///< of the chain in use
@@ -98,7 +106,7 @@
         // Looking again is worth it only when work has ended or news of others has come.
         if (seen != this->task.context.capacityChanges) {
             seen = this->task.context.capacityChanges;
-            if (auto chain = planStream(this->task))
+            if (auto chain = planStream(this->task, this->task.history))
                 co_return chain;
         }
         const Duration left = limit - bootNow();
@@ -155,20 +163,36 @@
     return this->task.context.streams.add(this->engines, [this](const EndpointId& engine) {
         if (bootNow() - this->lastProgress < silenceUnderSuspicion || !this->task.upstream)
             return;
+        // Suspicion is no certainty: a stream that may not go on elsewhere stays.
+        if (!this->task.afterSilence(this->engines.front()) || !this->task.payForSend())
+            return;
         this->lostEngine = engine;
         this->lostFault = EndpointFault::Failed;
         this->task.upstream->close();
     });
 }
 
+bool StreamRun::leaveSilentChain(const EndpointId& first)
+{
+    const auto assumed = this->task.afterSilence(first);
+    if (!assumed || !this->task.upstream || !planStream(this->task, *assumed) || !this->task.payForSend())
+        return false;
+    this->leftSilentChain = true;
+    this->task.upstream->close();
+    return true;
+}
+
 asio::awaitable<void> StreamRun::supervise(std::shared_ptr<Supervision> supervision, ForwardOrder order)
 {
     while (!supervision->over) {
         // The run may end while this waits, so that nothing of it is touched before the check above.
         GatewayContext& context = this->task.context;
+        if (this->silence() >= this->tolerableSilence() && this->leaveSilentChain(order.stages.front().endpoint))
+            co_return;
+        const Duration untilLeaving = std::max<Duration>(this->tolerableSilence() - this->silence(), silencePause);
         const TimePoint due = std::max(this->lastProgress, supervision->checkedAt) + (this->eventsInAttempt == 0 ? supervision->firstEventLimit : supervision->gapLimit);
         if (bootNow() < due) {
-            co_await sleepFor(context.io, due - bootNow());
+            co_await sleepFor(context.io, std::min<Duration>(due - bootNow(), untilLeaving));
             continue;
         }
         const std::optional<EndpointId> lost = co_await context.diagnosis.findLost(order, this->task.request.id);
@@ -185,6 +209,13 @@
     }
 }
 
+AttemptResult StreamRun::failedRead(const std::error_code& error, const std::string& whenSilent, const std::string& whenBroken) const
+{
+    if (this->leftSilentChain || isTimeout(error))
+        return { AttemptEnd::Lost, EndpointFault::Silent, {}, whenSilent };
+    return { AttemptEnd::Lost, EndpointFault::Broken, {}, whenBroken };
+}
+
 asio::awaitable<AttemptResult> StreamRun::pump(const UpstreamPointer& connection, const LayerChain& chain)
 {
     EventStream events;
@@ -193,11 +224,11 @@
     TimePoint firstEventAt;
     while (*ended == BodyProgress::More) {
         std::string bytes;
-        ended = co_await connection->readBody(bytes, std::min(silenceTimeout, this->task.timeLeft()));
+        ended = co_await connection->readBody(bytes, this->task.timeLeft());
         if (this->task.caller->gone())
             co_return AttemptResult {};
         if (!ended)
-            co_return AttemptResult { AttemptEnd::Lost, isTimeout(ended.error()) ? EndpointFault::Silent : EndpointFault::Broken, {}, isTimeout(ended.error()) ? "stalled" : "broken-off" };
+            co_return this->failedRead(ended.error(), "stalled", "broken-off");
         if (first && !bytes.empty()) {
             first = false;
             firstEventAt = bootNow();
@@ -218,14 +249,12 @@
     const UpstreamPointer connection = co_await this->task.open(order, result);
     if (!connection)
         co_return result;
-    const Result<EndpointReply> reply = co_await this->task.readReply(connection, std::min(firstEventTimeout, this->task.timeLeft()));
+    const Result<EndpointReply> reply = co_await this->task.readReply(connection, this->task.timeLeft());
     if (this->task.caller->gone())
         co_return AttemptResult {};
     if (!reply) {
-        const bool silent = isTimeout(reply.error());
-        result = { AttemptEnd::Lost, silent ? EndpointFault::Silent : EndpointFault::Broken, {}, silent ? "no-answer" : "broken-off-unanswered" };
         connection->close();
-        co_return result;
+        co_return this->failedRead(reply.error(), "no-answer", "broken-off-unanswered");
     }
     if (auto failure = this->task.judge(*reply)) {
         std::string body;
@@ -275,6 +304,7 @@
 {
     const ChainReservation reservation(this->task.context, chain);
     this->lostEngine.reset();
+    this->leftSilentChain = false;
     this->eventsInAttempt = 0;
     this->attemptBegun = bootNow();
     const std::uint64_t watch = this->watchEngines(chain);
@@ -298,7 +328,7 @@
     while (goOn && !this->task.caller->gone()) {
         const std::optional<LayerChain> chain = co_await this->awaitChain();
         const auto order = chain ? this->orderFor(*chain) : std::nullopt;
-        if (!order)
+        if (!order || !this->task.payForSend())
             break;
         this->logChain(*chain);
         const AttemptResult result = co_await this->watchedAttempt(*order, *chain);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -36,60 +36,47 @@
     , account(std::move(account))
     , received(received)
     , deadline(deadlineOf(this->request, this->route, received))
+    , history(this->route)
 {
 }
 
-AttemptState ForwardTask::attemptState() const
+bool ForwardTask::mayGoOn(const AttemptHistory& attempts, AttemptEnd end) const
 {
-    AttemptState state;
-    state.kind = this->route.kind;
-    state.resumable = this->route.resumable;
-    state.allowedRuns = this->route.attempts;
-    state.possibleRuns = this->possibleRuns;
-    state.endpointsUsed = static_cast<std::uint32_t>(this->usedEndpoints.size());
-    state.mayReturn = this->mayReturn();
-    state.sends = this->sends;
-    state.timeLeft = this->timeLeft();
-    return state;
+    const bool affordable = this->paid || !attempts.isRepeat() || this->context.retryBudget(this->service).hasRetry();
+    return affordable && mayRetry(attempts.state(this->timeLeft()), end);
 }
 
-bool ForwardTask::mayReturn() const
+std::optional<AttemptHistory> ForwardTask::afterSilence(const EndpointId& first) const
 {
-    const bool resumable = this->route.kind == RouteKind::Stream && this->route.resumable;
-    return resumable && std::any_of(this->usedEndpoints.begin(), this->usedEndpoints.end(), [this](const EndpointId& endpoint) { return this->mayUse(endpoint); });
+    AttemptHistory assumed = this->history;
+    assumed.noteFailure({ AttemptEnd::Lost, first, first, EndpointFault::Silent });
+    return this->mayGoOn(assumed, AttemptEnd::Lost) ? std::optional(std::move(assumed)) : std::nullopt;
 }
 
-bool ForwardTask::mayUse(const EndpointId& endpoint) const
+bool ForwardTask::payForSend()
 {
-    const auto fault = this->faults.find(endpoint);
-    if (fault == this->faults.end())
+    if (!this->history.isRepeat() || this->paid)
         return true;
-    return this->attemptsUsed() && this->usedEndpoints.contains(endpoint) && fault->second == EndpointFault::Broken;
+    this->paid = this->context.retryBudget(this->service).takeRetry();
+    if (this->paid)
+        this->context.metrics.count({ "retries_charged_total", this->service.str() });
+    return this->paid;
 }
 
 bool ForwardTask::noteFailure(const AttemptResult& result, const EndpointId& first)
 {
     const EndpointId blamed = result.blamed.value_or(first);
-    this->faults.insert_or_assign(blamed, result.fault);
     this->context.registry.noteFault(blamed, result.fault, bootNow());
     if (result.fault == EndpointFault::Unreachable)
         this->context.streams.suspect(blamed);
-    if (mayHaveRun(*result.failure)) {
-        ++this->possibleRuns;
-        this->usedEndpoints.insert(first);
-    }
-    const AttemptState state = this->attemptState();
-    bool retry = mayRetry(state, *result.failure);
-    SharedRetryBudget& budget = this->context.retryBudget(this->service);
+    this->history.noteFailure({ *result.failure, first, blamed, result.fault });
+    const bool retry = this->mayGoOn(this->history, *result.failure);
+    const AttemptState state = this->history.state(this->timeLeft());
+    const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    const bool charged = retry && chargesBudget(*result.failure) && budget.takeRetry();
-    if (retry && chargesBudget(*result.failure))
-        retry = charged;
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "sends", std::to_string(this->sends) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", charged ? "yes" : "no" }, { "retriesSaved", std::to_string(budget.saved()) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
-    if (charged)
-        this->context.metrics.count({ "retries_charged_total", this->service.str() });
-    this->context.metrics.observeRetryBudget(this->service, budget.saved(), gateways.value_or(0));
+    this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
 }
 
@@ -105,12 +92,13 @@
         this->logEnd("caller-gone", 0);
         co_return;
     }
-    const bool notRun = certainlyNotRun(this->attemptState());
+    const AttemptState state = this->history.state(this->timeLeft());
+    const bool notRun = certainlyNotRun(state);
     Refusal refusal(notRun ? reason : ErrorCode::EndpointFailed, notRun ? Ran::No : Ran::Unknown);
     if (notRun)
         refusal = refusal.retryAfter(this->returnDelay());
     const HttpResponse response = this->context.wires.caller->encodeRefusal(refusal, this->request.id);
-    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(this->possibleRuns) }, { "avoided", std::to_string(this->faults.size()) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
+    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
     this->logEnd(std::string(name(refusal.code())), response.status);
     co_await this->caller->respond(response, this->keepAlive());
 }
@@ -126,7 +114,7 @@
 
 void ForwardTask::logEnd(const std::string& outcome, unsigned status) const
 {
-    logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->sends) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
+    logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->history.state(this->timeLeft()).sends) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
     this->context.metrics.count({ "requests_total", outcome });
 }
 
@@ -134,7 +122,7 @@
 {
     const SocketAddress& address = order.stages.front().address;
     const HttpRequest message = this->context.wires.caller->encodeForward(this->request, order);
-    ++this->sends;
+    this->history.noteAttempt();
     UpstreamPointer connection = this->context.pool.takeIdle(address);
     if (!connection) {
         connection = this->context.pool.make(address);
@@ -151,6 +139,8 @@
         result = { AttemptEnd::NotSent, EndpointFault::Broken, {}, "caller-gone" };
         co_return nullptr;
     }
+    this->history.noteSent();
+    this->paid = false;
     const std::error_code error = co_await connection->send(message, this->timeLeft());
     // A failed write may still have delivered the whole request, and its answer may be waiting.
     if (error)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -6,10 +6,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,12 +30,15 @@
     ForwardTask(GatewayContext&, std::shared_ptr<CallerConnection>, CallerRequest, const Route&, ServiceId, std::optional<AccountId>, TimePoint received);
 
     Duration timeLeft() const { return this->deadline - bootNow(); }
-    AttemptState attemptState() const;
-    /** \returns whether only endpoints that had the request already may get it again */
-    bool attemptsUsed() const { return this->usedEndpoints.size() >= this->route.attempts; }
-    /** \returns whether the endpoint may get the request as far as this request's own attempts tell; when the route's
-     * attempts are used, one that only broke the connection may get it again */
-    bool mayUse(const EndpointId&) const;
+    /** \returns whether another attempt may follow one that ended so, the shared retry budget included
+     * \param history with that attempt */
+    bool mayGoOn(const AttemptHistory& history, AttemptEnd) const;
+    /** \returns what an attempt that is silent leaves when it is given up, or nothing when it has to be waited for: nobody
+     * else may be asked */
+    std::optional<AttemptHistory> afterSilence(const EndpointId& first) const;
+    /** \brief Charges the retry budget for the next send when that is a repeat, once until it is sent.
+     * \returns whether the request may be sent */
+    bool payForSend();
     /** \brief Counts an attempt that ended without an answer.
      * \returns whether another endpoint may be asked */
     bool noteFailure(const AttemptResult&, const EndpointId& first);
@@ -50,7 +51,7 @@
     /** \brief Writes the line that ends the request's trace. */
     void logEnd(const std::string& outcome, unsigned status) const;
 
-    /** \brief Sends the request, on a kept connection if there is one, unless the caller has left.
+    /** \brief Sends the request, for which payForSend() gave leave, on a kept connection if there is one, unless the caller has left.
      * \returns the connection, or nothing when no byte reached the endpoint */
     boost::asio::awaitable<UpstreamPointer> open(const ForwardOrder&, AttemptResult&);
     /** \brief Reads heads until one answers this request; late answers to others are dropped. */
@@ -62,9 +63,6 @@
     /** \returns when a caller that is refused now had better come back */
     Duration returnDelay();
 
-    /** \returns whether an endpoint that had the request may get it again */
-    bool mayReturn() const;
-
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
 
     GatewayContext& context;
@@ -76,10 +74,8 @@
     const TimePoint received;
     const TimePoint deadline;
     UpstreamPointer upstream; ///< of the attempt in progress
-    std::map<EndpointId, EndpointFault> faults; ///< of endpoints at which attempts failed, the last one of each
-    std::uint32_t sends = 0;
-    std::uint32_t possibleRuns = 0;
-    std::set<EndpointId> usedEndpoints; ///< that may have run the request
+    AttemptHistory history;
+    bool paid = false; ///< the retry budget was charged for a send that has not been made yet
 };
 
 /** \brief Forwards a call to a replica of a plain service and its answer to the caller. */
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
@@ -51,7 +51,7 @@
 
 }
 
-std::optional<LayerChain> planStream(const ForwardTask& task)
+std::optional<LayerChain> planStream(const ForwardTask& task, const AttemptHistory& history)
 {
     const ForwardedService* service = task.context.table->findService(task.service);
     if (!service || !service->engine)
@@ -59,15 +59,15 @@
     const EngineProfile& engine = *service->engine;
     std::vector<StageCandidate> candidates;
     for (const EndpointRecord* record : task.context.registry.candidates(task.service, bootNow())) {
-        if (!record->endpoint.layers.empty() && task.mayUse(record->endpoint.id))
+        if (!record->endpoint.layers.empty() && history.mayUse(record->endpoint.id))
             candidates.push_back(stageCandidate(task.context.loads, *record, engine));
     }
     ChainRequest request;
     request.origin = task.context.settings.failureDomain;
     request.promptTokens = task.request.promptTokens;
     request.outputTokens = expectedOutput(task.request, engine);
-    if (task.attemptsUsed())
-        request.firstStages = task.usedEndpoints;
+    if (history.attemptsUsed())
+        request.firstStages = history.used();
     request.fullLinks = fullLinks(task.context.loads, candidates, linkCapacity(engine));
     return planLayerChain(engine, candidates, request);
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.h
@@ -9,9 +9,9 @@
 
 namespace filbertspoke {
 
-/** \returns the best chain for the task's generation on the engines that it has not failed at, or nothing when none
- * has room */
-std::optional<LayerChain> planStream(const ForwardTask&);
+/** \returns the best chain for the task's generation on the engines that its attempts allow, or nothing when none has
+ * room */
+std::optional<LayerChain> planStream(const ForwardTask&, const AttemptHistory&);
 
 }
 
