Answers without an end cost neither the gateway's memory nor its callers' time

What callers saw: with an endpoint that sends without end, a call was held until the endpoint stopped, and the gateway's memory grew with it. Cause: bodies had no limit, and each read its own timeout of what was left or a millisecond, so that arriving bytes outlasted the deadline. The same stood in the refused stream, in answers to other requests that are dropped, and in the event that has not ended, which was also searched from its start at each read. A chunk extension without end grew the read buffer. Comments in a stream counted as progress. Change: an answer holds 1 MiB, an event 64 KiB, a dropped body 64 KiB and 200 ms, a read buffer 128 KiB, an engine's report 256 KiB. A body is read until the caller's deadline. Only events with an id are progress. Each case fails the attempt, so that the endpoint's faults are counted.

--- a/packages/Gateway/filbertspoke/src/Gateway/EventStream.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EventStream.cpp
@@ -1,5 +1,6 @@
 #include <filbertspoke/Gateway>
 
+#include <algorithm>
 #include <charconv>
 
 namespace filbertspoke {
@@ -7,6 +8,8 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
+constexpr std::string_view shortEndOfEvent = "\n\n";
+constexpr std::string_view endOfEvent = "\r\n\r\n";
 
 std::optional<std::uint64_t> eventId(std::string_view event)
 {
@@ -28,14 +31,17 @@
     return std::nullopt;
 }
 
-/** \returns the size of the first whole event, or 0 */
-std::size_t firstEventSize(std::string_view text)
+/** \returns the size of the first whole event, or 0
+ * \param searched bytes in which no event ends */
+std::size_t firstEventSize(std::string_view text, std::size_t searched)
 {
-    const std::size_t plain = text.find("\n\n");
-    const std::size_t carriage = text.find("\r\n\r\n");
+    // The end of an event may have begun in the bytes that came before.
+    const std::size_t from = searched - std::min(searched, endOfEvent.size() - 1);
+    const std::size_t plain = text.find(shortEndOfEvent, from);
+    const std::size_t carriage = text.find(endOfEvent, from);
     if (plain == std::string_view::npos && carriage == std::string_view::npos)
         return 0;
-    return plain < carriage ? plain + 2 : carriage + 4;
+    return plain < carriage ? plain + shortEndOfEvent.size() : carriage + endOfEvent.size();
 }
 
 }
@@ -44,13 +50,15 @@
 {
     this->pending.append(bytes);
     std::vector<StreamEvent> events;
-    while (const std::size_t size = firstEventSize(this->pending)) {
+    while (const std::size_t size = firstEventSize(this->pending, this->searched)) {
         StreamEvent event;
         event.text = this->pending.substr(0, size);
         event.id = eventId(event.text);
         events.push_back(std::move(event));
         this->pending.erase(0, size);
+        this->searched = 0;
     }
+    this->searched = this->pending.size();
     return events;
 }
 
--- a/packages/Gateway/filbertspoke/src/Gateway/EventStream.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EventStream.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSPOKE_EVENT_STREAM_H
 #define FILBERTSPOKE_EVENT_STREAM_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,9 +26,15 @@
 
     /** \returns whether bytes of an event that has not ended are held */
     bool midEvent() const { return !this->pending.empty(); }
+    /** \returns whether the event that has not ended is larger than any that an engine makes */
+    bool eventTooLarge() const { return this->pending.size() > maximumEventBytes; }
 
 private:
+    // A hundred times the largest event of a few tokens.
+    static constexpr std::size_t maximumEventBytes = 64 * 1024;
+
     std::string pending;
+    std::size_t searched = 0; ///< bytes of it that hold no end of an event
 };
 
 }
--- a/packages/Gateway/tests/EventStream.cpp
+++ b/packages/Gateway/tests/EventStream.cpp
@@ -39,3 +39,13 @@
     BOOST_TEST((events[0].id == 3));
     BOOST_TEST(!events[1].id.has_value());
 }
+
+BOOST_AUTO_TEST_CASE(eventWithoutEndIsTooLargeAtSomeTime)
+{
+    EventStream stream;
+    std::size_t held = 0;
+    const std::string bytes(1024, 'x');
+    for (; !stream.eventTooLarge() && held < 1024 * 1024; held += bytes.size())
+        BOOST_TEST(stream.feed(bytes).empty());
+    BOOST_TEST(stream.eventTooLarge());
+}
--- a/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -21,6 +21,13 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+// What is held of a response before it is understood: a head, or what stands between two parts of a body.
+constexpr std::size_t maximumBufferBytes = 128 * 1024;
+
+}
+
 class HttpConnection::State : public std::enable_shared_from_this<State> {
 public:
     State(asio::io_context& context, HttpAddress address, HttpLimits limits)
@@ -45,7 +52,7 @@
         }
 
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer { maximumBufferBytes };
         http::request<http::string_body> request;
         std::optional<http::response_parser<http::string_body>> parser;
     };
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -20,6 +20,8 @@
 // A look-up that may be repeated is asked elsewhere after this part of its target latency, and not before the least time.
 constexpr int silenceFactor = 2;
 constexpr Duration leastSilence = std::chrono::milliseconds(150);
+// An answer is held until it is whole. Plain services send some kilobytes; a host bears a hundred answers of this size.
+constexpr std::size_t maximumAnswerBytes = 1024 * 1024;
 // Between two looks for another endpoint for a look-up that is silent.
 constexpr Duration silencePause = std::chrono::milliseconds(50);
 
@@ -76,10 +78,15 @@
     HttpResponse response;
     response.status = reply->status;
     response.headers = reply->headers;
-    Result<BodyProgress> ended = BodyProgress::More;
-    while (ended && *ended == BodyProgress::More)
-        ended = co_await connection->readBody(response.body, std::max<Duration>(task.timeLeft(), std::chrono::milliseconds(1)));
-    if (!ended)
+    Result<BodyProgress> progress = BodyProgress::More;
+    while (progress && *progress == BodyProgress::More) {
+        if (response.body.size() > maximumAnswerBytes)
+            co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-too-large" };
+        if (task.timeLeft() <= Duration::zero())
+            co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "answer-unfinished" };
+        progress = co_await connection->readBody(response.body, task.timeLeft());
+    }
+    if (!progress)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-broken-off" };
     task.context.pool.giveBack(endpoint.address, connection);
     if (const auto failure = task.judge(*reply)) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -28,6 +28,8 @@
 constexpr Duration leastFirstEventTimeout = std::chrono::milliseconds(300);
 constexpr int gapFactor = 2;
 constexpr Duration leastGapTimeout = std::chrono::milliseconds(400);
+// The body of a refusal is read and dropped within this time, so that its connection can be used again.
+constexpr Duration refusalBodyTimeout = std::chrono::milliseconds(200);
 // Callers leave a stream that is silent for two seconds; a started one is carried on until shortly before.
 constexpr Duration callerPatience = std::chrono::milliseconds(1900);
 // A chain whose engines all seem alive is given up after so much silence, if the stream may go on elsewhere; a second
@@ -138,12 +140,14 @@
     for (StreamEvent& event : events) {
         if (event.id && this->lastEventId && *event.id != *this->lastEventId + 1)
             co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "event-out-of-order" };
-        if (event.id)
-            this->lastEventId = event.id;
+        text += event.text;
+        // Comments and the like come from an engine that may make no tokens.
+        if (!event.id)
+            continue;
+        this->lastEventId = event.id;
         this->lastProgress = bootNow();
         if (this->eventsInAttempt++ % eventsPerSign == 0)
             this->noteChainAlive();
-        text += event.text;
     }
     if (text.empty())
         co_return std::nullopt;
@@ -223,6 +227,8 @@
     bool first = true;
     TimePoint firstEventAt;
     while (*ended == BodyProgress::More) {
+        if (this->task.timeLeft() <= Duration::zero())
+            co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "unfinished" };
         std::string bytes;
         ended = co_await connection->readBody(bytes, this->task.timeLeft());
         if (this->task.caller->gone())
@@ -235,6 +241,8 @@
         }
         if (auto failure = co_await this->passOn(events.feed(bytes)))
             co_return *failure;
+        if (events.eventTooLarge())
+            co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "event-too-large" };
     }
     if (events.midEvent())
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "ended-within-event" };
@@ -257,12 +265,10 @@
         co_return this->failedRead(reply.error(), "no-answer", "broken-off-unanswered");
     }
     if (auto failure = this->task.judge(*reply)) {
-        std::string body;
-        Result<BodyProgress> ended = BodyProgress::More;
-        while (ended && *ended == BodyProgress::More)
-            ended = co_await connection->readBody(body, std::min<Duration>(leastGapTimeout, this->task.timeLeft()));
-        if (ended)
+        if (!co_await connection->skipBody(std::min<Duration>(refusalBodyTimeout, this->task.timeLeft())))
             this->task.context.pool.giveBack(order.stages.front().address, connection);
+        else
+            connection->close();
         co_return *failure;
     }
     if (!this->headSent) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -161,12 +161,8 @@
             co_return reply;
         if (!interim)
             logLine(WriteLog::Level::Warning, "late-answer-dropped", { { "request", this->request.id.str() }, { "answers", reply.id ? reply.id->str() : "" } });
-        std::string dropped;
-        Result<BodyProgress> ended = BodyProgress::More;
-        while (ended && *ended == BodyProgress::More)
-            ended = co_await connection->readBody(dropped, lateBodyTimeout);
-        if (!ended)
-            co_return ended.error();
+        if (const std::error_code error = co_await connection->skipBody(lateBodyTimeout))
+            co_return error;
     }
     co_return make_error_code(ErrorCode::MalformedMessage);
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.cpp
@@ -19,6 +19,17 @@
     co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(HttpOutcome)>(start, asio::use_awaitable);
 }
 
+HttpLimits endpointLimits(Duration timeout)
+{
+    // A report on an engine with some hundred waiting requests takes less than 64 KB.
+    constexpr std::size_t maximumResponseBytes = 256 * 1024;
+    HttpLimits limits;
+    limits.connectTimeout = timeout;
+    limits.idleTimeout = timeout;
+    limits.responseBytes = maximumResponseBytes;
+    return limits;
+}
+
 HttpAddress httpAddress(const SocketAddress& address)
 {
     return { address.address, address.port };
--- a/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.h
@@ -11,6 +11,10 @@
 /** \brief Sends a request on a client connection and waits for its outcome. */
 boost::asio::awaitable<HttpOutcome> exchange(HttpConnection&, HttpRequest, Duration timeout);
 
+/** \returns limits for calls to endpoints, whose reports and receipts are small
+ * \param timeout to connect, and without use */
+HttpLimits endpointLimits(Duration timeout);
+
 /** \returns the address as an HTTP connection or server takes it */
 HttpAddress httpAddress(const SocketAddress&);
 
--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.cpp
@@ -126,7 +126,7 @@
 
 asio::awaitable<void> LayerOrderer::probe(RegisteredEndpoint endpoint)
 {
-    HttpConnection connection(this->context.io, httpAddress(endpoint.address), { probeTimeout, probeTimeout });
+    HttpConnection connection(this->context.io, httpAddress(endpoint.address), endpointLimits(probeTimeout));
     HttpRequest request = this->context.wires.engine->encodeReportRequest(endpoint.id);
     const HttpOutcome outcome = co_await exchange(connection, std::move(request), probeTimeout);
     const bool answered = std::holds_alternative<HttpResponse>(outcome);
@@ -182,7 +182,7 @@
 
 asio::awaitable<void> LayerOrderer::order(RegisteredEndpoint endpoint, LayerRange layers, Duration loadTime)
 {
-    HttpConnection connection(this->context.io, httpAddress(endpoint.address), {});
+    HttpConnection connection(this->context.io, httpAddress(endpoint.address), endpointLimits(engineTimeout));
     const auto finish = [&](WriteLog::Level level, const std::string& outcome, Duration leftAlone) {
         logLine(level, "layer-order", { { "endpoint", endpoint.id.str() }, { "firstLayer", std::to_string(layers.first()) }, { "lastLayer", std::to_string(layers.last()) }, { "outcome", outcome }, { "duty", std::to_string(this->generation) } });
         const auto entry = this->pending.find(endpoint.id);
--- a/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.cpp
@@ -28,7 +28,7 @@
 
 asio::awaitable<void> LossDiagnosis::ask(ForwardStage first)
 {
-    HttpConnection connection(this->context, httpAddress(first.address), { reportTimeout, reportTimeout });
+    HttpConnection connection(this->context, httpAddress(first.address), endpointLimits(reportTimeout));
     HttpRequest request = this->wire->encodeReportRequest(first.endpoint);
     const HttpOutcome outcome = co_await exchange(connection, std::move(request), reportTimeout);
     std::string reason;
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -27,6 +27,10 @@
 
 constexpr std::size_t bodyChunkBytes = 16 * 1024;
 constexpr std::size_t maximumHeaderBytes = 64 * 1024;
+// What is held of a response before it is understood: a head, or what stands between two parts of a body.
+constexpr std::size_t maximumBufferBytes = 2 * maximumHeaderBytes;
+// More than that isn't worth reading for a connection that can be used again.
+constexpr std::size_t maximumSkippedBytes = 64 * 1024;
 // Unacknowledged bytes end the connection after this time, so that a host that fell silent is noticed.
 constexpr unsigned endpointUserTimeoutMs = 2000;
 
@@ -58,7 +62,7 @@
 
     beast::tcp_stream stream;
     SocketAddress address;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maximumBufferBytes };
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, bodyChunkBytes> chunk {};
     bool skipsBody = false; ///< the request asked for a head only
@@ -144,6 +148,22 @@
     co_return parser.is_done() ? BodyProgress::Ended : BodyProgress::More;
 }
 
+asio::awaitable<std::error_code> UpstreamConnection::skipBody(Duration timeout)
+{
+    const TimePoint limit = bootNow() + timeout;
+    std::size_t skipped = 0;
+    Result<BodyProgress> progress = BodyProgress::More;
+    while (progress && *progress == BodyProgress::More) {
+        const Duration left = limit - bootNow();
+        if (left <= Duration::zero() || skipped > maximumSkippedBytes)
+            co_return make_error_code(ErrorCode::MalformedMessage);
+        std::string dropped;
+        progress = co_await this->readBody(dropped, left);
+        skipped += dropped.size();
+    }
+    co_return progress ? std::error_code {} : progress.error();
+}
+
 bool UpstreamConnection::reusable()
 {
     if (!this->state->usable || !this->state->parser || !this->state->parser->is_done() || !this->state->parser->keep_alive() || this->state->buffer.size() > 0)
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
@@ -47,9 +47,12 @@
     boost::asio::awaitable<std::error_code> send(const HttpRequest&, Duration timeout);
     /** \brief Reads the head of the next response. */
     boost::asio::awaitable<Result<ResponseHead>> readHead(Duration timeout);
-    /** \brief Appends the bytes of the body that arrive next.
+    /** \brief Appends the bytes of the body that arrive next, a few kilobytes at most.
      * \returns whether the body goes on */
     boost::asio::awaitable<Result<BodyProgress>> readBody(std::string& body, Duration timeout);
+    /** \brief Reads the rest of the body and drops it.
+     * \returns an error for a body that is large or doesn't end in time */
+    boost::asio::awaitable<std::error_code> skipBody(Duration timeout);
 
     /** \returns whether the last response ended cleanly, nothing came after it and the endpoint keeps the connection */
     bool reusable();
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -72,6 +72,15 @@
                 co_return false;
             }
         }
+        while (script.end == ReplicaScript::End::Endless) {
+            const auto [error, bytes] = co_await asio::async_write(socket, asio::buffer(script.pieces.back()), asTuple);
+            if (error) {
+                ++this->abandoned;
+                co_return false;
+            }
+            timer.expires_after(script.pause);
+            co_await timer.async_wait(asTuple);
+        }
         if (script.end == ReplicaScript::End::Reset)
             socket.set_option(asio::socket_base::linger(true, 0));
         if (script.end == ReplicaScript::End::Silence) {
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -21,6 +21,7 @@
         Close,
         Reset,
         Silence, ///< nothing more comes, and the connection stays open
+        Endless, ///< the last piece comes again and again until the connection is closed
     };
 
     std::vector<std::string> pieces; ///< raw bytes, the head included, with a pause after each
