Chains that were found alive are looked at less often

Change: from the third check in one silence on the pause doubles, up to four times. A lost engine shows in the first two.

--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -50,6 +50,19 @@
     Duration firstEventLimit {}; ///< silence after which the chain is looked at
     Duration gapLimit {};
     TimePoint checkedAt = bootNow();
+    unsigned checksInSilence = 0; ///< that found no engine lost, since the last event
+
+    /** \returns how long the chain may stay silent after the last check before it is looked at again; longer each time,
+     * as an engine that was alive is more likely slow than lost */
+    Duration nextCheck(Duration limit) const
+    {
+        // A lost engine shows within the first checks.
+        const unsigned doublings = this->checksInSilence < silencesForLost ? 0 : this->checksInSilence - silencesForLost + 1;
+        return limit * (1 << std::min(doublings, maximumDoublings));
+    }
+
+private:
+    static constexpr unsigned maximumDoublings = 2;
 };
 
 /** \brief A stream's progress, over all the chains that served it. */
@@ -194,7 +207,9 @@
         if (this->silence() >= this->tolerableSilence() && this->leaveSilentChain(order.stages.front().endpoint))
             co_return;
         const Duration untilLeaving = std::max<Duration>(this->tolerableSilence() - this->silence(), silencePause);
-        const TimePoint due = std::max(this->lastProgress, supervision->checkedAt) + (this->eventsInAttempt == 0 ? supervision->firstEventLimit : supervision->gapLimit);
+        if (this->lastProgress > supervision->checkedAt)
+            supervision->checksInSilence = 0;
+        const TimePoint due = std::max(this->lastProgress, supervision->checkedAt) + supervision->nextCheck(this->eventsInAttempt == 0 ? supervision->firstEventLimit : supervision->gapLimit);
         if (bootNow() < due) {
             co_await sleepFor(context.io, std::min<Duration>(due - bootNow(), untilLeaving));
             continue;
@@ -203,6 +218,7 @@
         if (supervision->over)
             co_return;
         supervision->checkedAt = bootNow();
+        ++supervision->checksInSilence;
         const bool silent = supervision->checkedAt - this->lastProgress >= silenceUnderSuspicion;
         if (!lost || !silent || !this->task.upstream)
             continue;
--- a/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/LossDiagnosis.h
@@ -14,7 +14,7 @@
 namespace filbertspoke {
 
 /** \brief Reports in a row to which an engine gave no answer when it counts as lost; one may be this daemon's own delay. */
-constexpr int silencesForLost = 2;
+constexpr unsigned silencesForLost = 2;
 
 /** \brief Finds out which engine a silent chain waits for.
  *
@@ -33,7 +33,7 @@
     struct Finding {
         TimePoint askedAt;
         bool asking = false;
-        int silences = 0; ///< questions in a row without an answer
+        unsigned silences = 0; ///< questions in a row without an answer
         std::vector<StalledRequest> stalled;
     };
 
