Counts of silences are unsigned throughout

Cause: the number of silences that make an engine lost became unsigned with the pauses between checks, and one count compared with it had not.

--- a/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/LayerOrderer.h
@@ -33,7 +33,7 @@
     /** \brief What asking a suspected engine gave. */
     struct Probes {
         bool asking = false;
-        int silences = 0; ///< questions in a row without an answer
+        unsigned silences = 0; ///< questions in a row without an answer
         std::uint64_t heartbeat = 0; ///< of the engine's entry at the last question
     };
 
