The soak checks at how many endpoints a request runs, repeats of generations, and endless answers

Cause: why the soak missed the incident. It counted the runs of bookings and look-ups, not of generations; it had two first engines where the route allows two; its window of repeats left generations out; no endpoint answered without an end or lost an answer as a whole. Change: a third first engine, the check of endpoints for every kind, repeats by service with the three windows of requests that the operator's rule counts (the one half a window before was missing), and three more ways of answering wrongly.

--- a/packages/Soak/filbertspoke/src/Soak/SoakRecord.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRecord.cpp
@@ -11,8 +11,8 @@
 constexpr unsigned statusNotFound = 404;
 // Statuses that say that the request has not run and never will.
 const std::set<unsigned> refusals { 408, 421, 429, 503 };
-// Sends of one look-up that its route allows.
-constexpr std::size_t lookUpAttempts = 2;
+// Endpoints at which the routes of look-ups and generations allow one request to run.
+constexpr std::size_t routeAttempts = 2;
 // A later request may still be under way to the gateway when an earlier one shows a new version.
 constexpr std::chrono::milliseconds revertSlack { 250 };
 constexpr std::chrono::milliseconds heldSlack { 500 };
@@ -58,7 +58,7 @@
     const std::size_t count = entry == this->runs.end() ? 0 : entry->second.size();
     if (call.kind == CallKind::Booking && count > 1)
         found.push_back(std::to_string(count) + " runs of a booking, " + describe(call));
-    if ((call.kind == CallKind::LookUp || call.kind == CallKind::Probe) && count > lookUpAttempts)
+    if ((call.kind == CallKind::LookUp || call.kind == CallKind::Probe) && count > routeAttempts)
         found.push_back(std::to_string(count) + " runs of a look-up, " + describe(call));
     if (call.kind == CallKind::Booking && refusals.contains(call.status) && count > 0)
         found.push_back("a refusal of a booking that ran, " + describe(call));
@@ -67,6 +67,11 @@
         found.push_back("a connection that closed on a request in progress, " + describe(call));
     if (entry == this->runs.end())
         return;
+    std::set<std::string> endpoints;
+    for (const RunRecord& run : entry->second)
+        endpoints.insert(run.endpoint);
+    if (endpoints.size() > routeAttempts)
+        found.push_back(std::to_string(endpoints.size()) + " endpoints ran one request, " + describe(call));
     for (const RunRecord& run : entry->second) {
         if (run.account != "gold" || run.keyPassedOn)
             found.push_back("the account '" + run.account + "' or the key itself at " + run.endpoint + " for " + describe(call));
@@ -124,25 +129,25 @@
         found.push_back(std::to_string(held.size()) + " of " + std::to_string(late) + " requests that missed their time had no answer half a second later, the first " + describe(*held.front()));
 }
 
-void SoakRecord::checkRetries(std::vector<std::string>& found) const
+void SoakRecord::checkRetries(bool generations, std::vector<std::string>& found) const
 {
     std::vector<Clock::time_point> requests;
     std::vector<Clock::time_point> repeats;
     for (const CallRecord& call : this->calls) {
-        if (call.kind != CallKind::Generation)
+        if ((call.kind == CallKind::Generation) == generations)
             requests.push_back(call.sentAt);
     }
     for (const auto& [id, list] : this->runs) {
-        for (std::size_t index = 1; index < list.size() && list.front().endpoint.starts_with("app"); ++index)
+        for (std::size_t index = 1; index < list.size() && list.front().endpoint.starts_with("engine") == generations; ++index)
             repeats.push_back(list[index].at);
     }
     const auto within = [](const std::vector<Clock::time_point>& times, Clock::time_point end) {
         return static_cast<double>(std::count_if(times.begin(), times.end(), [&](Clock::time_point time) { return time > end - retryWindow && time <= end; }));
     };
     for (const Clock::time_point end : repeats) {
-        const double most = std::max(within(requests, end), within(requests, end - retryWindow));
+        const double most = std::max({ within(requests, end), within(requests, end - retryWindow / 2), within(requests, end - retryWindow) });
         if (within(repeats, end) > retryRatio * most + retryReserve) {
-            found.push_back(std::to_string(within(repeats, end)) + " repeats in ten seconds with " + std::to_string(most) + " requests");
+            found.push_back(std::to_string(within(repeats, end)) + " repeats of " + (generations ? "generations" : "calls") + " in ten seconds with " + std::to_string(most) + " requests");
             return;
         }
     }
@@ -159,7 +164,8 @@
     }
     this->checkConfigurations(found);
     this->checkHeldCalls(found);
-    this->checkRetries(found);
+    for (const bool generations : { false, true })
+        this->checkRetries(generations, found);
     return found;
 }
 
--- a/packages/Soak/filbertspoke/src/Soak/SoakRecord.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRecord.h
@@ -79,7 +79,7 @@
     void checkStream(const CallRecord&, std::vector<std::string>& found) const;
     void checkConfigurations(std::vector<std::string>& found) const;
     void checkHeldCalls(std::vector<std::string>& found) const;
-    void checkRetries(std::vector<std::string>& found) const;
+    void checkRetries(bool generations, std::vector<std::string>& found) const;
 
     std::vector<CallRecord> calls;
     std::map<std::string, std::vector<RunRecord>> runs; ///< by request
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -27,12 +27,14 @@
     { "engine-a2", "zone-a", { 4, 8 } },
     { "engine-b1", "zone-b", { 0, 4 } },
     { "engine-b2", "zone-b", { 4, 8 } },
+    { "engine-c1", "zone-b", { 0, 4 } },
 };
 const std::string leavingReplica = "app-3";
 constexpr std::size_t gatewayCount = 4;
 constexpr std::uint32_t firstGatewayAddress = 10;
 // Part of the requests that endpoints in trouble treat in each of the wrong ways.
 constexpr double wrongShare = 0.06;
+constexpr std::size_t fillerBytes = 4096;
 
 HttpAddress anyPort(std::uint32_t index)
 {
@@ -185,6 +187,20 @@
     case 6:
         script.pause = 400ms;
         break;
+    case 7:
+        // Bytes that are no answer come until the gateway closes the connection.
+        script.pieces = { script.pieces.front().substr(0, script.pieces.front().find("\r\n") + 2), "Filler: " + std::string(fillerBytes, 'x') + "\r\n" };
+        script.end = ReplicaScript::End::Endless;
+        break;
+    case 8:
+        script.pieces.back() = std::string(fillerBytes, 'x');
+        script.end = ReplicaScript::End::Endless;
+        break;
+    case 9:
+        // The request runs, and nothing of its answer arrives.
+        script.pieces.clear();
+        script.end = ReplicaScript::End::Reset;
+        break;
     default:
         break;
     }
