--- a/packages/Daemon/tests/Repeats.cpp
+++ b/packages/Daemon/tests/Repeats.cpp
@@ -3,9 +3,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace filbertspoke;
@@ -166,3 +168,28 @@
         this->replicas.at(id)->setAnswer([](const HttpRequest& request) { return ReplicaScript { { wholeAnswer(request, 500, "broken") } }; });
     BOOST_TEST(this->answer(*this->call("GET", "/stock/x"), "broken").starts_with("HTTP/1.1 500"));
 }
+
+BOOST_FIXTURE_TEST_CASE(repeatIsHandedNoMoreTimeThanTheCallerHasLeft, Fixture)
+{
+    this->saveUp();
+    bool first = true;
+    std::vector<std::chrono::milliseconds> handedOn;
+    for (const std::string& id : applications) {
+        this->replicas.at(id)->setAnswer([&](const HttpRequest& request) {
+            handedOn.emplace_back(std::stol(std::string(findHeader(request.headers, "Deadline-Ms"))));
+            if (std::exchange(first, false))
+                return ReplicaScript { {}, 5ms, ReplicaScript::End::Silence };
+            return ReplicaScript { { wholeAnswer(request, 200, "served") } };
+        });
+    }
+    const auto began = std::chrono::steady_clock::now();
+    this->answer(*this->call("GET", "/stock/x"), "served");
+    const auto took = std::chrono::steady_clock::now() - began;
+    // What the operator's rule leaves for the way.
+    constexpr Duration tolerance = 500ms;
+    constexpr Duration callerLimit = 4s;
+    BOOST_REQUIRE(handedOn.size() == 2);
+    BOOST_TEST((handedOn.front() <= callerLimit));
+    // Both end together: the time between the sends, nearly all of the exchange, is gone.
+    BOOST_TEST((handedOn.back() <= handedOn.front() - took + tolerance));
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -51,10 +51,9 @@
 };
 
 /** \brief Ends the attempt at an endpoint that is silent for too long, as soon as another one may be asked. */
-asio::awaitable<void> watchSilence(ForwardTask& task, std::shared_ptr<SilenceWatch> watch, EndpointId endpoint)
+asio::awaitable<void> watchSilence(GatewayContext& context, ForwardTask& task, std::shared_ptr<SilenceWatch> watch, EndpointId endpoint, Duration patience)
 {
-    GatewayContext& context = task.context;
-    co_await sleepFor(context.io, std::max<Duration>(leastSilence, task.route.targetLatency * silenceFactor));
+    co_await sleepFor(context.io, patience);
     // The task may end while this waits, so that nothing of it is touched before the check.
     while (!watch->over) {
         const auto assumed = task.afterSilence(endpoint);
@@ -70,7 +69,7 @@
 {
     const auto watch = std::make_shared<SilenceWatch>();
     if (task.route.kind == RouteKind::Idempotent)
-        asio::co_spawn(task.context.io, watchSilence(task, watch, endpoint.id), asio::detached);
+        asio::co_spawn(task.context.io, watchSilence(task.context, task, watch, endpoint.id, std::max<Duration>(leastSilence, task.route.targetLatency * silenceFactor)), asio::detached);
     const Result<EndpointReply> reply = co_await task.readReply(connection, task.timeLeft());
     watch->over = true;
     if (!reply)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -36,8 +36,9 @@
 // one may still serve the caller.
 constexpr Duration silenceTimeout = std::chrono::milliseconds(1300);
 constexpr Duration firstEventTimeout = std::chrono::milliseconds(900);
-// Between two looks for another chain for a stream that is silent for longer.
-constexpr Duration silencePause = std::chrono::milliseconds(100);
+// Between two looks for another chain for a stream that is silent for longer; to plan one takes a millisecond or two of a
+// slow host's processor.
+constexpr Duration silencePause = std::chrono::milliseconds(250);
 // Every so many events of a stream are a sign that all engines of its chain are alive.
 constexpr std::uint32_t eventsPerSign = 16;
 // A stream that is silent for so long when one of its engines comes under suspicion takes that for the cause; well
