--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptHistory.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptHistory.h
@@ -7,6 +7,7 @@
 
 #include <filbertspoke/Core>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -44,7 +45,11 @@
     bool mayUse(const EndpointId&) const;
     /** \returns endpoints that may have run the request */
     const std::set<EndpointId>& used() const { return this->usedEndpoints; }
+    /** \returns how many attempts have begun */
+    std::uint32_t attemptCount() const { return this->attempts; }
+    /** \returns how many endpoints were taken for the cause of a failure */
     std::size_t faultyEndpoints() const { return this->faults.size(); }
+    /** \returns what decides on a retry */
     AttemptState state(Duration timeLeft) const;
 
 private:
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -126,7 +126,7 @@
         if (!picked || !task.payForSend())
             break;
         const RegisteredEndpoint endpoint = picked->endpoint;
-        task.logDecision("endpoint-chosen", { { "endpoint", endpoint.id.str() }, { "requestsThere", std::to_string(static_cast<std::uint64_t>(task.context.loads.total(endpoint.id).requests)) }, { "slots", std::to_string(endpoint.slots) }, { "sends", std::to_string(task.history.state(task.timeLeft()).sends) } });
+        task.logDecision("endpoint-chosen", { { "endpoint", endpoint.id.str() }, { "requestsThere", std::to_string(static_cast<std::uint64_t>(task.context.loads.total(endpoint.id).requests)) }, { "slots", std::to_string(endpoint.slots) }, { "sends", std::to_string(task.history.attemptCount()) } });
         task.context.loads.begin(endpoint.id, load);
         const TimePoint begun = bootNow();
         const AttemptResult result = co_await attemptCall(task, endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -282,10 +282,11 @@
         co_return this->failedRead(reply.error(), "no-answer", "broken-off-unanswered");
     }
     if (auto failure = this->task.judge(*reply)) {
-        if (!co_await connection->skipBody(std::min<Duration>(refusalBodyTimeout, this->task.timeLeft())))
-            this->task.context.pool.giveBack(order.stages.front().address, connection);
-        else
-            connection->close();
+        // A connection with an unread rest can't carry another request; the pool closes it.
+        const std::error_code unread = co_await connection->skipBody(std::min<Duration>(refusalBodyTimeout, this->task.timeLeft()));
+        if (unread)
+            logLine(WriteLog::Level::Info, "refusal-body-unread", { { "request", this->task.request.id.str() }, { "endpoint", order.stages.front().endpoint.str() }, { "reason", unread.message() } });
+        this->task.context.pool.giveBack(order.stages.front().address, connection);
         co_return *failure;
     }
     if (!this->headSent) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -114,7 +114,7 @@
 
 void ForwardTask::logEnd(const std::string& outcome, unsigned status) const
 {
-    logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->history.state(this->timeLeft()).sends) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
+    logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->history.attemptCount()) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
     this->context.metrics.count({ "requests_total", outcome });
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -94,6 +94,8 @@
     ::setsockopt(state->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &endpointUserTimeoutMs, sizeof endpointUserTimeoutMs);
     // However the connection ends, by close() or with the process, a request that waits for a link to heal is dropped.
     state->stream.socket().set_option(asio::socket_base::linger(true, 0), error);
+    if (error)
+        logLine(WriteLog::Level::Warning, "socket-option-refused", { { "option", "linger" }, { "endpoint", socketText(state->address) }, { "reason", error.message() } });
     state->usable = true;
     co_return std::error_code {};
 }
