--- a/packages/Daemon/tests/EndlessAnswers.cpp
+++ b/packages/Daemon/tests/EndlessAnswers.cpp
@@ -194,6 +194,7 @@
     constexpr int callers = 40;
     constexpr long tolerableKb = 100 * 1024;
     std::vector<std::unique_ptr<RawCaller>> all;
+    all.reserve(callers);
     for (int caller = 0; caller < callers; ++caller)
         all.push_back(this->call("POST", "/book/x", "Connection: close\r\n"));
     for (const auto& caller : all) {
--- a/packages/Daemon/tests/Repeats.cpp
+++ b/packages/Daemon/tests/Repeats.cpp
@@ -49,6 +49,7 @@
     std::vector<std::size_t> sendsByFirstEngine() const
     {
         std::vector<std::size_t> sends;
+        sends.reserve(firstEngines.size());
         for (const std::string& id : firstEngines)
             sends.push_back(this->replicas.at(id)->requests().size());
         return sends;
@@ -64,8 +65,10 @@
             return script;
         });
         const auto allEnginesServe = [this] {
+            constexpr int together = 12;
             std::vector<std::unique_ptr<RawCaller>> callers;
-            for (int caller = 0; caller < 12; ++caller)
+            callers.reserve(together);
+            for (int caller = 0; caller < together; ++caller)
                 callers.push_back(this->call("POST", "/chat/x"));
             for (const auto& caller : callers)
                 this->answer(*caller, endOfStream);
