--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -20,6 +20,11 @@
 // since.
 constexpr std::size_t unreachableDomainThreshold = 3;
 constexpr Duration unreachableWindow = std::chrono::seconds(4);
+// Removed endpoints are remembered for this time. It exceeds the age of any copy of the registry from which their entries may come
+// back: the store restarts from a copy that is seconds old, and another daemon's list may be as old as a network partition.
+constexpr Duration removedRunLifetime = std::chrono::minutes(5);
+// Fraction of a pushback by which daemons delay their return at random.
+constexpr double pushbackSpread = 0.2;
 
 EndpointRecord newRecord(const RegisteredEndpoint& endpoint)
 {
@@ -30,12 +35,34 @@
 
 }
 
+bool EndpointRegistry::isOfRemovedRun(const RegisteredEndpoint& endpoint) const
+{
+    const auto removed = this->removedRuns.find(endpoint.id);
+    if (removed == this->removedRuns.end() || endpoint.startedAtMs > removed->second.startedAtMs)
+        return false;
+    return endpoint.startedAtMs < removed->second.startedAtMs || endpoint.heartbeat <= removed->second.heartbeat;
+}
+
+std::map<EndpointId, EndpointRecord>::iterator EndpointRegistry::erase(std::map<EndpointId, EndpointRecord>::iterator entry, TimePoint now)
+{
+    const RegisteredEndpoint& endpoint = entry->second.endpoint;
+    this->removedRuns.insert_or_assign(endpoint.id, RemovedRun { endpoint.startedAtMs, endpoint.heartbeat, endpoint.draining, now });
+    return this->byId.erase(entry);
+}
+
 bool EndpointRegistry::update(const RegisteredEndpoint& endpoint)
 {
+    if (this->isOfRemovedRun(endpoint))
+        return false;
     auto [entry, added] = this->byId.try_emplace(endpoint.id, newRecord(endpoint));
     EndpointRecord& record = entry->second;
     if (added) {
         ++this->changes;
+        const auto removed = this->removedRuns.find(endpoint.id);
+        if (removed != this->removedRuns.end()) {
+            record.endpoint.draining = endpoint.draining || (removed->second.draining && removed->second.startedAtMs == endpoint.startedAtMs);
+            this->removedRuns.erase(removed);
+        }
         this->removeSuperseded(endpoint.address, record);
         return this->byId.contains(endpoint.id);
     }
@@ -49,6 +76,7 @@
         record = newRecord(endpoint);
         return true;
     }
+    record.leavingReported = record.leavingReported && !endpoint.draining;
     RegisteredEndpoint merged = endpoint;
     // A draining endpoint stays draining until it restarts.
     merged.draining = endpoint.draining || record.endpoint.draining;
@@ -85,7 +113,7 @@
     ++this->changes;
     const bool mayHaveLapsed = this->recoveredAt && now - *this->recoveredAt < reregistrationGrace;
     if (!mayHaveLapsed || entry->second.endpoint.draining) {
-        this->byId.erase(entry);
+        this->erase(entry, now);
         return true;
     }
     if (!entry->second.removedAt)
@@ -116,9 +144,82 @@
 
 void EndpointRegistry::expire(TimePoint now)
 {
-    this->changes += std::erase_if(this->byId, [now](const auto& entry) {
-        return entry.second.removedAt && now - *entry.second.removedAt >= reregistrationGrace;
-    });
+    for (auto entry = this->byId.begin(); entry != this->byId.end();) {
+        if (!entry->second.removedAt || now - *entry->second.removedAt < reregistrationGrace) {
+            ++entry;
+            continue;
+        }
+        entry = this->erase(entry, now);
+        ++this->changes;
+    }
+    std::erase_if(this->removedRuns, [now](const auto& run) { return now - run.second.removedAt >= removedRunLifetime; });
+}
+
+bool EndpointRegistry::noteLeaving(const EndpointId& id)
+{
+    const auto entry = this->byId.find(id);
+    if (entry == this->byId.end()) {
+        const auto removed = this->removedRuns.find(id);
+        if (removed != this->removedRuns.end())
+            removed->second.draining = true;
+        return false;
+    }
+    if (entry->second.endpoint.draining)
+        return false;
+    entry->second.endpoint.draining = true;
+    entry->second.leavingReported = true;
+    ++this->changes;
+    return true;
+}
+
+void EndpointRegistry::noteRemoteLeaving(const EndpointRun& run)
+{
+    const auto entry = this->byId.find(run.endpoint);
+    if (entry != this->byId.end() && entry->second.endpoint.startedAtMs == run.startedAtMs)
+        this->noteLeaving(run.endpoint);
+}
+
+std::vector<EndpointRun> EndpointRegistry::reportedLeaving() const
+{
+    std::vector<EndpointRun> runs;
+    for (const auto& [id, record] : this->byId) {
+        if (record.leavingReported)
+            runs.push_back({ id, record.endpoint.startedAtMs });
+    }
+    return runs;
+}
+
+void EndpointRegistry::notePushback(const EndpointId& id, Duration pushback, double draw, TimePoint now)
+{
+    const auto entry = this->byId.find(id);
+    if (entry == this->byId.end())
+        return;
+    const TimePoint until = now + pushback + scaled(pushback, pushbackSpread * draw);
+    entry->second.pushbackUntil = std::max(entry->second.pushbackUntil.value_or(until), until);
+}
+
+bool EndpointRegistry::isPushedBack(const EndpointRecord& record, TimePoint now)
+{
+    return record.pushbackUntil && now < *record.pushbackUntil;
+}
+
+std::optional<Duration> EndpointRegistry::pushbackRemaining(const ServiceId& service, std::uint32_t layers, TimePoint now) const
+{
+    std::vector<std::pair<TimePoint, LayerRange>> returns;
+    for (const auto& [id, record] : this->byId) {
+        if (record.endpoint.service == service && takesWork(record, now))
+            returns.emplace_back(isPushedBack(record, now) ? *record.pushbackUntil : now, record.endpoint.layers);
+    }
+    std::sort(returns.begin(), returns.end());
+    std::set<std::uint32_t> missing;
+    for (std::uint32_t layer = 0; layer < layers; ++layer)
+        missing.insert(layer);
+    for (const auto& [at, held] : returns) {
+        missing.erase(missing.lower_bound(held.first()), missing.lower_bound(held.last()));
+        if (missing.empty())
+            return at > now ? std::optional(at - now) : std::nullopt;
+    }
+    return std::nullopt;
 }
 
 void EndpointRegistry::noteFault(const EndpointId& id, EndpointFault fault, TimePoint now)
@@ -219,7 +320,7 @@
     std::vector<const EndpointRecord*> healthy;
     std::vector<const EndpointRecord*> avoided;
     for (const auto& [id, record] : this->byId) {
-        if (record.endpoint.service != service || !takesWork(record, now))
+        if (record.endpoint.service != service || !takesWork(record, now) || isPushedBack(record, now))
             continue;
         (this->isAvoided(record, now) ? avoided : healthy).push_back(&record);
     }
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSPOKE_ENDPOINT_REGISTRY_H
 #define FILBERTSPOKE_ENDPOINT_REGISTRY_H
 
+#include "EndpointSignals.h"
 #include "RegisteredEndpoint.h"
 
 #include <filbertspoke/Core>
@@ -28,17 +29,28 @@
     std::optional<TimePoint> remoteAvoidedUntil; ///< avoided until then because of reports of other daemons
     std::optional<EndpointFault> lastFault; ///< since the last success
     std::optional<TimePoint> unreachableAt; ///< last seen or reported unreachable, since new work last succeeded
+    std::optional<TimePoint> pushbackUntil; ///< the endpoint refuses the requests of this daemon until then
+    bool leavingReported = false; ///< its leaving is known from its answers or from other daemons, but not from its entry yet
     std::uint32_t consecutiveFaults = 0;
     double faultRate = 0; ///< share of failed exchanges, as an exponential moving average
 };
 
+/** \brief One run of an endpoint, from its start to its end. */
+struct EndpointRun {
+    EndpointId endpoint;
+    std::int64_t startedAtMs = 0; ///< Unix time of the start in ms
+
+    auto operator<=>(const EndpointRun&) const = default;
+};
+
 /** \brief The endpoints known from the platform's registry, with passive health checks from observed exchanges.
  *
  * Does no input or output.
  */
 class EndpointRegistry {
 public:
-    /** \brief Applies an entry that an endpoint wrote; an entry older than the stored one is ignored.
+    /** \brief Applies an entry that an endpoint wrote; an entry older than the stored one, or than the last one of a removed
+     * endpoint, is ignored.
      * \returns whether anything but the heartbeat changed */
     bool update(const RegisteredEndpoint&);
 
@@ -55,6 +67,24 @@
     /** \brief Erases removed entries that were not written again in time. */
     void expire(TimePoint now);
 
+    /** \brief Records that the endpoint reports its leaving. It gets no new work until it restarts.
+     * \returns whether that is news */
+    bool noteLeaving(const EndpointId&);
+    /** \brief Records that another daemon has learned that this run of an endpoint is leaving. */
+    void noteRemoteLeaving(const EndpointRun&);
+    /** \returns the runs of endpoints that are known to be leaving although their entries don't say so yet */
+    std::vector<EndpointRun> reportedLeaving() const;
+
+    /** \brief Records that the endpoint wants no requests from this daemon for \a pushback.
+     * \param draw random number in [0, 1), by which daemons that are pushed back together resume at different times */
+    void notePushback(const EndpointId&, Duration pushback, double draw, TimePoint now);
+    /** \returns whether the endpoint wants no requests from this daemon */
+    static bool isPushedBack(const EndpointRecord&, TimePoint now);
+    /** \returns the time until the service may take requests again, as far as pushback alone decides: until one endpoint, or
+     * endpoints that hold all the layers together, accept requests. Nothing when they do already, or never will
+     * \param layers of the service's model; 0 for plain services */
+    std::optional<Duration> pushbackRemaining(const ServiceId&, std::uint32_t layers, TimePoint now) const;
+
     /** \brief Records a fault; the endpoint is avoided for a while when it is unreachable or silent, or after several faults. */
     void noteFault(const EndpointId&, EndpointFault, TimePoint now);
     /** \brief Records a successful exchange, which ends the avoidance of the endpoint.
@@ -76,7 +106,7 @@
     static std::optional<Duration> ownAvoidance(const EndpointRecord&, TimePoint now);
     /** \returns whether the endpoint is not draining, and is registered or may be written again; does not consider avoidance */
     static bool takesWork(const EndpointRecord&, TimePoint now);
-    /** \returns the service's endpoints that take new work; avoided ones only when there are no others */
+    /** \returns the service's endpoints that take new work and don't push back; avoided ones only when there are no others */
     std::vector<const EndpointRecord*> candidates(const ServiceId&, TimePoint now) const;
 
     /** \returns a number that changes whenever an entry changes in more than its heartbeat */
@@ -88,10 +118,23 @@
     /** \brief Endpoints of a failure domain with the time when each was last unreachable, since the last success in the domain. */
     using UnreachableEndpoints = std::map<EndpointId, TimePoint>;
 
+    /** \brief Last entry of an endpoint that was removed. */
+    struct RemovedRun {
+        std::int64_t startedAtMs = 0;
+        std::uint64_t heartbeat = 0;
+        bool draining = false;
+        TimePoint removedAt;
+    };
+
+    /** \brief Erases the endpoint and remembers its run. */
+    std::map<EndpointId, EndpointRecord>::iterator erase(std::map<EndpointId, EndpointRecord>::iterator, TimePoint now);
+    /** \returns whether the entry is not newer than the last one of the removed run of the endpoint */
+    bool isOfRemovedRun(const RegisteredEndpoint&) const;
     /** \brief Removes all endpoints at the address but the one that started last. */
     void removeSuperseded(const SocketAddress&, const EndpointRecord& newest);
 
     std::map<EndpointId, EndpointRecord> byId;
+    std::map<EndpointId, RemovedRun> removedRuns;
     std::map<FailureDomainId, UnreachableEndpoints> unreachable;
     std::optional<TimePoint> recoveredAt; ///< end of the last outage of the registry
     std::uint64_t changes = 1;
--- a/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
@@ -1,9 +1,10 @@
 #ifndef FILBERTSPOKE_GOSSIP_MESSAGE_H
 #define FILBERTSPOKE_GOSSIP_MESSAGE_H
 
+#include "EndpointRegistry.h"
 #include "LoadTracker.h"
 #include "PeerTable.h"
-#include "RegisteredEndpoint.h"
+#include "StoreEraTracker.h"
 
 #include <filbertspoke/Configuration>
 #include <filbertspoke/Core>
@@ -42,7 +43,9 @@
     std::uint64_t endpointsRevision = 0; ///< revision of the sender's endpoint list
     std::uint64_t knownRevision = 0; ///< last revision of the receiver's endpoint list that the sender has
     bool followsStore = false; ///< whether the sender reads the store itself and can reach it
+    std::optional<StoreEra> storeEra; ///< highest era of the store that the sender knows; the endpoint list is of this era
     std::vector<AvoidedEndpoint> avoided;
+    std::vector<EndpointRun> leaving; ///< endpoints that are leaving although their entries don't say so yet
     std::vector<SocketAddress> peers; ///< gateways that the sender knows
     std::optional<SiteSize> siteSize; ///< number of gateways of the site; nothing when the sender does not know it
     bool wantsEndpoints = false; ///< whether the sender asks for endpoints because it can't read the registry itself
--- a/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
@@ -75,6 +75,10 @@
     gossip.knownRevision = static_cast<std::uint64_t>(message.knownRevision);
     gossip.followsStore = message.followsStore;
     gossip.wantsEndpoints = message.wantsEndpoints;
+    if (message.__isset.storeEra)
+        gossip.storeEra = static_cast<StoreEra>(message.storeEra);
+    for (const wire::LeavingEndpoint& run : message.leaving)
+        gossip.leaving.push_back({ EndpointId(run.endpoint), run.startedAtMs });
     if (message.__isset.siteGateways && message.siteGateways > 0)
         gossip.siteSize = SiteSize { static_cast<std::size_t>(message.siteGateways), std::max(Duration(message.siteGatewaysAgeMicroseconds), Duration::zero()) };
     if (message.__isset.configurationKey && message.__isset.configurationDocument)
@@ -112,6 +116,15 @@
         entry.remainingMicroseconds = avoided.remaining.count();
         message.avoided.push_back(std::move(entry));
     }
+    message.__isset.leaving = !gossip.leaving.empty();
+    for (const EndpointRun& run : gossip.leaving) {
+        wire::LeavingEndpoint entry;
+        entry.endpoint = run.endpoint.str();
+        entry.startedAtMs = run.startedAtMs;
+        message.leaving.push_back(std::move(entry));
+    }
+    if (gossip.storeEra)
+        message.__set_storeEra(static_cast<std::int64_t>(*gossip.storeEra));
     message.__set_failureDomain(gossip.failureDomain.str());
     message.__set_sum(gossip.sum);
     message.__set_endpointsRevision(static_cast<std::int64_t>(gossip.endpointsRevision));
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4172,6 +4172,130 @@
 }
 
 
+LeavingEndpoint::~LeavingEndpoint() noexcept {
+}
+
+
+void LeavingEndpoint::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void LeavingEndpoint::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_endpoint = false;
+  bool isset_startedAtMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          isset_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          isset_startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_endpoint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_startedAtMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LeavingEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingEndpoint");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingEndpoint &a, LeavingEndpoint &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.startedAtMs, b.startedAtMs);
+}
+
+LeavingEndpoint::LeavingEndpoint(const LeavingEndpoint& other120) {
+  endpoint = other120.endpoint;
+  startedAtMs = other120.startedAtMs;
+}
+LeavingEndpoint::LeavingEndpoint(LeavingEndpoint&& other121) noexcept {
+  endpoint = std::move(other121.endpoint);
+  startedAtMs = other121.startedAtMs;
+}
+LeavingEndpoint& LeavingEndpoint::operator=(const LeavingEndpoint& other122) {
+  endpoint = other122.endpoint;
+  startedAtMs = other122.startedAtMs;
+  return *this;
+}
+LeavingEndpoint& LeavingEndpoint::operator=(LeavingEndpoint&& other123) noexcept {
+  endpoint = std::move(other123.endpoint);
+  startedAtMs = other123.startedAtMs;
+  return *this;
+}
+void LeavingEndpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingEndpoint(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ")";
+}
+
+
 GatewayWord::~GatewayWord() noexcept {
 }
 
@@ -4258,6 +4382,16 @@
   this->siteGatewaysAgeMicroseconds = val;
 __isset.siteGatewaysAgeMicroseconds = true;
 }
+
+void GatewayWord::__set_storeEra(const int64_t val) {
+  this->storeEra = val;
+__isset.storeEra = true;
+}
+
+void GatewayWord::__set_leaving(const std::vector<LeavingEndpoint> & val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -4329,14 +4463,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->work.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->work.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->work[_i124].read(iprot);
+              xfer += this->work[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4349,14 +4483,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->peers.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->peers.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readString(this->peers[_i129]);
+              xfer += iprot->readString(this->peers[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4393,14 +4527,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->endpoints.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->endpoints.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->endpoints[_i134].read(iprot);
+              xfer += this->endpoints[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4413,14 +4547,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoided.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->avoided.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->avoided.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->avoided[_i139].read(iprot);
+              xfer += this->avoided[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4485,6 +4619,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeEra);
+          this->__isset.storeEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->leaving.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
+            {
+              xfer += this->leaving[_i148].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4535,10 +4697,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter140;
-    for (_iter140 = this->work.begin(); _iter140 != this->work.end(); ++_iter140)
+    std::vector<EndpointWork> ::const_iterator _iter149;
+    for (_iter149 = this->work.begin(); _iter149 != this->work.end(); ++_iter149)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4547,10 +4709,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter141;
-    for (_iter141 = this->peers.begin(); _iter141 != this->peers.end(); ++_iter141)
+    std::vector<std::string> ::const_iterator _iter150;
+    for (_iter150 = this->peers.begin(); _iter150 != this->peers.end(); ++_iter150)
     {
-      xfer += oprot->writeString((*_iter141));
+      xfer += oprot->writeString((*_iter150));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4574,10 +4736,10 @@
     xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-      std::vector<RegistryEntry> ::const_iterator _iter142;
-      for (_iter142 = this->endpoints.begin(); _iter142 != this->endpoints.end(); ++_iter142)
+      std::vector<RegistryEntry> ::const_iterator _iter151;
+      for (_iter151 = this->endpoints.begin(); _iter151 != this->endpoints.end(); ++_iter151)
       {
-        xfer += (*_iter142).write(oprot);
+        xfer += (*_iter151).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4587,10 +4749,10 @@
     xfer += oprot->writeFieldBegin("avoided", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->avoided.size()));
-      std::vector<AvoidedEndpoint> ::const_iterator _iter143;
-      for (_iter143 = this->avoided.begin(); _iter143 != this->avoided.end(); ++_iter143)
+      std::vector<AvoidedEndpoint> ::const_iterator _iter152;
+      for (_iter152 = this->avoided.begin(); _iter152 != this->avoided.end(); ++_iter152)
       {
-        xfer += (*_iter143).write(oprot);
+        xfer += (*_iter152).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4631,6 +4793,24 @@
     xfer += oprot->writeI64(this->siteGatewaysAgeMicroseconds);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeEra) {
+    xfer += oprot->writeFieldBegin("storeEra", ::apache::thrift::protocol::T_I64, 19);
+    xfer += oprot->writeI64(this->storeEra);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+      std::vector<LeavingEndpoint> ::const_iterator _iter153;
+      for (_iter153 = this->leaving.begin(); _iter153 != this->leaving.end(); ++_iter153)
+      {
+        xfer += (*_iter153).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4656,93 +4836,103 @@
   swap(a.followsStore, b.followsStore);
   swap(a.siteGateways, b.siteGateways);
   swap(a.siteGatewaysAgeMicroseconds, b.siteGatewaysAgeMicroseconds);
+  swap(a.storeEra, b.storeEra);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-GatewayWord::GatewayWord(const GatewayWord& other144) {
-  daemon = other144.daemon;
-  address = other144.address;
-  port = other144.port;
-  configurationVersion = other144.configurationVersion;
-  work = other144.work;
-  peers = other144.peers;
-  wantsEndpoints = other144.wantsEndpoints;
-  configurationKey = other144.configurationKey;
-  configurationDocument = other144.configurationDocument;
-  endpoints = other144.endpoints;
-  avoided = other144.avoided;
-  failureDomain = other144.failureDomain;
-  sum = other144.sum;
-  endpointsRevision = other144.endpointsRevision;
-  knownRevision = other144.knownRevision;
-  followsStore = other144.followsStore;
-  siteGateways = other144.siteGateways;
-  siteGatewaysAgeMicroseconds = other144.siteGatewaysAgeMicroseconds;
-  __isset = other144.__isset;
-}
-GatewayWord::GatewayWord(GatewayWord&& other145) noexcept {
-  daemon = std::move(other145.daemon);
-  address = std::move(other145.address);
-  port = other145.port;
-  configurationVersion = other145.configurationVersion;
-  work = std::move(other145.work);
-  peers = std::move(other145.peers);
-  wantsEndpoints = other145.wantsEndpoints;
-  configurationKey = std::move(other145.configurationKey);
-  configurationDocument = std::move(other145.configurationDocument);
-  endpoints = std::move(other145.endpoints);
-  avoided = std::move(other145.avoided);
-  failureDomain = std::move(other145.failureDomain);
-  sum = other145.sum;
-  endpointsRevision = other145.endpointsRevision;
-  knownRevision = other145.knownRevision;
-  followsStore = other145.followsStore;
-  siteGateways = other145.siteGateways;
-  siteGatewaysAgeMicroseconds = other145.siteGatewaysAgeMicroseconds;
-  __isset = other145.__isset;
-}
-GatewayWord& GatewayWord::operator=(const GatewayWord& other146) {
-  daemon = other146.daemon;
-  address = other146.address;
-  port = other146.port;
-  configurationVersion = other146.configurationVersion;
-  work = other146.work;
-  peers = other146.peers;
-  wantsEndpoints = other146.wantsEndpoints;
-  configurationKey = other146.configurationKey;
-  configurationDocument = other146.configurationDocument;
-  endpoints = other146.endpoints;
-  avoided = other146.avoided;
-  failureDomain = other146.failureDomain;
-  sum = other146.sum;
-  endpointsRevision = other146.endpointsRevision;
-  knownRevision = other146.knownRevision;
-  followsStore = other146.followsStore;
-  siteGateways = other146.siteGateways;
-  siteGatewaysAgeMicroseconds = other146.siteGatewaysAgeMicroseconds;
-  __isset = other146.__isset;
+GatewayWord::GatewayWord(const GatewayWord& other154) {
+  daemon = other154.daemon;
+  address = other154.address;
+  port = other154.port;
+  configurationVersion = other154.configurationVersion;
+  work = other154.work;
+  peers = other154.peers;
+  wantsEndpoints = other154.wantsEndpoints;
+  configurationKey = other154.configurationKey;
+  configurationDocument = other154.configurationDocument;
+  endpoints = other154.endpoints;
+  avoided = other154.avoided;
+  failureDomain = other154.failureDomain;
+  sum = other154.sum;
+  endpointsRevision = other154.endpointsRevision;
+  knownRevision = other154.knownRevision;
+  followsStore = other154.followsStore;
+  siteGateways = other154.siteGateways;
+  siteGatewaysAgeMicroseconds = other154.siteGatewaysAgeMicroseconds;
+  storeEra = other154.storeEra;
+  leaving = other154.leaving;
+  __isset = other154.__isset;
+}
+GatewayWord::GatewayWord(GatewayWord&& other155) noexcept {
+  daemon = std::move(other155.daemon);
+  address = std::move(other155.address);
+  port = other155.port;
+  configurationVersion = other155.configurationVersion;
+  work = std::move(other155.work);
+  peers = std::move(other155.peers);
+  wantsEndpoints = other155.wantsEndpoints;
+  configurationKey = std::move(other155.configurationKey);
+  configurationDocument = std::move(other155.configurationDocument);
+  endpoints = std::move(other155.endpoints);
+  avoided = std::move(other155.avoided);
+  failureDomain = std::move(other155.failureDomain);
+  sum = other155.sum;
+  endpointsRevision = other155.endpointsRevision;
+  knownRevision = other155.knownRevision;
+  followsStore = other155.followsStore;
+  siteGateways = other155.siteGateways;
+  siteGatewaysAgeMicroseconds = other155.siteGatewaysAgeMicroseconds;
+  storeEra = other155.storeEra;
+  leaving = std::move(other155.leaving);
+  __isset = other155.__isset;
+}
+GatewayWord& GatewayWord::operator=(const GatewayWord& other156) {
+  daemon = other156.daemon;
+  address = other156.address;
+  port = other156.port;
+  configurationVersion = other156.configurationVersion;
+  work = other156.work;
+  peers = other156.peers;
+  wantsEndpoints = other156.wantsEndpoints;
+  configurationKey = other156.configurationKey;
+  configurationDocument = other156.configurationDocument;
+  endpoints = other156.endpoints;
+  avoided = other156.avoided;
+  failureDomain = other156.failureDomain;
+  sum = other156.sum;
+  endpointsRevision = other156.endpointsRevision;
+  knownRevision = other156.knownRevision;
+  followsStore = other156.followsStore;
+  siteGateways = other156.siteGateways;
+  siteGatewaysAgeMicroseconds = other156.siteGatewaysAgeMicroseconds;
+  storeEra = other156.storeEra;
+  leaving = other156.leaving;
+  __isset = other156.__isset;
   return *this;
 }
-GatewayWord& GatewayWord::operator=(GatewayWord&& other147) noexcept {
-  daemon = std::move(other147.daemon);
-  address = std::move(other147.address);
-  port = other147.port;
-  configurationVersion = other147.configurationVersion;
-  work = std::move(other147.work);
-  peers = std::move(other147.peers);
-  wantsEndpoints = other147.wantsEndpoints;
-  configurationKey = std::move(other147.configurationKey);
-  configurationDocument = std::move(other147.configurationDocument);
-  endpoints = std::move(other147.endpoints);
-  avoided = std::move(other147.avoided);
-  failureDomain = std::move(other147.failureDomain);
-  sum = other147.sum;
-  endpointsRevision = other147.endpointsRevision;
-  knownRevision = other147.knownRevision;
-  followsStore = other147.followsStore;
-  siteGateways = other147.siteGateways;
-  siteGatewaysAgeMicroseconds = other147.siteGatewaysAgeMicroseconds;
-  __isset = other147.__isset;
+GatewayWord& GatewayWord::operator=(GatewayWord&& other157) noexcept {
+  daemon = std::move(other157.daemon);
+  address = std::move(other157.address);
+  port = other157.port;
+  configurationVersion = other157.configurationVersion;
+  work = std::move(other157.work);
+  peers = std::move(other157.peers);
+  wantsEndpoints = other157.wantsEndpoints;
+  configurationKey = std::move(other157.configurationKey);
+  configurationDocument = std::move(other157.configurationDocument);
+  endpoints = std::move(other157.endpoints);
+  avoided = std::move(other157.avoided);
+  failureDomain = std::move(other157.failureDomain);
+  sum = other157.sum;
+  endpointsRevision = other157.endpointsRevision;
+  knownRevision = other157.knownRevision;
+  followsStore = other157.followsStore;
+  siteGateways = other157.siteGateways;
+  siteGatewaysAgeMicroseconds = other157.siteGatewaysAgeMicroseconds;
+  storeEra = other157.storeEra;
+  leaving = std::move(other157.leaving);
+  __isset = other157.__isset;
   return *this;
 }
 void GatewayWord::printTo(std::ostream& out) const {
@@ -4766,6 +4956,8 @@
   out << ", " << "followsStore="; (__isset.followsStore ? (out << to_string(followsStore)) : (out << "<null>"));
   out << ", " << "siteGateways="; (__isset.siteGateways ? (out << to_string(siteGateways)) : (out << "<null>"));
   out << ", " << "siteGatewaysAgeMicroseconds="; (__isset.siteGatewaysAgeMicroseconds ? (out << to_string(siteGatewaysAgeMicroseconds)) : (out << "<null>"));
+  out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -94,6 +94,8 @@
 
 class AvoidedEndpoint;
 
+class LeavingEndpoint;
+
 class GatewayWord;
 
 
@@ -1500,8 +1502,56 @@
 
 std::ostream& operator<<(std::ostream& out, const AvoidedEndpoint& obj);
 
+
+/**
+ * One run of an endpoint, which has announced that it is leaving.
+ */
+class LeavingEndpoint : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeavingEndpoint(const LeavingEndpoint&);
+  LeavingEndpoint(LeavingEndpoint&&) noexcept;
+  LeavingEndpoint& operator=(const LeavingEndpoint&);
+  LeavingEndpoint& operator=(LeavingEndpoint&&) noexcept;
+  LeavingEndpoint() noexcept
+                  : endpoint(),
+                    startedAtMs(0) {
+  }
+
+  virtual ~LeavingEndpoint() noexcept;
+  std::string endpoint;
+  int64_t startedAtMs;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  bool operator == (const LeavingEndpoint & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const LeavingEndpoint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeavingEndpoint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeavingEndpoint &a, LeavingEndpoint &b);
+
+std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj);
+
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1513,6 +1563,8 @@
   bool followsStore :1;
   bool siteGateways :1;
   bool siteGatewaysAgeMicroseconds :1;
+  bool storeEra :1;
+  bool leaving :1;
 } _GatewayWord__isset;
 
 /**
@@ -1539,7 +1591,8 @@
                 knownRevision(0),
                 followsStore(0),
                 siteGateways(0),
-                siteGatewaysAgeMicroseconds(0) {
+                siteGatewaysAgeMicroseconds(0),
+                storeEra(0) {
   }
 
   virtual ~GatewayWord() noexcept;
@@ -1561,6 +1614,8 @@
   bool followsStore;
   int64_t siteGateways;
   int64_t siteGatewaysAgeMicroseconds;
+  int64_t storeEra;
+  std::vector<LeavingEndpoint>  leaving;
 
   _GatewayWord__isset __isset;
 
@@ -1600,6 +1655,10 @@
 
   void __set_siteGatewaysAgeMicroseconds(const int64_t val);
 
+  void __set_storeEra(const int64_t val);
+
+  void __set_leaving(const std::vector<LeavingEndpoint> & val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1660,6 +1719,14 @@
       return false;
     else if (__isset.siteGatewaysAgeMicroseconds && !(siteGatewaysAgeMicroseconds == rhs.siteGatewaysAgeMicroseconds))
       return false;
+    if (__isset.storeEra != rhs.__isset.storeEra)
+      return false;
+    else if (__isset.storeEra && !(storeEra == rhs.storeEra))
+      return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -195,6 +195,12 @@
   2: required i64 remainingMicroseconds
 }
 
+/** One run of an endpoint, which has announced that it is leaving. */
+struct LeavingEndpoint {
+  1: required string endpoint
+  2: required i64 startedAtMs
+}
+
 /** What a gateway tells another one of itself; the answer is the other one's word. */
 struct GatewayWord {
   1: required string daemon
@@ -215,4 +221,6 @@
   16: optional bool followsStore
   17: optional i64 siteGateways
   18: optional i64 siteGatewaysAgeMicroseconds
+  19: optional i64 storeEra
+  20: optional list<LeavingEndpoint> leaving
 }
--- a/packages/Peer/tests/GossipMessage.cpp
+++ b/packages/Peer/tests/GossipMessage.cpp
@@ -13,6 +13,8 @@
     gossip.configurationVersion = 7;
     gossip.work = { { EndpointId("e1"), { 2, 1500.5 } } };
     gossip.avoided = { { EndpointId("e2"), 400ms } };
+    gossip.storeEra = 3;
+    gossip.leaving = { { EndpointId("e3"), 1700000000001 } };
     gossip.peers = { { "10.0.0.2", 8229 } };
     gossip.siteSize = SiteSize { 34, 2s };
     gossip.failureDomain = FailureDomainId("a");
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
@@ -53,6 +53,7 @@
     std::optional<RequestId> id; ///< attempt id echoed by the endpoint
     bool sealed = false; ///< whether the response carries the endpoint's authenticity seal
     bool notExecuted = false; ///< whether the endpoint states that it did not execute the request
+    EndpointSignals signals; ///< of the endpoint that answered
     std::optional<SocketAddress> faultAt; ///< address of the endpoint in the chain that failed, if the response names one
 
     bool operator==(const EndpointReply&) const = default;
--- a/packages/Proxy/filbertspoke/src/Proxy/EngineCodec.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/EngineCodec.h
@@ -47,6 +47,8 @@
     virtual Result<EngineReport> decodeReport(const HttpResponse&) const = 0;
     /** \returns the request that carries the layer order */
     virtual HttpRequest encodeOrder(const LayerOrder&) const = 0;
+    /** \returns what the engine says about itself in any response */
+    virtual EndpointSignals decodeSignals(const HttpResponse&) const = 0;
 };
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -71,7 +71,7 @@
     const auto monitor = std::make_shared<StallMonitor>();
     if (task.route.kind == RouteKind::Idempotent)
         asio::co_spawn(task.context.io, monitorStall(task.context, task, monitor, endpoint.id, std::max<Duration>(minStallTimeout, task.route.targetLatency * stallLatencyFactor)), asio::detached);
-    const Result<EndpointReply> reply = co_await task.readReply(connection, task.timeLeft());
+    const Result<EndpointReply> reply = co_await task.readReply(connection, endpoint.id, task.timeLeft());
     monitor->finished = true;
     if (!reply)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -128,7 +128,7 @@
                 co_return chain;
         }
         const Duration left = limit - bootNow();
-        if (left <= Duration::zero())
+        if (left <= Duration::zero() || this->task.pushbackRemaining().value_or(Duration::zero()) > left)
             break;
         co_await this->task.context.waiters.wait(std::min(left, capacityPollInterval));
     }
@@ -217,6 +217,12 @@
             co_await sleepFor(context.io, std::min<Duration>(due - bootNow(), untilAbandoning));
             continue;
         }
+        // A report request would be another request to an engine that wants none.
+        const EndpointRecord* first = context.registry.find(metadata.stages.front().endpoint);
+        if (first && EndpointRegistry::isPushedBack(*first, bootNow())) {
+            monitor->checkedAt = bootNow();
+            continue;
+        }
         const std::optional<EndpointId> failed = co_await context.failureDetector.findFailedEngine(metadata, this->task.request.id);
         if (monitor->finished)
             co_return;
@@ -276,7 +282,7 @@
     const UpstreamPointer connection = co_await this->task.sendRequest(metadata, result);
     if (!connection)
         co_return result;
-    const Result<EndpointReply> reply = co_await this->task.readReply(connection, this->task.timeLeft());
+    const Result<EndpointReply> reply = co_await this->task.readReply(connection, metadata.stages.front().endpoint, this->task.timeLeft());
     if (this->task.caller->disconnected())
         co_return AttemptResult {};
     if (!reply) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -67,7 +67,9 @@
 bool ForwardTask::noteFailure(const AttemptResult& result, const EndpointId& first)
 {
     const EndpointId blamed = result.blamed.value_or(first);
-    this->context.registry.noteFault(blamed, result.fault, bootNow());
+    // A pushback excludes the endpoint for exactly the time that it named; that is no sign of a defect.
+    if (!result.pushedBack || blamed != first)
+        this->context.registry.noteFault(blamed, result.fault, bootNow());
     if (result.fault == EndpointFault::Unreachable)
         this->context.streams.notifySuspected(blamed);
     this->history.noteFailure({ *result.failure, first, blamed, result.fault });
@@ -84,7 +86,17 @@
 Duration ForwardTask::retryAfterDelay()
 {
     const double fraction = minRetryAfterFraction + (maxRetryAfterFraction - minRetryAfterFraction) * this->context.randomFraction();
-    return scaled(std::max<Duration>(this->timeLeft(), Duration::zero()), fraction);
+    const Duration delay = scaled(std::max<Duration>(this->timeLeft(), Duration::zero()), fraction);
+    // Callers that are refused during the same pushback return one after the other behind its end.
+    const auto pushback = this->pushbackRemaining();
+    return pushback ? std::max(delay, *pushback + scaled(delay, this->context.randomFraction())) : delay;
+}
+
+std::optional<Duration> ForwardTask::pushbackRemaining() const
+{
+    const ForwardedService* forwarded = this->context.table ? this->context.table->findService(this->service) : nullptr;
+    const std::uint32_t layers = forwarded && forwarded->engine ? forwarded->engine->layers : 0;
+    return this->context.registry.pushbackRemaining(this->service, layers, bootNow());
 }
 
 asio::awaitable<void> ForwardTask::respondFailure(ErrorCode reason)
@@ -149,7 +161,7 @@
     co_return connection;
 }
 
-asio::awaitable<Result<EndpointReply>> ForwardTask::readReply(const UpstreamPointer& connection, Duration timeout)
+asio::awaitable<Result<EndpointReply>> ForwardTask::readReply(const UpstreamPointer& connection, const EndpointId& endpoint, Duration timeout)
 {
     const TimePoint limit = bootNow() + timeout;
     for (int mismatched = 0; mismatched <= maximumMismatchedReplies; ++mismatched) {
@@ -157,6 +169,7 @@
         if (!head)
             co_return head.error();
         EndpointReply reply = this->context.codecs.caller->decodeReply(head->status, head->headers);
+        this->context.noteSignals(endpoint, reply.signals);
         const bool interim = head->status < 200;
         if (!interim && (!reply.id || *reply.id == this->request.id))
             co_return reply;
@@ -174,7 +187,7 @@
     if (reply.faultAt)
         blamed = this->context.registry.findByAddress(*reply.faultAt);
     if (reply.notExecuted)
-        return AttemptResult { AttemptEnd::NotExecuted, blamed || reply.status == 421 ? EndpointFault::Unreachable : EndpointFault::Failed, blamed, "not-executed-" + std::to_string(reply.status) };
+        return AttemptResult { AttemptEnd::NotExecuted, blamed || reply.status == 421 ? EndpointFault::Unreachable : EndpointFault::Failed, blamed, "not-executed-" + std::to_string(reply.status), reply.signals.pushback.has_value() };
     if (!reply.sealed || !reply.id)
         return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, blamed, "not-authentic" };
     if (reply.status >= 500)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -20,6 +20,7 @@
     EndpointFault fault = EndpointFault::Broken;
     std::optional<EndpointId> blamed; ///< the endpoint at fault; when empty, the first endpoint of the attempt
     std::string reason; ///< for log lines and metrics
+    bool pushedBack = false; ///< the first endpoint refused the request and named the time for which it wants no others
 
     bool operator==(const AttemptResult&) const = default;
 };
@@ -59,15 +60,20 @@
     boost::asio::awaitable<UpstreamPointer> sendRequest(const ForwardMetadata&, AttemptResult&);
     /** \brief Reads response heads until one belongs to this request; interim responses and late responses to other requests
      * are dropped.
+     * \param endpoint at the other end of the connection
      * \returns the reply, or the error of the connection, or MalformedMessage when too many heads did not match */
-    boost::asio::awaitable<Result<EndpointReply>> readReply(const UpstreamPointer&, Duration timeout);
+    boost::asio::awaitable<Result<EndpointReply>> readReply(const UpstreamPointer&, const EndpointId& endpoint, Duration timeout);
 
     /** \returns the failure that the reply reports, or nothing when the reply can be forwarded to the caller */
     std::optional<AttemptResult> classifyFailure(const EndpointReply&) const;
 
-    /** \returns the randomized Retry-After delay for a caller that is refused now */
+    /** \returns the randomized Retry-After delay for a caller that is refused now, not before the time at which the service's endpoints
+     * accept requests again as far as they have said */
     Duration retryAfterDelay();
 
+    /** \returns the time for which the service's endpoints refuse requests, or nothing when some accept them */
+    std::optional<Duration> pushbackRemaining() const;
+
     /** \returns whether the caller's connection stays open after the response */
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -62,6 +62,34 @@
     this->document = document;
 }
 
+EraRelation GatewayContext::noteStoreEra(std::optional<StoreEra> era, const std::string& source)
+{
+    const auto before = this->storeEra.current();
+    const EraRelation relation = this->storeEra.note(era);
+    if (relation == EraRelation::Current)
+        return relation;
+    const bool newer = relation == EraRelation::Newer;
+    logLine(WriteLog::Level::Warning, newer ? "store-era-changed" : "store-era-outdated", { { "era", std::to_string(*era) }, { "known", std::to_string(*before) }, { "source", source } });
+    this->metrics.count({ newer ? "store_era_changes_total" : "store_answers_outdated_total", "" });
+    // The copy lacks the entries that endpoints wrote last; endpoints that are alive write them again.
+    if (newer)
+        this->registry.noteRegistryRecovered(bootNow());
+    return relation;
+}
+
+void GatewayContext::noteSignals(const EndpointId& endpoint, const EndpointSignals& signals)
+{
+    if (signals.leaving && this->registry.noteLeaving(endpoint)) {
+        logLine(WriteLog::Level::Info, "endpoint-leaving", { { "endpoint", endpoint.str() }, { "source", "its answer" } });
+        this->metrics.count({ "endpoints_leaving_total", "" });
+    }
+    if (signals.pushback) {
+        this->registry.notePushback(endpoint, *signals.pushback, this->randomFraction(), bootNow());
+        logLine(WriteLog::Level::Info, "endpoint-pushback", { { "endpoint", endpoint.str() }, { "forMs", milliseconds(*signals.pushback) } });
+        this->metrics.count({ "endpoint_pushbacks_total", "" });
+    }
+}
+
 void logLine(WriteLog::Level level, const std::string& event, std::vector<std::pair<std::string, std::string>> fields)
 {
     LogWriter::write({ level, event, std::move(fields) });
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -50,6 +50,12 @@
     /** \brief Activates a configuration if its version is higher than that of the active one.
      * \param source of the document, for the log */
     void applyConfiguration(const ConfigurationDocument&, const std::string& source);
+    /** \brief Takes note of the store's era that an answer or a message names.
+     * \param source of the era, for the log
+     * \returns its relation to the highest era known before; what comes with an outdated era must not be used */
+    EraRelation noteStoreEra(std::optional<StoreEra>, const std::string& source);
+    /** \brief Takes note of what an endpoint says about itself in an answer. */
+    void noteSignals(const EndpointId&, const EndpointSignals&);
 
     boost::asio::io_context& io;
     GatewaySettings settings; ///< replaced as a whole when the settings file is reloaded
@@ -57,6 +63,7 @@
     std::shared_ptr<const ForwardingTable> table; ///< of the active configuration; null until one is known
     ConfigurationDocument document; ///< from which the table was decoded
     EndpointRegistry registry; ///< known endpoints of all services
+    StoreEraTracker storeEra; ///< changed only through noteStoreEra()
     bool registryLoaded = false; ///< whether the registry has been filled once, from the store or a peer
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -103,6 +103,8 @@
     // A member requests the endpoint list from its hub only, as long as the hub has a current one.
     message.wantsEndpoints = !message.followsStore && (this->context.followsStore() || this->isOwnHub(receiver));
     message.endpointsRevision = this->revisionOffset + this->context.registry.revision();
+    message.storeEra = this->context.storeEra.current();
+    message.leaving = this->context.registry.reportedLeaving();
     const auto entry = this->peerStates.find(receiver);
     message.knownRevision = entry == this->peerStates.end() ? 0 : entry->second.endpointsRevision;
     const TimePoint now = bootNow();
@@ -157,15 +159,19 @@
     peer.configurationVersion = message.configurationVersion;
     peer.knownRevision = message.knownRevision;
     peer.wantsEndpoints = message.wantsEndpoints;
+    const bool outdated = this->context.noteStoreEra(message.storeEra, message.daemon.str()) == EraRelation::Outdated;
     if (this->isOwnHub(message.address))
-        this->context.lastHubReportAt = message.followsStore ? std::optional<TimePoint>(now) : std::nullopt;
+        this->context.lastHubReportAt = message.followsStore && !outdated ? std::optional<TimePoint>(now) : std::nullopt;
     for (const AvoidedEndpoint& avoided : message.avoided) {
         this->context.registry.noteRemoteAvoidance(avoided.endpoint, avoided.remaining, now);
         this->context.streams.notifySuspected(avoided.endpoint);
     }
+    for (const EndpointRun& run : message.leaving)
+        this->context.registry.noteRemoteLeaving(run);
     if (message.configuration)
         this->context.applyConfiguration(*message.configuration, message.daemon.str());
-    this->applyEndpoints(message, peer, now);
+    if (!outdated)
+        this->applyEndpoints(message, peer, now);
     this->applyWork(message, now);
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/PlacementController.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PlacementController.cpp
@@ -43,6 +43,7 @@
 PlacementController::PlacementController(GatewayContext& context)
     : context(context)
     , member(memberId(context.settings.daemon))
+    , lease(leaseLifetime)
 {
 }
 
@@ -55,6 +56,7 @@
 {
     HttpConnection store(this->context.io, httpAddress(this->context.settings.store), {});
     while (!this->stopped) {
+        this->followEra();
         if (this->context.roster.isHub())
             co_await this->claimLease(store);
         if (this->holdsLease()) {
@@ -65,31 +67,51 @@
     }
 }
 
+void PlacementController::followEra()
+{
+    const bool heldBefore = this->holdsLease();
+    if (!this->lease.noteEra(this->context.storeEra.current()))
+        return;
+    this->leaseSetUp = false;
+    if (heldBefore)
+        logLine(WriteLog::Level::Info, "placement-duty-lost", { { "generation", "0" }, { "reason", "the store restarted from an older copy" } });
+}
+
+asio::awaitable<HttpOutcome> PlacementController::callStore(HttpConnection& store, HttpRequest request)
+{
+    HttpOutcome outcome = co_await exchange(store, std::move(request), storeTimeout);
+    if (const auto* response = std::get_if<HttpResponse>(&outcome)) {
+        if (this->context.noteStoreEra(this->context.codecs.store->decodeEra(*response), "store") == EraRelation::Outdated)
+            co_return HttpFailure { make_error_code(ErrorCode::PlatformUnavailable) };
+    }
+    this->followEra();
+    co_return outcome;
+}
+
 asio::awaitable<void> PlacementController::claimLease(HttpConnection& store)
 {
     const TimePoint claimedAt = bootNow();
     std::string reason;
     if (!this->leaseSetUp) {
-        const HttpOutcome outcome = co_await exchange(store, this->context.codecs.store->encodeLeaseSetup(), storeTimeout);
+        HttpRequest setup = this->context.codecs.store->encodeLeaseSetup();
+        const HttpOutcome outcome = co_await this->callStore(store, std::move(setup));
         this->leaseSetUp = successfulResponse(outcome, reason) != nullptr;
     }
-    const HttpOutcome outcome = co_await exchange(store, this->context.codecs.store->encodeLeaseClaim(this->member, leaseLifetime, this->generation), storeTimeout);
+    HttpRequest claim = this->context.codecs.store->encodeLeaseClaim(this->member, leaseLifetime, this->lease.generation());
+    const HttpOutcome outcome = co_await this->callStore(store, std::move(claim));
     const HttpResponse* response = successfulResponse(outcome, reason);
     const bool heldBefore = this->holdsLease();
     if (response) {
-        const auto lease = this->context.codecs.store->decodeLease(*response);
-        if (lease) {
-            this->generation = lease->generation;
-            this->leaseHeld = lease->held;
-            this->leaseExpiresAt = claimedAt + leaseLifetime;
-        } else {
-            reason = lease.error().message();
-        }
+        const auto granted = this->context.codecs.store->decodeLease(*response);
+        if (granted)
+            this->lease.noteClaim(*granted, claimedAt);
+        else
+            reason = granted.error().message();
     } else {
         store.close();
     }
     if (heldBefore != this->holdsLease())
-        logLine(WriteLog::Level::Info, this->holdsLease() ? "placement-duty-taken" : "placement-duty-lost", { { "generation", std::to_string(this->generation) }, { "reason", reason } });
+        logLine(WriteLog::Level::Info, this->holdsLease() ? "placement-duty-taken" : "placement-duty-lost", { { "generation", std::to_string(this->lease.generation()) }, { "reason", reason } });
 }
 
 std::vector<PlaceableEngine> PlacementController::engines(const ForwardedService& service)
@@ -112,12 +134,18 @@
     return engines;
 }
 
+void PlacementController::noteSignals(const EndpointId& engine, const HttpOutcome& outcome)
+{
+    if (const auto* response = std::get_if<HttpResponse>(&outcome))
+        this->context.noteSignals(engine, this->context.codecs.engine->decodeSignals(*response));
+}
+
 void PlacementController::probeSuspectedEngines()
 {
     const TimePoint now = bootNow();
     for (const auto& [id, record] : this->context.registry.records()) {
         const bool engine = !record.endpoint.accelerator.empty();
-        if (engine && EndpointRegistry::isSuspected(record, now) && !this->probes[id].inFlight) {
+        if (engine && EndpointRegistry::isSuspected(record, now) && !EndpointRegistry::isPushedBack(record, now) && !this->probes[id].inFlight) {
             this->probes[id].inFlight = true;
             asio::co_spawn(this->context.io, this->probe(record.endpoint), asio::detached);
         }
@@ -130,6 +158,7 @@
     HttpConnection connection(this->context.io, httpAddress(endpoint.address), endpointLimits(probeTimeout));
     HttpRequest request = this->context.codecs.engine->encodeReportRequest(endpoint.id);
     const HttpOutcome outcome = co_await exchange(connection, std::move(request), probeTimeout);
+    this->noteSignals(endpoint.id, outcome);
     const bool answered = std::holds_alternative<HttpResponse>(outcome);
     ProbeState& state = this->probes[endpoint.id];
     state.inFlight = false;
@@ -171,7 +200,7 @@
             continue;
         for (const LayerAssignment& assignment : placeLayers(*service.engine, engines)) {
             const EndpointRecord* record = this->context.registry.find(assignment.endpoint);
-            if (!record || record->endpoint.layers == assignment.layers)
+            if (!record || record->endpoint.layers == assignment.layers || EndpointRegistry::isPushedBack(*record, bootNow()))
                 continue;
             const double seconds = service.engine->loadSeconds * assignment.layers.size() / service.engine->layers * loadContentionFactor;
             const Duration loadTime = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000)) + loadMargin;
@@ -185,13 +214,14 @@
 {
     HttpConnection connection(this->context.io, httpAddress(endpoint.address), endpointLimits(engineTimeout));
     const auto finish = [&](WriteLog::Level level, const std::string& outcome, Duration keepPending) {
-        logLine(level, "layer-order", { { "endpoint", endpoint.id.str() }, { "firstLayer", std::to_string(layers.first()) }, { "lastLayer", std::to_string(layers.last()) }, { "outcome", outcome }, { "duty", std::to_string(this->generation) } });
+        logLine(level, "layer-order", { { "endpoint", endpoint.id.str() }, { "firstLayer", std::to_string(layers.first()) }, { "lastLayer", std::to_string(layers.last()) }, { "outcome", outcome }, { "duty", std::to_string(this->lease.generation()) } });
         const auto entry = this->pending.find(endpoint.id);
         if (entry != this->pending.end() && entry->second.layers == layers)
             entry->second.expires = bootNow() + keepPending;
     };
     std::string reason;
     const HttpOutcome reported = co_await exchange(connection, this->context.codecs.engine->encodeReportRequest(endpoint.id), engineTimeout);
+    this->noteSignals(endpoint.id, reported);
     const HttpResponse* response = successfulResponse(reported, reason);
     const auto report = response ? this->context.codecs.engine->decodeReport(*response) : Result<EngineReport>(make_error_code(ErrorCode::EndpointUnreachable));
     if (!report) {
@@ -200,8 +230,9 @@
     }
     if (report->layers == layers || report->changing || !this->holdsLease())
         co_return finish(WriteLog::Level::Info, report->changing ? "already changing" : "not needed", unconfirmedOrderTimeout);
-    const LayerOrder order { endpoint.id, layers, report->ordersAccepted, this->generation };
+    const LayerOrder order { endpoint.id, layers, report->ordersAccepted, this->lease.fencingToken() };
     const HttpOutcome ordered = co_await exchange(connection, this->context.codecs.engine->encodeOrder(order), engineTimeout);
+    this->noteSignals(endpoint.id, ordered);
     const auto* answer = std::get_if<HttpResponse>(&ordered);
     if (!answer)
         co_return finish(WriteLog::Level::Warning, "no answer", unconfirmedOrderTimeout);
--- a/packages/Proxy/filbertspoke/src/Proxy/PlacementController.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/PlacementController.h
@@ -41,6 +41,10 @@
     };
 
     boost::asio::awaitable<void> run();
+    /** \brief Gives the lease up when the store's era has changed. */
+    void followEra();
+    boost::asio::awaitable<HttpOutcome> callStore(HttpConnection&, HttpRequest);
+    void noteSignals(const EndpointId&, const HttpOutcome&);
     boost::asio::awaitable<void> claimLease(HttpConnection&);
     boost::asio::awaitable<void> assignLayers();
     boost::asio::awaitable<void> sendOrder(RegisteredEndpoint, LayerRange, Duration loadTime);
@@ -49,15 +53,13 @@
     boost::asio::awaitable<void> probe(RegisteredEndpoint);
     bool hasFailed(const RegisteredEndpoint&) const;
     bool enginesSettled(const std::vector<PlaceableEngine>&);
-    bool holdsLease() const { return this->leaseHeld && bootNow() < this->leaseExpiresAt; }
+    bool holdsLease() const { return this->lease.held(bootNow()); }
 
     GatewayContext& context;
     const std::string member; ///< identifies this run of the daemon to the store
-    std::uint64_t generation = 0; ///< of the lease, as last reported by the store
+    LeaseTracker lease;
     bool leaseSetUp = false;
-    bool leaseHeld = false;
     bool stopped = false;
-    TimePoint leaseExpiresAt;
     std::map<EndpointId, PendingOrder> pending;
     std::map<EndpointId, ProbeState> probes;
     std::size_t enginesSeen = 0; ///< number of engines when it last changed, at enginesSeenAt
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreCodec.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreCodec.h
@@ -35,19 +35,14 @@
     auto operator<=>(const StorePage&) const = default;
 };
 
-/** \brief A daemon's view of the lease that permits it to place layers on engines. */
-struct PlacementLease {
-    std::uint64_t generation = 0; ///< increases with each change of the store's group members; used as fencing token
-    bool held = false; ///< whether this daemon holds the lease
-
-    auto operator<=>(const PlacementLease&) const = default;
-};
-
 /** \brief Encodes requests to the platform's store and decodes its responses. */
 class StoreCodec {
 public:
     virtual ~StoreCodec() = default;
 
+    /** \returns the era of the store that any of its responses names, or nothing when it names none */
+    virtual std::optional<StoreEra> decodeEra(const HttpResponse&) const = 0;
+
     /** \returns the request for the newest record of each key, in pages; \a after is the last key of the previous page */
     virtual HttpRequest encodeSnapshot(StoreCollection, const std::optional<std::string>& after) const = 0;
     /** \returns the page, or an error when the response can't be read */
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -57,6 +57,8 @@
         co_return failure->error;
     }
     auto response = std::get<HttpResponse>(std::move(outcome));
+    if (this->context.noteStoreEra(this->context.codecs.store->decodeEra(response), "store") == EraRelation::Outdated)
+        co_return make_error_code(ErrorCode::PlatformUnavailable);
     const bool refused = response.status == 429 || response.status >= 500;
     this->noteReachable(!refused, "status " + std::to_string(response.status));
     if (refused)
@@ -64,11 +66,11 @@
     co_return response;
 }
 
-asio::awaitable<std::optional<LogOffset>> StoreFollower::readSnapshot(HttpConnection& connection, StoreCollection collection)
+asio::awaitable<std::optional<StoreFollower::Position>> StoreFollower::readSnapshot(HttpConnection& connection, StoreCollection collection)
 {
     std::vector<StoreRecord> records;
     std::optional<std::string> after;
-    std::optional<LogOffset> next;
+    std::optional<Position> position;
     while (true) {
         const auto response = co_await this->call(connection, this->context.codecs.store->encodeSnapshot(collection, after), storeTimeout);
         if (!response)
@@ -79,28 +81,33 @@
             co_return std::nullopt;
         }
         // Pages are read at different times: following from the offset of the first page includes all changes made in between.
-        if (!next)
-            next = page->next;
+        if (!position)
+            position = Position { page->next, this->context.storeEra.current() };
+        if (position->era != this->context.storeEra.current())
+            co_return std::nullopt;
         records.insert(records.end(), page->records.begin(), page->records.end());
         if (!page->more || page->records.empty())
             break;
         after = page->records.back().key;
     }
     this->applySnapshot(collection, records);
-    co_return next;
+    co_return position;
 }
 
-asio::awaitable<std::error_code> StoreFollower::readChanges(HttpConnection& connection, StoreCollection collection, LogOffset& next)
+asio::awaitable<std::error_code> StoreFollower::readChanges(HttpConnection& connection, StoreCollection collection, Position& position)
 {
     const Duration wait = collection == StoreCollection::Configuration ? configurationLongPoll : Duration::zero();
-    const auto response = co_await this->call(connection, this->context.codecs.store->encodeFollow(collection, next, wait), wait + storeTimeout);
+    const auto response = co_await this->call(connection, this->context.codecs.store->encodeFollow(collection, position.next, wait), wait + storeTimeout);
     if (!response)
         co_return response.error();
-    const auto page = this->context.codecs.store->decodeFollow(*response, next);
+    // The offset belongs to an era that has ended: the store may have assigned it to another record since.
+    if (position.era != this->context.storeEra.current())
+        co_return make_error_code(ErrorCode::LogTruncated);
+    const auto page = this->context.codecs.store->decodeFollow(*response, position.next);
     if (!page)
         co_return page.error();
     this->apply(collection, page->records);
-    next = page->next;
+    position.next = page->next;
     co_return std::error_code {};
 }
 
@@ -109,22 +116,24 @@
     HttpLimits limits;
     limits.transferAllowance = transferAllowance;
     HttpConnection connection(this->context.io, httpAddress(this->context.settings.store), limits);
-    std::optional<LogOffset> next;
+    std::optional<Position> position;
     while (true) {
         if (!this->context.followsStore()) {
             // When this daemon has to follow the store again, it starts with a new snapshot.
-            next.reset();
+            position.reset();
             co_await sleepFor(this->context.io, roleCheckInterval);
             continue;
         }
         std::error_code error;
-        if (!next)
-            next = co_await this->readSnapshot(connection, collection);
+        if (position && position->era != this->context.storeEra.current())
+            position.reset();
+        if (!position)
+            position = co_await this->readSnapshot(connection, collection);
         else
-            error = co_await this->readChanges(connection, collection, *next);
+            error = co_await this->readChanges(connection, collection, *position);
         if (error == ErrorCode::LogTruncated)
-            next.reset();
-        if (!next || error)
+            position.reset();
+        if (!position || error)
             co_await sleepFor(this->context.io, retryDelay);
         else if (collection == StoreCollection::Endpoints)
             co_await sleepFor(this->context.io, endpointsPollInterval);
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
@@ -21,9 +21,15 @@
     bool reachable() const { return this->storeReachable; }
 
 private:
+    /** \brief Where to continue to read a collection. */
+    struct Position {
+        LogOffset next = 0;
+        std::optional<StoreEra> era; ///< in which the offset was assigned
+    };
+
     boost::asio::awaitable<void> follow(StoreCollection);
-    boost::asio::awaitable<std::optional<LogOffset>> readSnapshot(HttpConnection&, StoreCollection);
-    boost::asio::awaitable<std::error_code> readChanges(HttpConnection&, StoreCollection, LogOffset& next);
+    boost::asio::awaitable<std::optional<Position>> readSnapshot(HttpConnection&, StoreCollection);
+    boost::asio::awaitable<std::error_code> readChanges(HttpConnection&, StoreCollection, Position&);
     boost::asio::awaitable<Result<HttpResponse>> call(HttpConnection&, HttpRequest, Duration timeout);
     void apply(StoreCollection, const std::vector<StoreRecord>&);
     void applySnapshot(StoreCollection, const std::vector<StoreRecord>&);
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace filbertspoke {
@@ -48,7 +49,7 @@
             co_await pace.async_wait(boost::asio::use_awaitable);
         } while (this->silent);
         ++this->answered;
-        co_return this->answer(request);
+        co_return this->respondWithEra(request);
     })
 {
 }
@@ -63,6 +64,28 @@
     this->away = value;
 }
 
+std::map<std::string, std::vector<StoreStandIn::Record>> StoreStandIn::restartFromCopy(std::size_t lost)
+{
+    std::map<std::string, std::vector<Record>> lostRecords;
+    for (auto& [topic, records] : this->topics) {
+        const auto begin = records.end() - static_cast<std::ptrdiff_t>(std::min(lost, records.size()));
+        lostRecords[topic].assign(begin, records.end());
+        records.erase(begin, records.end());
+    }
+    this->holder.clear();
+    this->heldUntil = {};
+    this->generation = 0;
+    ++this->era;
+    return lostRecords;
+}
+
+HttpResponse StoreStandIn::respondWithEra(const HttpRequest& request)
+{
+    HttpResponse response = this->answer(request);
+    response.headers.push_back({ "Store-Era", std::to_string(this->era) });
+    return response;
+}
+
 HttpResponse StoreStandIn::answer(const HttpRequest& request)
 {
     if (this->away)
@@ -113,6 +136,8 @@
 
 HttpResponse StoreStandIn::read(const std::vector<Record>& records, std::size_t from)
 {
+    if (from > records.size())
+        return respond(410, R"({"FirstOffset":0})");
     std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
     for (std::size_t index = from; index < records.size(); ++index) {
         const std::string content = bigEndian(records[index].first.size(), 1) + records[index].first + records[index].second.value_or("");
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
@@ -29,6 +29,10 @@
     void setAway(bool);
     /** \brief Answers nothing while it is silent. */
     void setSilent(bool value) { this->silent = value; }
+    /** \brief Restarts from a copy that lacks the last \a lost records of each topic, and raises the era. The group forgets its owner and
+     * counts its generations from 0 again.
+     * \returns the lost records by topic, which their writers may write again */
+    std::map<std::string, std::vector<std::pair<std::string, std::optional<std::string>>>> restartFromCopy(std::size_t lost);
     /** \returns how many calls it answered */
     std::size_t calls() const { return this->answered; }
 
@@ -40,9 +44,11 @@
     HttpResponse answer(const HttpRequest&);
     HttpResponse join(const boost::json::object&);
     HttpResponse newest(const std::vector<Record>&) const;
+    HttpResponse respondWithEra(const HttpRequest&);
     static HttpResponse read(const std::vector<Record>&, std::size_t from);
 
     std::map<std::string, std::vector<Record>> topics;
+    std::uint64_t era = 1;
     bool away = false;
     bool silent = false;
     std::size_t answered = 0;
