Limit what gateways tell each other on large sites

Both hubs of a pair began exchanges of their own.

Change: PeerTable limits exchanges with gateways that are no partners to two a second, and those with unresponsive ones to ten, except with those that would take a hub's place; an exchange that the peer began counts as one. Lists of gateways name failure domains, and go out only when the receiver's digest differs. ConfigurationRelay decides to whom the document goes. The transfer of a large message may exceed the exchange's timeout while bytes arrive.

--- a/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
@@ -46,7 +46,9 @@
     std::optional<StoreEra> storeEra; ///< highest era of the store that the sender knows; the endpoint list is of this era
     std::vector<AvoidedEndpoint> avoided;
     std::vector<EndpointRun> leaving; ///< endpoints that are leaving although their entries don't say so yet
-    std::vector<SocketAddress> peers; ///< gateways that the sender knows
+    std::uint64_t peersDigest = 0; ///< of the gateways that the sender can reach
+    std::uint64_t knownPeersDigest = 0; ///< of the receiver's gateways as the sender last received them
+    std::optional<std::vector<PeerAddress>> peers; ///< the reachable gateways; sent to a receiver whose knownPeersDigest differs
     std::optional<SiteSize> siteSize; ///< number of gateways of the site; nothing when the sender does not know it
     bool wantsEndpoints = false; ///< whether the sender asks for endpoints because it can't read the registry itself
     std::optional<ConfigurationDocument> configuration; ///< sent to a receiver that has an older version
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerTable.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerTable.cpp
@@ -9,10 +9,14 @@
 
 // Interval between exchanges with a partner; limits the age of load reports to a fifth of a second.
 constexpr Duration partnerInterval = std::chrono::milliseconds(200);
-// Interval between exchanges with a gateway that is no partner; they only detect whether it is reachable.
+// Shortest interval between exchanges with a gateway that is no partner; they only detect whether it is reachable.
 constexpr Duration nonPartnerInterval = std::chrono::seconds(5);
-// Interval between exchanges with a gateway that does not respond or has not been heard from yet.
+// Interval between any two exchanges with gateways that are no partners. With 1,400 gateways each of them is contacted every 12 minutes.
+constexpr Duration nonPartnerSpacing = std::chrono::milliseconds(500);
+// Shortest interval between exchanges with a gateway that does not respond or has not been heard from yet.
 constexpr Duration unreachableInterval = std::chrono::seconds(1);
+// Interval between any two exchanges with gateways that do not respond.
+constexpr Duration unreachableSpacing = std::chrono::milliseconds(100);
 constexpr std::uint32_t unreachableThreshold = 2;
 // Longer than the longest network partitions, which last an hour. The limit ensures that replaced hosts are eventually no longer
 // counted.
@@ -31,10 +35,13 @@
 {
 }
 
-void PeerTable::addPeer(const SocketAddress& address)
+void PeerTable::addPeer(const PeerAddress& known)
 {
-    if (address != this->self)
-        this->peers.try_emplace(address);
+    if (known.address == this->self)
+        return;
+    KnownPeer& peer = this->peers[known.address];
+    if (peer.failureDomain.empty())
+        peer.failureDomain = known.failureDomain;
 }
 
 void PeerTable::addSeed(const SocketAddress& address)
@@ -62,7 +69,7 @@
     std::size_t heard = this->selfSeedCount;
     for (const auto& [address, peer] : this->peers) {
         seeds += peer.seed ? 1 : 0;
-        heard += peer.seed && !peer.failureDomain.empty() ? 1 : 0;
+        heard += peer.seed && peer.heard ? 1 : 0;
     }
     return seeds == 0 || 2 * heard > seeds;
 }
@@ -84,6 +91,7 @@
         return;
     KnownPeer& peer = this->peers[address];
     peer.failureDomain = failureDomain;
+    peer.heard = true;
     peer.failures = 0;
 }
 
@@ -127,22 +135,50 @@
     return peer->second.failureDomain;
 }
 
-bool PeerTable::isPartner(const SocketAddress& address, const KnownPeer& peer) const
+PeerTable::Overview PeerTable::overview() const
 {
-    if (peer.failureDomain.empty())
-        return false;
-    const bool sameDomain = peer.failureDomain == this->domain;
-    return this->isHub() ? !sameDomain && this->hub(peer.failureDomain) == address : sameDomain && this->hub(this->domain) == address;
+    Overview overview;
+    overview.hubs.emplace(this->domain, this->self);
+    for (const auto& [address, peer] : this->peers) {
+        if (!isResponsive(peer)) {
+            ++overview.unresponsive;
+            continue;
+        }
+        const auto [hub, added] = overview.hubs.emplace(peer.failureDomain, address);
+        if (address < hub->second)
+            hub->second = address;
+    }
+    return overview;
+}
+
+bool PeerTable::hasPartnerIn(const FailureDomainId& failureDomain, const Overview& overview) const
+{
+    const bool sameDomain = failureDomain == this->domain;
+    const bool hub = overview.hubs.at(this->domain) == this->self;
+    return hub != sameDomain;
+}
+
+Duration PeerTable::exchangeInterval(const SocketAddress& address, const KnownPeer& peer, const Overview& overview) const
+{
+    const auto hub = overview.hubs.find(peer.failureDomain);
+    if (!isResponsive(peer)) {
+        const bool wouldBeHub = hub == overview.hubs.end() || address < hub->second;
+        const bool awaited = peer.seed || (wouldBeHub && (peer.failureDomain == this->domain || this->hasPartnerIn(peer.failureDomain, overview)));
+        return awaited ? unreachableInterval : std::max<Duration>(unreachableInterval, unreachableSpacing * overview.unresponsive);
+    }
+    if (address == hub->second && this->hasPartnerIn(peer.failureDomain, overview))
+        return partnerInterval;
+    // The size of the site is known only once most seeds have been heard from.
+    const bool awaited = peer.seed && !peer.heard;
+    return awaited ? unreachableInterval : std::max<Duration>(nonPartnerInterval, nonPartnerSpacing * (this->peers.size() - overview.unresponsive));
 }
 
 std::vector<SocketAddress> PeerTable::due(TimePoint now) const
 {
+    const Overview overview = this->overview();
     std::vector<SocketAddress> addresses;
     for (const auto& [address, peer] : this->peers) {
-        const bool unresponsive = peer.failureDomain.empty() || peer.failures >= unreachableThreshold;
-        const Duration interval = unresponsive ? unreachableInterval : this->isPartner(address, peer) ? partnerInterval
-                                                                                                      : nonPartnerInterval;
-        if (!peer.lastExchangeAt || now - *peer.lastExchangeAt >= interval)
+        if (!peer.lastExchangeAt || now - *peer.lastExchangeAt >= this->exchangeInterval(address, peer, overview))
             addresses.push_back(address);
     }
     return addresses;
@@ -155,12 +191,12 @@
     }));
 }
 
-std::vector<SocketAddress> PeerTable::reachable() const
+std::vector<PeerAddress> PeerTable::reachable() const
 {
-    std::vector<SocketAddress> addresses;
+    std::vector<PeerAddress> addresses;
     for (const auto& [address, peer] : this->peers) {
         if (isResponsive(peer))
-            addresses.push_back(address);
+            addresses.push_back({ address, peer.failureDomain });
     }
     return addresses;
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerTable.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerTable.h
@@ -20,12 +20,21 @@
     auto operator<=>(const SiteSize&) const = default;
 };
 
+/** \brief Address and failure domain of a gateway. */
+struct PeerAddress {
+    SocketAddress address;
+    FailureDomainId failureDomain; ///< empty when it is unknown
+
+    auto operator<=>(const PeerAddress&) const = default;
+};
+
 /** \brief What this gateway knows of a peer. */
 struct KnownPeer {
     bool seed = false; ///< whether the settings name it
-    FailureDomainId failureDomain; ///< empty until the peer has been heard from
+    bool heard = false; ///< whether the peer itself has sent a message
+    FailureDomainId failureDomain; ///< empty until the peer, or a gateway that knows it, has named it
     std::uint32_t failures = 0; ///< consecutive exchanges without a response
-    std::optional<TimePoint> lastExchangeAt; ///< when the last exchange started
+    std::optional<TimePoint> lastExchangeAt; ///< when the last exchange started, on either side
 
     auto operator<=>(const KnownPeer&) const = default;
 };
@@ -36,13 +45,16 @@
  * (the members) and sums up their work. Members exchange state with their hub, and hubs with each other. Therefore neither the calls
  * to the store nor the traffic between failure domains grow with the number of gateways. Each gateway determines the hub from the
  * peers that it can reach itself. Two gateways that both consider themselves the hub only duplicate work.
+ *
+ * Exchanges with all other gateways only detect which of them are reachable. Their rate is limited for each gateway, whatever the number
+ * of gateways, except towards those that would take a hub's place.
  */
 class PeerTable {
 public:
     PeerTable(SocketAddress self, FailureDomainId failureDomain);
 
-    /** \brief Adds the address of a possible gateway. */
-    void addPeer(const SocketAddress&);
+    /** \brief Adds a gateway that another one knows. Its failure domain is taken from there until the gateway has named it itself. */
+    void addPeer(const PeerAddress&);
     /** \brief Adds a gateway that the settings name. */
     void addSeed(const SocketAddress&);
     /** \brief Records the size of the site that another gateway reported. */
@@ -51,7 +63,7 @@
     void notePeerAlive(const SocketAddress&, const FailureDomainId&);
     /** \brief Records an exchange without a response. */
     void noteFailure(const SocketAddress&);
-    /** \brief Records the start of an exchange. */
+    /** \brief Records the start of an exchange, by this gateway or by the peer. */
     void noteExchangeStart(const SocketAddress&, TimePoint now);
 
     /** \returns the hub of the failure domain, which may be this gateway itself, or nothing when none is reachable */
@@ -64,8 +76,8 @@
     std::optional<FailureDomainId> domainOf(const SocketAddress&) const;
     /** \returns the gateways with which an exchange is due */
     std::vector<SocketAddress> due(TimePoint now) const;
-    /** \returns the addresses of the reachable gateways, excluding this one */
-    std::vector<SocketAddress> reachable() const;
+    /** \returns the reachable gateways in the order of their addresses, excluding this one */
+    std::vector<PeerAddress> reachable() const;
     /** \returns the number of reachable gateways, including this one */
     std::size_t size() const { return this->reachable().size() + 1; }
     /** \returns the number of known gateways, including the unreachable ones and this one */
@@ -79,8 +91,17 @@
     std::size_t neighbours() const;
 
 private:
-    /** \returns whether this gateway exchanges state with the peer regularly: a hub with other hubs, a member with its hub */
-    bool isPartner(const SocketAddress&, const KnownPeer&) const;
+    /** \brief The hub of each failure domain, and the number of unresponsive peers. */
+    struct Overview {
+        std::map<FailureDomainId, SocketAddress> hubs;
+        std::size_t unresponsive = 0;
+    };
+
+    Overview overview() const;
+    /** \returns whether this gateway exchanges state regularly with the hub of the domain: a hub with other hubs, a member with its hub */
+    bool hasPartnerIn(const FailureDomainId&, const Overview&) const;
+    /** \returns the interval between two exchanges with the peer */
+    Duration exchangeInterval(const SocketAddress&, const KnownPeer&, const Overview&) const;
     bool heardSeedMajority() const;
 
     SocketAddress self;
--- a/packages/Gateway/tests/PeerTable.cpp
+++ b/packages/Gateway/tests/PeerTable.cpp
@@ -39,7 +39,7 @@
 BOOST_FIXTURE_TEST_CASE(gatewayWithoutReachablePeersIsTheHub, Fixture)
 {
     BOOST_TEST(this->table.isHub());
-    this->table.addPeer(addressOf(1));
+    this->table.addPeer({ addressOf(1), {} });
     BOOST_TEST(this->table.isHub());
     BOOST_TEST(this->isDue(1));
     BOOST_TEST(this->table.size() == 1U);
@@ -112,7 +112,7 @@
 
 BOOST_FIXTURE_TEST_CASE(ownAddressIsNotAPeer, Fixture)
 {
-    this->table.addPeer(addressOf(5));
+    this->table.addPeer({ addressOf(5), {} });
     this->table.notePeerAlive(addressOf(5), localDomain);
     BOOST_TEST(this->table.due(this->now).empty());
 }
@@ -157,3 +157,87 @@
         this->table.noteReportedSize(*this->table.siteSize(this->now), this->now);
     BOOST_TEST(!this->table.siteSize(this->now).has_value());
 }
+
+BOOST_FIXTURE_TEST_CASE(gatewayThatAnotherOneNamesIsUsedUntilItFails, Fixture)
+{
+    this->table.addPeer({ addressOf(2), localDomain });
+    this->table.addPeer({ addressOf(1), remoteDomain });
+    BOOST_TEST((this->table.hub(localDomain) == addressOf(2)));
+    BOOST_TEST((this->table.hub(remoteDomain) == addressOf(1)));
+    BOOST_TEST(!this->table.isHub());
+    this->table.noteFailure(addressOf(2));
+    this->table.noteFailure(addressOf(2));
+    this->table.addPeer({ addressOf(2), localDomain });
+    BOOST_TEST(this->table.isHub());
+}
+
+BOOST_FIXTURE_TEST_CASE(seedThatAnotherGatewayNamesIsNotHeardFrom, Fixture)
+{
+    this->table.addSeed(addressOf(1));
+    this->table.addPeer({ addressOf(1), localDomain });
+    BOOST_TEST(!this->table.siteSize(this->now).has_value());
+    this->table.notePeerAlive(addressOf(1), localDomain);
+    BOOST_TEST(this->table.siteSize(this->now).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(exchangeStartedByThePeerCountsAsOne, Fixture)
+{
+    this->table.notePeerAlive(addressOf(1), remoteDomain);
+    this->startDueExchanges();
+    this->now += 150ms;
+    this->table.noteExchangeStart(addressOf(1), this->now);
+    this->now += 150ms;
+    BOOST_TEST(!this->isDue(1));
+    this->now += 50ms;
+    BOOST_TEST(this->isDue(1));
+}
+
+// Load pattern: a site of 1,400 gateways in seven failure domains. What one gateway spends on exchanges must not grow with the site, or all
+// of them together would send a million messages a second.
+BOOST_AUTO_TEST_CASE(exchangesOfAGatewayDoNotGrowWithTheSite)
+{
+    for (const int gateways : { 118, 1400 }) {
+        PeerTable table({ "10.1.0.0", 80 }, localDomain);
+        for (int host = 1; host < gateways; ++host)
+            table.addPeer({ { "10.2." + std::to_string(host / 200) + "." + std::to_string(host % 200), 80 }, FailureDomainId(std::string(1, static_cast<char>('a' + host % 7))) });
+        std::size_t exchanges = 0;
+        TimePoint now { 100s };
+        const auto runUntil = [&](TimePoint end) {
+            for (; now < end; now += 100ms) {
+                for (const SocketAddress& address : table.due(now)) {
+                    table.noteExchangeStart(address, now);
+                    ++exchanges;
+                }
+            }
+        };
+        constexpr Duration observed = 1400s;
+        runUntil(now + observed);
+        exchanges = 0;
+        runUntil(now + observed);
+        // Six other hubs five times a second, and two others a second.
+        BOOST_TEST(exchanges <= 32U * static_cast<unsigned>(observed / 1s), gateways << " gateways: " << exchanges);
+    }
+}
+
+// Load pattern: half of a site of 118 gateways lost power. The survivors must find their hubs again quickly without spending their time
+// on connections to gateways that do not respond.
+BOOST_AUTO_TEST_CASE(unresponsiveGatewaysAreContactedAtALimitedRate)
+{
+    PeerTable table({ "10.1.0.0", 80 }, localDomain);
+    TimePoint now { 100s };
+    for (int host = 1; host < 118; ++host) {
+        const SocketAddress address { "10.2.0." + std::to_string(host), 80 };
+        table.addPeer({ address, host % 2 ? remoteDomain : localDomain });
+        table.noteFailure(address);
+        table.noteFailure(address);
+    }
+    std::size_t exchanges = 0;
+    for (const TimePoint end = now + 60s; now < end; now += 100ms) {
+        for (const SocketAddress& address : table.due(now)) {
+            table.noteExchangeStart(address, now);
+            ++exchanges;
+        }
+    }
+    BOOST_TEST(exchanges > 0U);
+    BOOST_TEST(exchanges <= 70U * 60U);
+}
--- a/packages/Gateway/tests/RetryWindow.cpp
+++ b/packages/Gateway/tests/RetryWindow.cpp
@@ -152,6 +152,7 @@
                 gateway.peerTable.noteFailure(address);
                 continue;
             }
+            other->peerTable.noteExchangeStart(addressOf(gateway.index), this->now);
             this->deliver(gateway, *other);
             this->deliver(*other, gateway);
         }
@@ -160,8 +161,8 @@
     void deliver(const SimulatedGateway& sender, SimulatedGateway& receiver)
     {
         receiver.peerTable.notePeerAlive(addressOf(sender.index), domainOf(sender.index));
-        for (const SocketAddress& address : sender.peerTable.reachable())
-            receiver.peerTable.addPeer(address);
+        for (const PeerAddress& peer : sender.peerTable.reachable())
+            receiver.peerTable.addPeer(peer);
         if (const auto size = sender.peerTable.siteSize(this->now))
             receiver.peerTable.noteReportedSize(*size, this->now);
     }
--- a/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
@@ -63,9 +63,15 @@
     gossip.configurationVersion = static_cast<std::uint64_t>(message.configurationVersion);
     for (const wire::EndpointWork& work : message.work)
         gossip.work.insert_or_assign(EndpointId(work.endpoint), WorkInProgress { work.requests, work.tokenLayers });
-    for (const std::string& peer : message.peers) {
-        if (auto address = parseSocketAddress(peer))
-            gossip.peers.push_back(std::move(*address));
+    gossip.peersDigest = static_cast<std::uint64_t>(message.peersDigest);
+    gossip.knownPeersDigest = static_cast<std::uint64_t>(message.knownPeersDigest);
+    if (!message.peers.empty())
+        gossip.peers.emplace();
+    for (std::size_t index = 0; index < message.peers.size(); ++index) {
+        auto address = parseSocketAddress(message.peers[index]);
+        const bool named = index < message.peerDomains.size();
+        if (address)
+            gossip.peers->push_back({ std::move(*address), FailureDomainId(named ? message.peerDomains[index] : "") });
     }
     for (const wire::AvoidedEndpoint& avoided : message.avoided)
         gossip.avoided.push_back({ EndpointId(avoided.endpoint), Duration(avoided.remainingMicroseconds) });
@@ -107,8 +113,13 @@
         entry.tokenLayers = work.tokenLayers;
         message.work.push_back(std::move(entry));
     }
-    for (const SocketAddress& peer : gossip.peers)
-        message.peers.push_back(formatSocketAddress(peer));
+    message.__set_peersDigest(static_cast<std::int64_t>(gossip.peersDigest));
+    message.__set_knownPeersDigest(static_cast<std::int64_t>(gossip.knownPeersDigest));
+    message.__isset.peerDomains = gossip.peers.has_value();
+    for (const PeerAddress& peer : gossip.peers.value_or(std::vector<PeerAddress> {})) {
+        message.peers.push_back(formatSocketAddress(peer.address));
+        message.peerDomains.push_back(peer.failureDomain.str());
+    }
     message.__isset.avoided = !gossip.avoided.empty();
     for (const AvoidedEndpoint& avoided : gossip.avoided) {
         wire::AvoidedEndpoint entry;
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4392,6 +4392,21 @@
   this->leaving = val;
 __isset.leaving = true;
 }
+
+void GatewayWord::__set_peerDomains(const std::vector<std::string> & val) {
+  this->peerDomains = val;
+__isset.peerDomains = true;
+}
+
+void GatewayWord::__set_peersDigest(const int64_t val) {
+  this->peersDigest = val;
+__isset.peersDigest = true;
+}
+
+void GatewayWord::__set_knownPeersDigest(const int64_t val) {
+  this->knownPeersDigest = val;
+__isset.knownPeersDigest = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -4647,6 +4662,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->peerDomains.clear();
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->peerDomains.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
+            {
+              xfer += iprot->readString(this->peerDomains[_i153]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.peerDomains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->peersDigest);
+          this->__isset.peersDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->knownPeersDigest);
+          this->__isset.knownPeersDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4697,10 +4748,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter149;
-    for (_iter149 = this->work.begin(); _iter149 != this->work.end(); ++_iter149)
+    std::vector<EndpointWork> ::const_iterator _iter154;
+    for (_iter154 = this->work.begin(); _iter154 != this->work.end(); ++_iter154)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4709,10 +4760,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter150;
-    for (_iter150 = this->peers.begin(); _iter150 != this->peers.end(); ++_iter150)
+    std::vector<std::string> ::const_iterator _iter155;
+    for (_iter155 = this->peers.begin(); _iter155 != this->peers.end(); ++_iter155)
     {
-      xfer += oprot->writeString((*_iter150));
+      xfer += oprot->writeString((*_iter155));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4736,10 +4787,10 @@
     xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-      std::vector<RegistryEntry> ::const_iterator _iter151;
-      for (_iter151 = this->endpoints.begin(); _iter151 != this->endpoints.end(); ++_iter151)
+      std::vector<RegistryEntry> ::const_iterator _iter156;
+      for (_iter156 = this->endpoints.begin(); _iter156 != this->endpoints.end(); ++_iter156)
       {
-        xfer += (*_iter151).write(oprot);
+        xfer += (*_iter156).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4749,10 +4800,10 @@
     xfer += oprot->writeFieldBegin("avoided", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->avoided.size()));
-      std::vector<AvoidedEndpoint> ::const_iterator _iter152;
-      for (_iter152 = this->avoided.begin(); _iter152 != this->avoided.end(); ++_iter152)
+      std::vector<AvoidedEndpoint> ::const_iterator _iter157;
+      for (_iter157 = this->avoided.begin(); _iter157 != this->avoided.end(); ++_iter157)
       {
-        xfer += (*_iter152).write(oprot);
+        xfer += (*_iter157).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4802,15 +4853,38 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector<LeavingEndpoint> ::const_iterator _iter153;
-      for (_iter153 = this->leaving.begin(); _iter153 != this->leaving.end(); ++_iter153)
+      std::vector<LeavingEndpoint> ::const_iterator _iter158;
+      for (_iter158 = this->leaving.begin(); _iter158 != this->leaving.end(); ++_iter158)
+      {
+        xfer += (*_iter158).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.peerDomains) {
+    xfer += oprot->writeFieldBegin("peerDomains", ::apache::thrift::protocol::T_LIST, 21);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peerDomains.size()));
+      std::vector<std::string> ::const_iterator _iter159;
+      for (_iter159 = this->peerDomains.begin(); _iter159 != this->peerDomains.end(); ++_iter159)
       {
-        xfer += (*_iter153).write(oprot);
+        xfer += oprot->writeString((*_iter159));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.peersDigest) {
+    xfer += oprot->writeFieldBegin("peersDigest", ::apache::thrift::protocol::T_I64, 22);
+    xfer += oprot->writeI64(this->peersDigest);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.knownPeersDigest) {
+    xfer += oprot->writeFieldBegin("knownPeersDigest", ::apache::thrift::protocol::T_I64, 23);
+    xfer += oprot->writeI64(this->knownPeersDigest);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4838,101 +4912,116 @@
   swap(a.siteGatewaysAgeMicroseconds, b.siteGatewaysAgeMicroseconds);
   swap(a.storeEra, b.storeEra);
   swap(a.leaving, b.leaving);
+  swap(a.peerDomains, b.peerDomains);
+  swap(a.peersDigest, b.peersDigest);
+  swap(a.knownPeersDigest, b.knownPeersDigest);
   swap(a.__isset, b.__isset);
 }
 
-GatewayWord::GatewayWord(const GatewayWord& other154) {
-  daemon = other154.daemon;
-  address = other154.address;
-  port = other154.port;
-  configurationVersion = other154.configurationVersion;
-  work = other154.work;
-  peers = other154.peers;
-  wantsEndpoints = other154.wantsEndpoints;
-  configurationKey = other154.configurationKey;
-  configurationDocument = other154.configurationDocument;
-  endpoints = other154.endpoints;
-  avoided = other154.avoided;
-  failureDomain = other154.failureDomain;
-  sum = other154.sum;
-  endpointsRevision = other154.endpointsRevision;
-  knownRevision = other154.knownRevision;
-  followsStore = other154.followsStore;
-  siteGateways = other154.siteGateways;
-  siteGatewaysAgeMicroseconds = other154.siteGatewaysAgeMicroseconds;
-  storeEra = other154.storeEra;
-  leaving = other154.leaving;
-  __isset = other154.__isset;
-}
-GatewayWord::GatewayWord(GatewayWord&& other155) noexcept {
-  daemon = std::move(other155.daemon);
-  address = std::move(other155.address);
-  port = other155.port;
-  configurationVersion = other155.configurationVersion;
-  work = std::move(other155.work);
-  peers = std::move(other155.peers);
-  wantsEndpoints = other155.wantsEndpoints;
-  configurationKey = std::move(other155.configurationKey);
-  configurationDocument = std::move(other155.configurationDocument);
-  endpoints = std::move(other155.endpoints);
-  avoided = std::move(other155.avoided);
-  failureDomain = std::move(other155.failureDomain);
-  sum = other155.sum;
-  endpointsRevision = other155.endpointsRevision;
-  knownRevision = other155.knownRevision;
-  followsStore = other155.followsStore;
-  siteGateways = other155.siteGateways;
-  siteGatewaysAgeMicroseconds = other155.siteGatewaysAgeMicroseconds;
-  storeEra = other155.storeEra;
-  leaving = std::move(other155.leaving);
-  __isset = other155.__isset;
-}
-GatewayWord& GatewayWord::operator=(const GatewayWord& other156) {
-  daemon = other156.daemon;
-  address = other156.address;
-  port = other156.port;
-  configurationVersion = other156.configurationVersion;
-  work = other156.work;
-  peers = other156.peers;
-  wantsEndpoints = other156.wantsEndpoints;
-  configurationKey = other156.configurationKey;
-  configurationDocument = other156.configurationDocument;
-  endpoints = other156.endpoints;
-  avoided = other156.avoided;
-  failureDomain = other156.failureDomain;
-  sum = other156.sum;
-  endpointsRevision = other156.endpointsRevision;
-  knownRevision = other156.knownRevision;
-  followsStore = other156.followsStore;
-  siteGateways = other156.siteGateways;
-  siteGatewaysAgeMicroseconds = other156.siteGatewaysAgeMicroseconds;
-  storeEra = other156.storeEra;
-  leaving = other156.leaving;
-  __isset = other156.__isset;
+GatewayWord::GatewayWord(const GatewayWord& other160) {
+  daemon = other160.daemon;
+  address = other160.address;
+  port = other160.port;
+  configurationVersion = other160.configurationVersion;
+  work = other160.work;
+  peers = other160.peers;
+  wantsEndpoints = other160.wantsEndpoints;
+  configurationKey = other160.configurationKey;
+  configurationDocument = other160.configurationDocument;
+  endpoints = other160.endpoints;
+  avoided = other160.avoided;
+  failureDomain = other160.failureDomain;
+  sum = other160.sum;
+  endpointsRevision = other160.endpointsRevision;
+  knownRevision = other160.knownRevision;
+  followsStore = other160.followsStore;
+  siteGateways = other160.siteGateways;
+  siteGatewaysAgeMicroseconds = other160.siteGatewaysAgeMicroseconds;
+  storeEra = other160.storeEra;
+  leaving = other160.leaving;
+  peerDomains = other160.peerDomains;
+  peersDigest = other160.peersDigest;
+  knownPeersDigest = other160.knownPeersDigest;
+  __isset = other160.__isset;
+}
+GatewayWord::GatewayWord(GatewayWord&& other161) noexcept {
+  daemon = std::move(other161.daemon);
+  address = std::move(other161.address);
+  port = other161.port;
+  configurationVersion = other161.configurationVersion;
+  work = std::move(other161.work);
+  peers = std::move(other161.peers);
+  wantsEndpoints = other161.wantsEndpoints;
+  configurationKey = std::move(other161.configurationKey);
+  configurationDocument = std::move(other161.configurationDocument);
+  endpoints = std::move(other161.endpoints);
+  avoided = std::move(other161.avoided);
+  failureDomain = std::move(other161.failureDomain);
+  sum = other161.sum;
+  endpointsRevision = other161.endpointsRevision;
+  knownRevision = other161.knownRevision;
+  followsStore = other161.followsStore;
+  siteGateways = other161.siteGateways;
+  siteGatewaysAgeMicroseconds = other161.siteGatewaysAgeMicroseconds;
+  storeEra = other161.storeEra;
+  leaving = std::move(other161.leaving);
+  peerDomains = std::move(other161.peerDomains);
+  peersDigest = other161.peersDigest;
+  knownPeersDigest = other161.knownPeersDigest;
+  __isset = other161.__isset;
+}
+GatewayWord& GatewayWord::operator=(const GatewayWord& other162) {
+  daemon = other162.daemon;
+  address = other162.address;
+  port = other162.port;
+  configurationVersion = other162.configurationVersion;
+  work = other162.work;
+  peers = other162.peers;
+  wantsEndpoints = other162.wantsEndpoints;
+  configurationKey = other162.configurationKey;
+  configurationDocument = other162.configurationDocument;
+  endpoints = other162.endpoints;
+  avoided = other162.avoided;
+  failureDomain = other162.failureDomain;
+  sum = other162.sum;
+  endpointsRevision = other162.endpointsRevision;
+  knownRevision = other162.knownRevision;
+  followsStore = other162.followsStore;
+  siteGateways = other162.siteGateways;
+  siteGatewaysAgeMicroseconds = other162.siteGatewaysAgeMicroseconds;
+  storeEra = other162.storeEra;
+  leaving = other162.leaving;
+  peerDomains = other162.peerDomains;
+  peersDigest = other162.peersDigest;
+  knownPeersDigest = other162.knownPeersDigest;
+  __isset = other162.__isset;
   return *this;
 }
-GatewayWord& GatewayWord::operator=(GatewayWord&& other157) noexcept {
-  daemon = std::move(other157.daemon);
-  address = std::move(other157.address);
-  port = other157.port;
-  configurationVersion = other157.configurationVersion;
-  work = std::move(other157.work);
-  peers = std::move(other157.peers);
-  wantsEndpoints = other157.wantsEndpoints;
-  configurationKey = std::move(other157.configurationKey);
-  configurationDocument = std::move(other157.configurationDocument);
-  endpoints = std::move(other157.endpoints);
-  avoided = std::move(other157.avoided);
-  failureDomain = std::move(other157.failureDomain);
-  sum = other157.sum;
-  endpointsRevision = other157.endpointsRevision;
-  knownRevision = other157.knownRevision;
-  followsStore = other157.followsStore;
-  siteGateways = other157.siteGateways;
-  siteGatewaysAgeMicroseconds = other157.siteGatewaysAgeMicroseconds;
-  storeEra = other157.storeEra;
-  leaving = std::move(other157.leaving);
-  __isset = other157.__isset;
+GatewayWord& GatewayWord::operator=(GatewayWord&& other163) noexcept {
+  daemon = std::move(other163.daemon);
+  address = std::move(other163.address);
+  port = other163.port;
+  configurationVersion = other163.configurationVersion;
+  work = std::move(other163.work);
+  peers = std::move(other163.peers);
+  wantsEndpoints = other163.wantsEndpoints;
+  configurationKey = std::move(other163.configurationKey);
+  configurationDocument = std::move(other163.configurationDocument);
+  endpoints = std::move(other163.endpoints);
+  avoided = std::move(other163.avoided);
+  failureDomain = std::move(other163.failureDomain);
+  sum = other163.sum;
+  endpointsRevision = other163.endpointsRevision;
+  knownRevision = other163.knownRevision;
+  followsStore = other163.followsStore;
+  siteGateways = other163.siteGateways;
+  siteGatewaysAgeMicroseconds = other163.siteGatewaysAgeMicroseconds;
+  storeEra = other163.storeEra;
+  leaving = std::move(other163.leaving);
+  peerDomains = std::move(other163.peerDomains);
+  peersDigest = other163.peersDigest;
+  knownPeersDigest = other163.knownPeersDigest;
+  __isset = other163.__isset;
   return *this;
 }
 void GatewayWord::printTo(std::ostream& out) const {
@@ -4958,6 +5047,9 @@
   out << ", " << "siteGatewaysAgeMicroseconds="; (__isset.siteGatewaysAgeMicroseconds ? (out << to_string(siteGatewaysAgeMicroseconds)) : (out << "<null>"));
   out << ", " << "storeEra="; (__isset.storeEra ? (out << to_string(storeEra)) : (out << "<null>"));
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ", " << "peerDomains="; (__isset.peerDomains ? (out << to_string(peerDomains)) : (out << "<null>"));
+  out << ", " << "peersDigest="; (__isset.peersDigest ? (out << to_string(peersDigest)) : (out << "<null>"));
+  out << ", " << "knownPeersDigest="; (__isset.knownPeersDigest ? (out << to_string(knownPeersDigest)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -1551,7 +1551,7 @@
 std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj);
 
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1565,6 +1565,9 @@
   bool siteGatewaysAgeMicroseconds :1;
   bool storeEra :1;
   bool leaving :1;
+  bool peerDomains :1;
+  bool peersDigest :1;
+  bool knownPeersDigest :1;
 } _GatewayWord__isset;
 
 /**
@@ -1592,7 +1595,9 @@
                 followsStore(0),
                 siteGateways(0),
                 siteGatewaysAgeMicroseconds(0),
-                storeEra(0) {
+                storeEra(0),
+                peersDigest(0),
+                knownPeersDigest(0) {
   }
 
   virtual ~GatewayWord() noexcept;
@@ -1601,6 +1606,9 @@
   int32_t port;
   int64_t configurationVersion;
   std::vector<EndpointWork>  work;
+  /**
+   * Empty when the receiver has the sender's list already, as its digest shows.
+   */
   std::vector<std::string>  peers;
   bool wantsEndpoints;
   std::string configurationKey;
@@ -1616,6 +1624,12 @@
   int64_t siteGatewaysAgeMicroseconds;
   int64_t storeEra;
   std::vector<LeavingEndpoint>  leaving;
+  /**
+   * Failure domain of each of the peers, in their order.
+   */
+  std::vector<std::string>  peerDomains;
+  int64_t peersDigest;
+  int64_t knownPeersDigest;
 
   _GatewayWord__isset __isset;
 
@@ -1659,6 +1673,12 @@
 
   void __set_leaving(const std::vector<LeavingEndpoint> & val);
 
+  void __set_peerDomains(const std::vector<std::string> & val);
+
+  void __set_peersDigest(const int64_t val);
+
+  void __set_knownPeersDigest(const int64_t val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1727,6 +1747,18 @@
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
+    if (__isset.peerDomains != rhs.__isset.peerDomains)
+      return false;
+    else if (__isset.peerDomains && !(peerDomains == rhs.peerDomains))
+      return false;
+    if (__isset.peersDigest != rhs.__isset.peersDigest)
+      return false;
+    else if (__isset.peersDigest && !(peersDigest == rhs.peersDigest))
+      return false;
+    if (__isset.knownPeersDigest != rhs.__isset.knownPeersDigest)
+      return false;
+    else if (__isset.knownPeersDigest && !(knownPeersDigest == rhs.knownPeersDigest))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -208,6 +208,7 @@
   3: required i32 port
   4: required i64 configurationVersion
   5: required list<EndpointWork> work
+  /** Empty when the receiver has the sender's list already, as its digest shows. */
   6: required list<string> peers
   7: required bool wantsEndpoints
   8: optional string configurationKey
@@ -223,4 +224,8 @@
   18: optional i64 siteGatewaysAgeMicroseconds
   19: optional i64 storeEra
   20: optional list<LeavingEndpoint> leaving
+  /** Failure domain of each of the peers, in their order. */
+  21: optional list<string> peerDomains
+  22: optional i64 peersDigest
+  23: optional i64 knownPeersDigest
 }
--- a/packages/Peer/tests/GossipMessage.cpp
+++ b/packages/Peer/tests/GossipMessage.cpp
@@ -15,7 +15,9 @@
     gossip.avoided = { { EndpointId("e2"), 400ms } };
     gossip.storeEra = 3;
     gossip.leaving = { { EndpointId("e3"), 1700000000001 } };
-    gossip.peers = { { "10.0.0.2", 8229 } };
+    gossip.peers = { { { "10.0.0.2", 8229 }, FailureDomainId("b") } };
+    gossip.peersDigest = 0x8000000000000001;
+    gossip.knownPeersDigest = 11;
     gossip.siteSize = SiteSize { 34, 2s };
     gossip.failureDomain = FailureDomainId("a");
     gossip.sum = true;
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint64_t memberRoundPeriod = 2;
 // A peer responds within one or two milliseconds; a missing response after this time counts as a failure.
 constexpr Duration peerTimeout = std::chrono::milliseconds(300);
+// A large configuration takes longer than that over a link that other members use at the same time. While bytes arrive, the daemon
+// waits for up to the time in which a change must become active.
+constexpr Duration transferAllowance = std::chrono::seconds(2);
 constexpr Duration connectionIdleTime = std::chrono::seconds(10);
 constexpr std::size_t maximumMessageBytes = 64 * 1024 * 1024;
 // Group under which a member records the aggregated load that its hub reports.
@@ -32,6 +35,19 @@
 
 }
 
+namespace {
+
+/** \returns a digest of the list, which is not 0; only compared with digests from the same daemon */
+std::uint64_t digestOf(const std::vector<PeerAddress>& peers)
+{
+    std::string text;
+    for (const PeerAddress& peer : peers)
+        text += formatSocketAddress(peer.address) + ' ' + peer.failureDomain.str() + '\n';
+    return std::hash<std::string> {}(text) | 1U;
+}
+
+}
+
 PeerExchange::PeerExchange(GatewayContext& context, const StoreFollower& follower)
     : context(context)
     , follower(follower)
@@ -76,12 +92,22 @@
     }
 }
 
-void PeerExchange::addDocuments(GossipMessage& message, const SocketAddress& receiver) const
+void PeerExchange::addPeers(GossipMessage& message, const SocketAddress& receiver) const
+{
+    std::vector<PeerAddress> peers = this->context.roster.reachable();
+    message.peersDigest = digestOf(peers);
+    const auto entry = this->peerStates.find(receiver);
+    message.knownPeersDigest = entry == this->peerStates.end() ? 0 : entry->second.peersDigest;
+    if (entry == this->peerStates.end() || entry->second.knownPeersDigest != message.peersDigest)
+        message.peers = std::move(peers);
+}
+
+void PeerExchange::addDocuments(GossipMessage& message, const SocketAddress& receiver)
 {
     const auto entry = this->peerStates.find(receiver);
     if (entry == this->peerStates.end())
         return;
-    if (entry->second.configurationVersion < message.configurationVersion)
+    if (this->configurationRelay.mustSend(receiver, message.configurationVersion, bootNow()))
         message.configuration = this->context.document;
     if (!entry->second.wantsEndpoints || !this->hasCurrentEndpoints() || entry->second.knownRevision == message.endpointsRevision)
         return;
@@ -90,14 +116,13 @@
         message.endpoints->push_back(record.endpoint);
 }
 
-GossipMessage PeerExchange::messageFor(const SocketAddress& receiver) const
+GossipMessage PeerExchange::messageFor(const SocketAddress& receiver)
 {
     GossipMessage message;
     message.daemon = this->context.settings.daemon;
     message.failureDomain = this->context.settings.failureDomain;
     message.address = *this->context.settings.peers;
     message.configurationVersion = this->context.table ? this->context.table->version() : 0;
-    message.peers = this->context.roster.reachable();
     message.siteSize = this->context.roster.siteSize(bootNow());
     message.followsStore = this->hasCurrentEndpoints();
     // A member requests the endpoint list from its hub only, as long as the hub has a current one.
@@ -113,6 +138,7 @@
         if (remaining && record.lastFault == EndpointFault::Unreachable)
             message.avoided.push_back({ id, *remaining });
     }
+    this->addPeers(message, receiver);
     this->addWork(message, receiver);
     this->addDocuments(message, receiver);
     return message;
@@ -149,14 +175,17 @@
     const TimePoint now = bootNow();
     ++this->context.capacityChanges;
     this->context.roster.notePeerAlive(message.address, message.failureDomain);
-    for (const SocketAddress& address : message.peers)
-        this->context.roster.addPeer(address);
+    for (const PeerAddress& known : message.peers.value_or(std::vector<PeerAddress> {}))
+        this->context.roster.addPeer(known);
     if (message.siteSize)
         this->context.roster.noteReportedSize(*message.siteSize, now);
     this->updateRole();
     PeerState& peer = this->peerStates[message.address];
     peer.daemon = message.daemon;
-    peer.configurationVersion = message.configurationVersion;
+    if (message.peers)
+        peer.peersDigest = message.peersDigest;
+    peer.knownPeersDigest = message.knownPeersDigest;
+    this->configurationRelay.notePeer(message.address, message.configurationVersion, message.wantsEndpoints, now);
     peer.knownRevision = message.knownRevision;
     peer.wantsEndpoints = message.wantsEndpoints;
     const bool outdated = this->context.noteStoreEra(message.storeEra, message.daemon.str()) == EraRelation::Outdated;
@@ -195,6 +224,7 @@
         co_return emptyResponse(400);
     }
     const SocketAddress address = message->address;
+    this->context.roster.noteExchangeStart(address, bootNow());
     this->handleMessage(std::move(*message));
     HttpResponse response = emptyResponse(200);
     response.body = encodeGossipMessage(this->messageFor(address));
@@ -216,7 +246,7 @@
 {
     auto& connection = this->connections[address];
     if (!connection)
-        connection = std::make_unique<HttpConnection>(this->context.io, httpAddress(address), HttpLimits { peerTimeout, connectionIdleTime, maximumMessageBytes });
+        connection = std::make_unique<HttpConnection>(this->context.io, httpAddress(address), HttpLimits { peerTimeout, connectionIdleTime, maximumMessageBytes, transferAllowance });
     if (connection->busy())
         co_return;
     this->context.roster.noteExchangeStart(address, bootNow());
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
@@ -25,7 +25,8 @@
 private:
     /** \brief Contents of a peer's last message. */
     struct PeerState {
-        std::uint64_t configurationVersion = 0; ///< version of the peer's active configuration
+        std::uint64_t peersDigest = 0; ///< of the peer's list of gateways that this daemon last received
+        std::uint64_t knownPeersDigest = 0; ///< of this daemon's list of gateways that the peer last received
         std::uint64_t knownRevision = 0; ///< revision of this daemon's endpoint list that the peer has
         std::uint64_t endpointsRevision = 0; ///< revision of the peer's endpoint list that this daemon has
         bool wantsEndpoints = false; ///< the peer asks for the endpoint list
@@ -35,9 +36,10 @@
     boost::asio::awaitable<std::optional<HttpResponse>> handleRequest(HttpRequest);
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> exchangeWith(SocketAddress);
-    GossipMessage messageFor(const SocketAddress&) const;
+    GossipMessage messageFor(const SocketAddress&);
     void addWork(GossipMessage&, const SocketAddress&) const;
-    void addDocuments(GossipMessage&, const SocketAddress&) const;
+    void addPeers(GossipMessage&, const SocketAddress&) const;
+    void addDocuments(GossipMessage&, const SocketAddress&);
     void handleMessage(GossipMessage);
     void applyWork(GossipMessage&, TimePoint now);
     void applyEndpoints(const GossipMessage&, PeerState&, TimePoint now);
@@ -49,6 +51,7 @@
     GatewayContext& context;
     const StoreFollower& follower;
     std::map<SocketAddress, PeerState> peerStates;
+    ConfigurationRelay configurationRelay;
     std::map<SocketAddress, std::unique_ptr<HttpConnection>> connections;
     const std::uint64_t revisionOffset; ///< random per run, so that endpoint list revisions of different runs don't collide
     bool wasHub = true;
