Let few gateways read the store when the hubs can't

Cause: as soon as a hub could not read the store, every member of its domain read it, three times a second and collection. Ruled out: the hubs' polls and claims, which are five gateways' whatever the site.

Change: StoreReaderPolicy decides who reads: the hub, two standbys whenever it can't, and every other gateway later and less often, since it may be the only one that the store serves. A hub that gets the state from a gateway which reads says that it relays it, and serves its members from it. PeerExchange no longer needs the follower.

--- a/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
@@ -43,6 +43,7 @@
     std::uint64_t endpointsRevision = 0; ///< revision of the sender's endpoint list
     std::uint64_t knownRevision = 0; ///< last revision of the receiver's endpoint list that the sender has
     bool followsStore = false; ///< whether the sender reads the store itself and can reach it
+    bool relaysStore = false; ///< whether the sender gets the state from a gateway that reads the store, and passes it on
     std::optional<StoreEra> storeEra; ///< highest era of the store that the sender knows; the endpoint list is of this era
     std::vector<AvoidedEndpoint> avoided;
     std::vector<EndpointRun> leaving; ///< endpoints that are leaving although their entries don't say so yet
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerTable.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerTable.cpp
@@ -191,6 +191,13 @@
     }));
 }
 
+std::size_t PeerTable::rank() const
+{
+    return static_cast<std::size_t>(std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+        return entry.second.failureDomain == this->domain && entry.first < this->self && isResponsive(entry.second);
+    }));
+}
+
 std::vector<PeerAddress> PeerTable::reachable() const
 {
     std::vector<PeerAddress> addresses;
--- a/packages/Gateway/filbertspoke/src/Gateway/PeerTable.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerTable.h
@@ -70,6 +70,8 @@
     std::optional<SocketAddress> hub(const FailureDomainId&) const;
     /** \returns whether this gateway is the hub of its failure domain */
     bool isHub() const { return this->hub(this->domain) == this->self; }
+    /** \returns the number of reachable gateways of the own failure domain with lower addresses, which is 0 for the hub */
+    std::size_t rank() const;
     /** \returns whether the gateway at the address is known and reachable */
     bool isReachable(const SocketAddress&) const;
     /** \returns the failure domain of the gateway at the address, or nothing */
--- a/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
@@ -80,6 +80,7 @@
     gossip.endpointsRevision = static_cast<std::uint64_t>(message.endpointsRevision);
     gossip.knownRevision = static_cast<std::uint64_t>(message.knownRevision);
     gossip.followsStore = message.followsStore;
+    gossip.relaysStore = message.relaysStore;
     gossip.wantsEndpoints = message.wantsEndpoints;
     if (message.__isset.storeEra)
         gossip.storeEra = static_cast<StoreEra>(message.storeEra);
@@ -141,6 +142,7 @@
     message.__set_endpointsRevision(static_cast<std::int64_t>(gossip.endpointsRevision));
     message.__set_knownRevision(static_cast<std::int64_t>(gossip.knownRevision));
     message.__set_followsStore(gossip.followsStore);
+    message.__set_relaysStore(gossip.relaysStore);
     message.wantsEndpoints = gossip.wantsEndpoints;
     if (gossip.siteSize) {
         message.__set_siteGateways(static_cast<std::int64_t>(gossip.siteSize->gateways));
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4407,6 +4407,11 @@
   this->knownPeersDigest = val;
 __isset.knownPeersDigest = true;
 }
+
+void GatewayWord::__set_relaysStore(const bool val) {
+  this->relaysStore = val;
+__isset.relaysStore = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -4698,6 +4703,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relaysStore);
+          this->__isset.relaysStore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4885,6 +4898,11 @@
     xfer += oprot->writeI64(this->knownPeersDigest);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relaysStore) {
+    xfer += oprot->writeFieldBegin("relaysStore", ::apache::thrift::protocol::T_BOOL, 24);
+    xfer += oprot->writeBool(this->relaysStore);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4915,6 +4933,7 @@
   swap(a.peerDomains, b.peerDomains);
   swap(a.peersDigest, b.peersDigest);
   swap(a.knownPeersDigest, b.knownPeersDigest);
+  swap(a.relaysStore, b.relaysStore);
   swap(a.__isset, b.__isset);
 }
 
@@ -4942,6 +4961,7 @@
   peerDomains = other160.peerDomains;
   peersDigest = other160.peersDigest;
   knownPeersDigest = other160.knownPeersDigest;
+  relaysStore = other160.relaysStore;
   __isset = other160.__isset;
 }
 GatewayWord::GatewayWord(GatewayWord&& other161) noexcept {
@@ -4968,6 +4988,7 @@
   peerDomains = std::move(other161.peerDomains);
   peersDigest = other161.peersDigest;
   knownPeersDigest = other161.knownPeersDigest;
+  relaysStore = other161.relaysStore;
   __isset = other161.__isset;
 }
 GatewayWord& GatewayWord::operator=(const GatewayWord& other162) {
@@ -4994,6 +5015,7 @@
   peerDomains = other162.peerDomains;
   peersDigest = other162.peersDigest;
   knownPeersDigest = other162.knownPeersDigest;
+  relaysStore = other162.relaysStore;
   __isset = other162.__isset;
   return *this;
 }
@@ -5021,6 +5043,7 @@
   peerDomains = std::move(other163.peerDomains);
   peersDigest = other163.peersDigest;
   knownPeersDigest = other163.knownPeersDigest;
+  relaysStore = other163.relaysStore;
   __isset = other163.__isset;
   return *this;
 }
@@ -5050,6 +5073,7 @@
   out << ", " << "peerDomains="; (__isset.peerDomains ? (out << to_string(peerDomains)) : (out << "<null>"));
   out << ", " << "peersDigest="; (__isset.peersDigest ? (out << to_string(peersDigest)) : (out << "<null>"));
   out << ", " << "knownPeersDigest="; (__isset.knownPeersDigest ? (out << to_string(knownPeersDigest)) : (out << "<null>"));
+  out << ", " << "relaysStore="; (__isset.relaysStore ? (out << to_string(relaysStore)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -1551,7 +1551,7 @@
 std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj);
 
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1568,6 +1568,7 @@
   bool peerDomains :1;
   bool peersDigest :1;
   bool knownPeersDigest :1;
+  bool relaysStore :1;
 } _GatewayWord__isset;
 
 /**
@@ -1597,7 +1598,8 @@
                 siteGatewaysAgeMicroseconds(0),
                 storeEra(0),
                 peersDigest(0),
-                knownPeersDigest(0) {
+                knownPeersDigest(0),
+                relaysStore(0) {
   }
 
   virtual ~GatewayWord() noexcept;
@@ -1630,6 +1632,7 @@
   std::vector<std::string>  peerDomains;
   int64_t peersDigest;
   int64_t knownPeersDigest;
+  bool relaysStore;
 
   _GatewayWord__isset __isset;
 
@@ -1679,6 +1682,8 @@
 
   void __set_knownPeersDigest(const int64_t val);
 
+  void __set_relaysStore(const bool val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1759,6 +1764,10 @@
       return false;
     else if (__isset.knownPeersDigest && !(knownPeersDigest == rhs.knownPeersDigest))
       return false;
+    if (__isset.relaysStore != rhs.__isset.relaysStore)
+      return false;
+    else if (__isset.relaysStore && !(relaysStore == rhs.relaysStore))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -228,4 +228,5 @@
   21: optional list<string> peerDomains
   22: optional i64 peersDigest
   23: optional i64 knownPeersDigest
+  24: optional bool relaysStore
 }
--- a/packages/Peer/tests/GossipMessage.cpp
+++ b/packages/Peer/tests/GossipMessage.cpp
@@ -24,6 +24,7 @@
     gossip.endpointsRevision = 8;
     gossip.knownRevision = 6;
     gossip.followsStore = true;
+    gossip.relaysStore = true;
     gossip.wantsEndpoints = true;
     gossip.configuration = ConfigurationDocument { "config", std::string("{\0}", 3) };
     RegisteredEndpoint endpoint;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -5,22 +5,16 @@
 
 namespace filbertspoke {
 
-namespace {
-
-// A hub sends several messages a second; a member reads the store itself after this time without one.
-constexpr Duration hubReportLifetime = std::chrono::milliseconds(600);
-
-}
-
 GatewayContext::GatewayContext(boost::asio::io_context& io, GatewaySettings settings, GatewayCodecs codecs)
     : io(io)
     , settings(std::move(settings))
     , codecs(std::move(codecs))
+    , random(std::random_device {}())
     , roster(this->settings.peers.value_or(this->settings.callers), this->settings.failureDomain)
+    , storeReading(std::uniform_real_distribution<double>(0, 1)(this->random), bootNow())
     , waiters(io)
     , failureDetector(io, this->codecs.engine)
     , pool(io)
-    , random(std::random_device {}())
 {
 }
 
@@ -40,7 +34,7 @@
 
 bool GatewayContext::followsStore() const
 {
-    return this->roster.isHub() || !this->lastHubReportAt || bootNow() - *this->lastHubReportAt > hubReportLifetime;
+    return this->storeReading.mustRead(this->roster.rank(), bootNow());
 }
 
 double GatewayContext::randomFraction()
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -42,8 +42,7 @@
     SharedRetryBudget& retryBudget(const ServiceId&);
     /** \returns the number of gateways that share the retry budgets, or nothing while it is unknown */
     std::optional<std::size_t> siteGateways() const;
-    /** \returns whether this daemon must read the store itself, because it is the hub of its failure domain or has no recent report of
-     * a hub that does */
+    /** \returns whether this daemon must read the store itself */
     bool followsStore() const;
     /** \returns a uniformly distributed random number in [0, 1) */
     double randomFraction();
@@ -60,6 +59,7 @@
     boost::asio::io_context& io;
     GatewaySettings settings; ///< replaced as a whole when the settings file is reloaded
     const GatewayCodecs codecs;
+    Random random;
     std::shared_ptr<const ForwardingTable> table; ///< of the active configuration; null until one is known
     ConfigurationDocument document; ///< from which the table was decoded
     EndpointRegistry registry; ///< known endpoints of all services
@@ -68,14 +68,13 @@
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
     PeerTable roster; ///< the other gateways of the site
-    std::optional<TimePoint> lastHubReportAt; ///< when the hub last reported that it follows the store; empty when its last report said otherwise
+    StoreReaderPolicy storeReading;
     CapacityWaiters waiters; ///< generations that wait for free capacity
     StreamRegistry streams;
     EngineFailureDetector failureDetector;
     std::uint64_t capacityChanges = 1; ///< incremented when the free capacity of the engines may have grown
     UpstreamPool pool; ///< idle connections to endpoints
     Metrics metrics;
-    Random random;
     bool stopping = false; ///< shutdown has begun
     unsigned requestsInProgress = 0; ///< requests of callers without a complete response
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -41,7 +41,7 @@
         , signals(this->io, SIGTERM, SIGINT)
     {
         if (settings.peers)
-            this->peers.emplace(this->context, this->follower);
+            this->peers.emplace(this->context);
         if (settings.metrics)
             this->metricsServer.emplace(this->io, httpAddress(*settings.metrics), [this](const HttpRequest& request) { return this->handleOperatorRequest(request); });
     }
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -27,6 +27,8 @@
 // waits for up to the time in which a change must become active.
 constexpr Duration transferAllowance = std::chrono::seconds(2);
 constexpr Duration connectionIdleTime = std::chrono::seconds(10);
+// Readers of the store send several messages a second.
+constexpr Duration relayLifetime = std::chrono::milliseconds(600);
 constexpr std::size_t maximumMessageBytes = 64 * 1024 * 1024;
 // Group under which a member records the aggregated load that its hub reports.
 const std::string hubGroup = "hub";
@@ -46,11 +48,18 @@
     return std::hash<std::string> {}(text) | 1U;
 }
 
+HubSource hubSource(const GossipMessage& message, bool outdated)
+{
+    if (outdated)
+        return HubSource::None;
+    return message.followsStore ? HubSource::Store : message.relaysStore ? HubSource::Relay
+                                                                         : HubSource::None;
+}
+
 }
 
-PeerExchange::PeerExchange(GatewayContext& context, const StoreFollower& follower)
+PeerExchange::PeerExchange(GatewayContext& context)
     : context(context)
-    , follower(follower)
     , revisionOffset(context.random() >> revisionOffsetShift)
     , server(context.io, httpAddress(*context.settings.peers), [this](HttpRequest request) { return this->handleRequest(std::move(request)); })
 {
@@ -70,7 +79,20 @@
 
 bool PeerExchange::hasCurrentEndpoints() const
 {
-    return this->context.registryLoaded && this->context.followsStore() && this->follower.reachable();
+    return this->context.registryLoaded && this->context.followsStore() && this->context.storeReading.reads();
+}
+
+bool PeerExchange::relaysStore() const
+{
+    return this->context.roster.isHub() && this->relayedAt && bootNow() - *this->relayedAt <= relayLifetime;
+}
+
+void PeerExchange::noteRelayed(const GossipMessage& message, const PeerState& peer, TimePoint now)
+{
+    const bool sameEndpoints = this->context.registryLoaded && peer.endpointsRevision == message.endpointsRevision;
+    const bool sameConfiguration = this->context.table && this->context.table->version() >= message.configurationVersion;
+    if (message.followsStore && sameEndpoints && sameConfiguration)
+        this->relayedAt = now;
 }
 
 void PeerExchange::addWork(GossipMessage& message, const SocketAddress& receiver) const
@@ -109,7 +131,8 @@
         return;
     if (this->configurationRelay.mustSend(receiver, message.configurationVersion, bootNow()))
         message.configuration = this->context.document;
-    if (!entry->second.wantsEndpoints || !this->hasCurrentEndpoints() || entry->second.knownRevision == message.endpointsRevision)
+    const bool upToDate = this->hasCurrentEndpoints() || this->relaysStore();
+    if (!entry->second.wantsEndpoints || !upToDate || entry->second.knownRevision == message.endpointsRevision)
         return;
     message.endpoints.emplace();
     for (const auto& [id, record] : this->context.registry.records())
@@ -125,6 +148,7 @@
     message.configurationVersion = this->context.table ? this->context.table->version() : 0;
     message.siteSize = this->context.roster.siteSize(bootNow());
     message.followsStore = this->hasCurrentEndpoints();
+    message.relaysStore = !message.followsStore && this->relaysStore();
     // A member requests the endpoint list from its hub only, as long as the hub has a current one.
     message.wantsEndpoints = !message.followsStore && (this->context.followsStore() || this->isOwnHub(receiver));
     message.endpointsRevision = this->revisionOffset + this->context.registry.revision();
@@ -190,7 +214,7 @@
     peer.wantsEndpoints = message.wantsEndpoints;
     const bool outdated = this->context.noteStoreEra(message.storeEra, message.daemon.str()) == EraRelation::Outdated;
     if (this->isOwnHub(message.address))
-        this->context.lastHubReportAt = message.followsStore && !outdated ? std::optional<TimePoint>(now) : std::nullopt;
+        this->context.storeReading.noteHub(hubSource(message, outdated), now);
     for (const AvoidedEndpoint& avoided : message.avoided) {
         this->context.registry.noteRemoteAvoidance(avoided.endpoint, avoided.remaining, now);
         this->context.streams.notifySuspected(avoided.endpoint);
@@ -199,8 +223,10 @@
         this->context.registry.noteRemoteLeaving(run);
     if (message.configuration)
         this->context.applyConfiguration(*message.configuration, message.daemon.str());
-    if (!outdated)
+    if (!outdated) {
         this->applyEndpoints(message, peer, now);
+        this->noteRelayed(message, peer, now);
+    }
     this->applyWork(message, now);
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
@@ -2,7 +2,6 @@
 #define FILBERTSPOKE_PEER_EXCHANGE_H
 
 #include "GatewayContext.h"
-#include "StoreFollower.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -17,7 +16,7 @@
 class PeerExchange {
 public:
     /** \throws boost::system::system_error when the address for peers can't be bound */
-    PeerExchange(GatewayContext&, const StoreFollower&);
+    explicit PeerExchange(GatewayContext&);
 
     /** \brief Starts to exchange messages with the peers, beginning with the configured seeds. */
     void start();
@@ -44,17 +43,22 @@
     void applyWork(GossipMessage&, TimePoint now);
     void applyEndpoints(const GossipMessage&, PeerState&, TimePoint now);
     bool isOwnHub(const SocketAddress&) const;
+    /** \returns whether this daemon reads the store itself and its endpoint list is up to date */
     bool hasCurrentEndpoints() const;
+    /** \returns whether this daemon is a hub that passes on the state of a gateway which reads the store */
+    bool relaysStore() const;
+    /** \brief Records whether the message shows that this daemon has all that its sender has read from the store. */
+    void noteRelayed(const GossipMessage&, const PeerState&, TimePoint now);
     void recordExchange(const SocketAddress&, bool answered);
     void updateRole();
 
     GatewayContext& context;
-    const StoreFollower& follower;
     std::map<SocketAddress, PeerState> peerStates;
     ConfigurationRelay configurationRelay;
     std::map<SocketAddress, std::unique_ptr<HttpConnection>> connections;
     const std::uint64_t revisionOffset; ///< random per run, so that endpoint list revisions of different runs don't collide
     bool wasHub = true;
+    std::optional<TimePoint> relayedAt; ///< when this daemon last had all that another one had read from the store
     HttpServer server;
 };
 
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -21,8 +21,6 @@
 // Endpoints write about once a second, so that a long poll would return at once: the collection is polled at this interval instead.
 // It is a quarter of the time within which a leaving endpoint must stop receiving work.
 constexpr Duration endpointsPollInterval = std::chrono::milliseconds(350);
-// Delay before the next request to the store after a failure.
-constexpr Duration retryDelay = std::chrono::milliseconds(300);
 // Over a busy link, the transfer of a large configuration takes longer than the request timeout. While bytes arrive, the daemon
 // waits for up to the time in which a change must become active.
 constexpr Duration transferAllowance = std::chrono::seconds(2);
@@ -39,6 +37,7 @@
 
 void StoreFollower::noteReachable(bool reachable, const std::string& reason)
 {
+    this->context.storeReading.noteCall(reachable);
     if (reachable == this->storeReachable)
         return;
     this->storeReachable = reachable;
@@ -117,10 +116,13 @@
     limits.transferAllowance = transferAllowance;
     HttpConnection connection(this->context.io, httpAddress(this->context.settings.store), limits);
     std::optional<Position> position;
+    unsigned failures = 0;
     while (true) {
         if (!this->context.followsStore()) {
             // When this daemon has to follow the store again, it starts with a new snapshot.
             position.reset();
+            failures = 0;
+            this->context.storeReading.noteStopped();
             co_await sleepFor(this->context.io, roleCheckInterval);
             continue;
         }
@@ -133,8 +135,10 @@
             error = co_await this->readChanges(connection, collection, *position);
         if (error == ErrorCode::LogTruncated)
             position.reset();
-        if (!position || error)
-            co_await sleepFor(this->context.io, retryDelay);
+        const bool failed = !position || error;
+        failures = failed ? failures + 1 : 0;
+        if (failed)
+            co_await sleepFor(this->context.io, this->context.storeReading.retryDelay(this->context.roster.rank(), failures));
         else if (collection == StoreCollection::Endpoints)
             co_await sleepFor(this->context.io, endpointsPollInterval);
     }
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
@@ -17,8 +17,6 @@
 
     /** \brief Starts to follow both collections of the store. */
     void start();
-    /** \returns whether the last exchange with the store succeeded */
-    bool reachable() const { return this->storeReachable; }
 
 private:
     /** \brief Where to continue to read a collection. */
