--- a/packages/Daemon/tests/Gateway.cpp
+++ b/packages/Daemon/tests/Gateway.cpp
@@ -357,3 +357,29 @@
     BOOST_TEST(eventIds(this->answer(*caller, "0\r\n\r\n")) == "1 2 3 ");
     BOOST_TEST(this->gateway->wait() == 0);
 }
+
+// Streams, calls and generations that wait for capacity are still in progress when the gateway has to end.
+BOOST_AUTO_TEST_CASE(gatewayEndsInTimeWithRequestsInProgress)
+{
+    GatewayScene scene;
+    scene.stopTimeout = 1500ms;
+    scene.start();
+    for (auto& [id, replica] : scene.replicas) {
+        replica->setAnswer([](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return emptyReport();
+            const bool stream = !findHeader(request.headers, "Hop-Count").empty();
+            return ReplicaScript { stream ? std::vector<std::string> { streamHead(request), eventChunk(1) } : std::vector<std::string> {}, 5ms, ReplicaScript::End::Silence };
+        });
+    }
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int call = 0; call < 20; ++call) {
+        callers.push_back(scene.call("POST", "/chat/x"));
+        callers.push_back(scene.call("GET", "/stock/x"));
+    }
+    BOOST_REQUIRE(scene.await([&] { return contains(callers.front()->received(), "id: 1"); }));
+    const auto signalled = std::chrono::steady_clock::now();
+    scene.gateway->signal(SIGTERM);
+    BOOST_TEST(scene.gateway->wait() == 0);
+    BOOST_TEST((std::chrono::steady_clock::now() - signalled < 3s));
+}
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -157,6 +157,7 @@
 Process GatewayScene::launch(GatewayText gateway)
 {
     gateway.retryRatio = this->retryRatio;
+    gateway.stopTimeout = this->stopTimeout;
     const std::string file = this->folder + "/" + gateway.name + ".yaml";
     std::ofstream(file) << settingsText(gateway);
     return Process("filbertspoked", { "gateway", "--settings", file });
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -69,6 +69,7 @@
     HttpAddress callers;
     HttpAddress secondCallers;
     HttpAddress readiness;
+    std::chrono::milliseconds stopTimeout { 8000 }; ///< within which a gateway ends after SIGTERM, whatever is in progress
     double retryRatio = 10; ///< retries that a gateway saves up for with each request: by default the first one suffices
 
 private:
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -47,6 +47,7 @@
     std::vector<HttpAddress> seeds;
     unsigned retryReserve = 10;
     double retryRatio = 0.2;
+    std::chrono::milliseconds stopTimeout { 8000 };
 
     bool operator==(const GatewayText&) const = default;
 };
