--- a/packages/Gateway/filbertspoke/src/Gateway/PeerTable.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PeerTable.cpp
@@ -155,6 +155,7 @@
 {
     const bool sameDomain = failureDomain == this->domain;
     const bool hub = overview.hubs.at(this->domain) == this->self;
+    // The partners of a hub are the hubs of other domains; the partner of a member is the hub of its own.
     return hub != sameDomain;
 }
 
