--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -35,10 +35,6 @@
 // Leaves headroom above the random offset, so that the sum of offset and revision stays within 63 bits.
 constexpr int revisionOffsetShift = 16;
 
-}
-
-namespace {
-
 /** \returns a digest of the list, which is not 0; only compared with digests from the same daemon */
 std::uint64_t digestOf(const std::vector<PeerAddress>& peers)
 {
