Log why an endpoint is removed, and how old the view was

Change: replaceAll() and remove() tell the effect; endpoint-removed names its source, whether the endpoint is held, and the age of the view (RegistryView). No decision changes.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -105,23 +105,23 @@
         this->byId.erase(latest.id);
 }
 
-bool EndpointRegistry::remove(const EndpointId& id, TimePoint now)
+Removal EndpointRegistry::remove(const EndpointId& id, TimePoint now)
 {
     const auto entry = this->byId.find(id);
     if (entry == this->byId.end())
-        return false;
+        return Removal::Unknown;
     ++this->changes;
     const bool mayHaveLapsed = this->recoveredAt && now - *this->recoveredAt < reregistrationGrace;
     if (!mayHaveLapsed || entry->second.endpoint.draining) {
         this->erase(entry, now);
-        return true;
+        return Removal::Erased;
     }
     if (!entry->second.removedAt)
         entry->second.removedAt = this->recoveredAt;
-    return true;
+    return Removal::Held;
 }
 
-void EndpointRegistry::replaceAll(const std::vector<RegisteredEndpoint>& endpoints, TimePoint now)
+std::map<EndpointId, Removal> EndpointRegistry::replaceAll(const std::vector<RegisteredEndpoint>& endpoints, TimePoint now)
 {
     std::set<EndpointId> listed;
     for (const RegisteredEndpoint& endpoint : endpoints) {
@@ -133,8 +133,14 @@
         if (!listed.contains(id))
             missing.push_back(id);
     }
-    for (const EndpointId& id : missing)
-        this->remove(id, now);
+    std::map<EndpointId, Removal> removals;
+    for (const EndpointId& id : missing) {
+        const bool marked = this->byId.at(id).removedAt.has_value();
+        const Removal removal = this->remove(id, now);
+        if (!marked)
+            removals.emplace(id, removal);
+    }
+    return removals;
 }
 
 void EndpointRegistry::noteRegistryRecovered(TimePoint now)
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -43,6 +43,13 @@
     auto operator<=>(const EndpointRun&) const = default;
 };
 
+/** \brief Effect of a removal on an endpoint. */
+enum class Removal {
+    Unknown, ///< the endpoint was not known
+    Erased,
+    Held, ///< the endpoint is still used for a while, because its entry may have expired during an outage of the registry
+};
+
 /** \brief The endpoints known from the platform's registry, with passive health checks from observed exchanges.
  *
  * Does no input or output.
@@ -54,12 +61,12 @@
      * \returns whether anything but the heartbeat changed */
     bool update(const RegisteredEndpoint&);
 
-    /** \brief Removes an entry, or marks it as removed when it may have expired during an outage of the registry.
-     * \returns whether the endpoint was known */
-    bool remove(const EndpointId&, TimePoint now);
+    /** \brief Removes an entry, or marks it as removed when it may have expired during an outage of the registry. */
+    Removal remove(const EndpointId&, TimePoint now);
 
-    /** \brief Applies the complete list of entries; endpoints that are not in it are removed as by remove(). */
-    void replaceAll(const std::vector<RegisteredEndpoint>&, TimePoint now);
+    /** \brief Applies the complete list of entries; endpoints that are not in it are removed as by remove().
+     * \returns the effect on each endpoint that was not marked as removed before and is not in the list */
+    std::map<EndpointId, Removal> replaceAll(const std::vector<RegisteredEndpoint>&, TimePoint now);
 
     /** \brief Records that the registry responds again after an outage, during which entries may have expired. */
     void noteRegistryRecovered(TimePoint now);
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -71,6 +71,23 @@
     return relation;
 }
 
+void GatewayContext::applyEndpoints(const std::vector<RegisteredEndpoint>& endpoints, const std::string& source)
+{
+    const TimePoint now = bootNow();
+    const auto viewAge = this->registryView.age(now);
+    this->registryView.noteCurrent(now);
+    for (const auto& [endpoint, removal] : this->registry.replaceAll(endpoints, now))
+        logRemoval(endpoint, removal, source, viewAge);
+    this->registryLoaded = true;
+}
+
+void GatewayContext::logRemoval(const EndpointId& endpoint, Removal removal, const std::string& source, const std::optional<Duration>& viewAge)
+{
+    if (removal == Removal::Unknown)
+        return;
+    logLine(WriteLog::Level::Info, "endpoint-removed", { { "endpoint", endpoint.str() }, { "source", source }, { "held", removal == Removal::Held ? "yes" : "no" }, { "viewAgeMs", viewAge ? milliseconds(*viewAge) : "none" } });
+}
+
 void GatewayContext::noteSignals(const EndpointId& endpoint, const EndpointSignals& signals)
 {
     if (signals.leaving && this->registry.noteLeaving(endpoint)) {
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -53,6 +53,12 @@
      * \param source of the era, for the log
      * \returns its relation to the highest era known before; what comes with an outdated era must not be used */
     EraRelation noteStoreEra(std::optional<StoreEra>, const std::string& source);
+    /** \brief Applies the complete list of the registry's entries.
+     * \param source of the list, for the log */
+    void applyEndpoints(const std::vector<RegisteredEndpoint>&, const std::string& source);
+    /** \brief Logs the removal of an endpoint.
+     * \param viewAge age of this daemon's list of endpoints before the read that shows the removal */
+    static void logRemoval(const EndpointId&, Removal, const std::string& source, const std::optional<Duration>& viewAge);
     /** \brief Takes note of what an endpoint says about itself in an answer. */
     void noteSignals(const EndpointId&, const EndpointSignals&);
 
@@ -64,6 +70,7 @@
     ConfigurationDocument document; ///< from which the table was decoded
     EndpointRegistry registry; ///< known endpoints of all services
     StoreEraTracker storeEra; ///< changed only through noteStoreEra()
+    RegistryView registryView;
     bool registryLoaded = false; ///< whether the registry has been filled once, from the store or a peer
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -87,6 +87,8 @@
 {
     const bool sameEndpoints = this->context.registryLoaded && peer.endpointsRevision == message.endpointsRevision;
     const bool sameConfiguration = this->context.table && this->context.table->version() >= message.configurationVersion;
+    if (sameEndpoints && (message.followsStore || (message.relaysStore && this->isOwnHub(message.address))))
+        this->context.registryView.noteCurrent(now);
     if (message.followsStore && sameEndpoints && sameConfiguration)
         this->relayedAt = now;
 }
@@ -183,11 +185,10 @@
 {
     if (!message.endpoints || this->hasCurrentEndpoints())
         return;
-    this->context.registry.replaceAll(*message.endpoints, now);
-    peer.endpointsRevision = message.endpointsRevision;
     if (!this->context.registryLoaded)
         logLine(WriteLog::Level::Info, "endpoints-from-peer", { { "peer", message.daemon.str() }, { "endpoints", std::to_string(message.endpoints->size()) } });
-    this->context.registryLoaded = true;
+    this->context.applyEndpoints(*message.endpoints, message.daemon.str());
+    peer.endpointsRevision = message.endpointsRevision;
 }
 
 void PeerExchange::handleMessage(GossipMessage message)
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -164,14 +164,16 @@
         if (auto endpoint = record.value ? this->readEndpoint(record) : std::nullopt)
             endpoints.push_back(std::move(*endpoint));
     }
-    this->context.registry.replaceAll(endpoints, bootNow());
-    this->context.registryLoaded = true;
+    this->context.applyEndpoints(endpoints, "store");
     logLine(WriteLog::Level::Info, "endpoints-read", { { "endpoints", std::to_string(endpoints.size()) } });
 }
 
 void StoreFollower::apply(StoreCollection collection, const std::vector<StoreRecord>& records)
 {
     const TimePoint now = bootNow();
+    const auto viewAge = this->context.registryView.age(now);
+    if (collection == StoreCollection::Endpoints)
+        this->context.registryView.noteCurrent(now);
     for (const StoreRecord& record : records) {
         if (collection == StoreCollection::Configuration) {
             if (record.value)
@@ -180,8 +182,7 @@
         }
         const EndpointId id(record.key);
         if (!record.value) {
-            if (this->context.registry.remove(id, now))
-                logLine(WriteLog::Level::Info, "endpoint-removed", { { "endpoint", record.key } });
+            GatewayContext::logRemoval(id, this->context.registry.remove(id, now), "store", viewAge);
         } else if (const auto endpoint = this->readEndpoint(record)) {
             if (this->context.registry.update(*endpoint))
                 logLine(WriteLog::Level::Info, "endpoint-changed", { { "endpoint", record.key }, { "service", endpoint->service.str() }, { "domain", endpoint->failureDomain.str() }, { "draining", endpoint->draining ? "yes" : "no" }, { "firstLayer", std::to_string(endpoint->layers.first()) }, { "lastLayer", std::to_string(endpoint->layers.last()) } });
