A failing test: an entry that is not newer makes a removed endpoint usable again

Cause: EndpointRegistry::update() clears the mark of a removal for any entry of the same run whose heartbeat is not lower.

--- a/packages/Gateway/tests/EndpointRegistry.cpp
+++ b/packages/Gateway/tests/EndpointRegistry.cpp
@@ -96,6 +96,17 @@
     BOOST_TEST(!this->registry.find(EndpointId("e2")));
 }
 
+// Guards against requests to an endpoint that every reader of the registry had removed: a list from before the removal revived it.
+BOOST_FIXTURE_TEST_CASE(entryThatIsNotNewerDoesNotCancelARemoval, Fixture)
+{
+    this->registry.update(endpoint("e1", 1000, 5));
+    this->registry.noteRegistryRecovered(this->now);
+    this->registry.remove(EndpointId("e1"), this->now);
+    BOOST_TEST(!this->registry.update(endpoint("e1", 1000, 5)));
+    this->now += 2s;
+    BOOST_TEST((this->candidates() == Ids {}));
+}
+
 BOOST_FIXTURE_TEST_CASE(drainingEntryRemovedAfterAnOutageIsErasedImmediately, Fixture)
 {
     RegisteredEndpoint leaving = endpoint("e1");
