Keep a removed endpoint removed when an entry of before the removal arrives

Cause: EndpointRegistry::update() cleared the mark of a removal for any entry of the same run that was not older. The list of a hub of before the removal has the same heartbeat. Ruled out: entries with a lower heartbeat, which were ignored already. Change: only an entry with a higher heartbeat, which its endpoint wrote after the removal, ends it. Evidence: Gateway.EndpointRegistry.entryThatIsNotNewerDoesNotCancelARemoval failed on the commit before, passes now; 160 of 160 tests of the package pass.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -71,6 +71,9 @@
     const bool restarted = endpoint.startedAtMs > record.endpoint.startedAtMs;
     if (!restarted && endpoint.heartbeat < record.endpoint.heartbeat)
         return false;
+    // The entry was read before it was removed: an endpoint that is alive writes its entry again with a higher heartbeat.
+    if (!restarted && record.removedAt && endpoint.heartbeat == record.endpoint.heartbeat)
+        return false;
     if (restarted) {
         ++this->changes;
         record = newRecord(endpoint);
