Infer an outage of the registry from the age of the view, not from a failed call

Cause: entries that are removed within two seconds after an outage are held, because endpoints may be alive whose entries expired. The end of an outage was the first successful call after a failed one. A member that had failed once, and had left reading to its hub since, found the end of an outage six seconds after it; so did each call that took longer than its timeout. Ruled out: a hub's list that arrived late (the hold is in the log with a view 200 ms old). Change: RegistryView, without input or output, decides by how long the list was not known to match the registry, through reads or messages of a reader: one and a half heartbeat intervals, below which no entry can have expired. The interval is a setting, heartbeatMs. Conclusion: removes the hold at members that were not disturbed.

--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
@@ -9,6 +9,8 @@
 
 constexpr double maximumRatio = 10;
 constexpr double maximumReserve = 1e6;
+constexpr std::uint64_t minimumHeartbeatMs = 10;
+constexpr std::uint64_t maximumHeartbeatMs = 60'000;
 constexpr std::uint64_t minimumStopMs = 100;
 constexpr std::uint64_t maximumStopMs = 600'000;
 const std::vector<std::string_view> levelNames = { "debug", "info", "warning", "error" };
@@ -65,6 +67,7 @@
     settings.metrics = readOptionalAddress(root, "metrics");
     settings.seeds = readSeeds(root);
     settings.store = readAddress(root, "store");
+    settings.heartbeatInterval = readMilliseconds(root, "heartbeatMs", minimumHeartbeatMs, maximumHeartbeatMs, settings.heartbeatInterval);
     internal::MappingReader budget = root.section("retryBudget", false);
     settings.retryBudget.ratio = budget.number("ratio", 0, maximumRatio, settings.retryBudget.ratio);
     settings.retryBudget.reserve = budget.number("reserve", 0, maximumReserve, settings.retryBudget.reserve);
--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
@@ -32,6 +32,7 @@
     std::optional<SocketAddress> metrics; ///< listening address for requests for metrics, if any
     std::vector<SocketAddress> seeds; ///< initial addresses of other daemons
     SocketAddress store; ///< address of the store
+    Duration heartbeatInterval = std::chrono::seconds(1); ///< at which endpoints write their entries in the registry
     RetryBudgetSettings retryBudget;
     Duration stopTimeout = std::chrono::seconds(8); ///< time from the request to stop until the process is killed
     LogLevel logLevel = LogLevel::Info;
--- a/packages/Configuration/tests/GatewaySettings.cpp
+++ b/packages/Configuration/tests/GatewaySettings.cpp
@@ -18,6 +18,7 @@
 metrics: 10.1.0.40:7340
 seeds: ["10.1.0.40:8229", "10.2.0.29:8229"]
 store: 10.200.1.7:8223
+heartbeatMs: 1200
 retryBudget:
     ratio: 0.2
     reserve: 25
@@ -46,6 +47,7 @@
     BOOST_TEST((settings.callers == SocketAddress { "10.1.0.40", 8227 }));
     BOOST_TEST((settings.peers == SocketAddress { "10.1.0.40", 8229 }));
     BOOST_TEST(settings.seeds.size() == 2U);
+    BOOST_TEST((settings.heartbeatInterval == Duration(1200ms)));
     BOOST_TEST((settings.retryBudget == RetryBudgetSettings { 0.2, 25 }));
     BOOST_TEST((settings.stopTimeout == Duration(8s)));
 }
@@ -59,8 +61,8 @@
 
 BOOST_AUTO_TEST_CASE(allProblemsAreReportedAtOnce)
 {
-    const auto keys = problemKeys("daemon: d\ncallers: nowhere\nreadiness: 10.0.0.1:99999\nstore: 10.0.0.2:3\nseeds: [\"x\"]\nstopTimeoutMs: -1\nsurprise: 1\n");
-    for (const char* key : { "failureDomain", "callers", "readiness", "seeds", "stopTimeoutMs", "surprise" })
+    const auto keys = problemKeys("daemon: d\ncallers: nowhere\nreadiness: 10.0.0.1:99999\nstore: 10.0.0.2:3\nseeds: [\"x\"]\nheartbeatMs: 0\nstopTimeoutMs: -1\nsurprise: 1\n");
+    for (const char* key : { "failureDomain", "callers", "readiness", "seeds", "heartbeatMs", "stopTimeoutMs", "surprise" })
         BOOST_TEST(keys.contains(key), key);
 }
 
--- /dev/null
+++ b/packages/Gateway/tests/RegistryView.cpp
@@ -0,0 +1,105 @@
+// When entries of the registry may have expired unnoticed, so that endpoints whose entries are gone are still used for a while.
+#include <filbertspoke/Gateway>
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId service("assistant");
+constexpr Duration heartbeatInterval = 1200ms;
+// Requirement of the users: an endpoint receives no new requests this long after the store has accepted that it leaves.
+constexpr Duration drainLimit = 2s;
+
+RegisteredEndpoint endpoint(const std::string& id, std::uint64_t heartbeat)
+{
+    RegisteredEndpoint endpoint;
+    endpoint.id = EndpointId(id);
+    endpoint.service = service;
+    endpoint.address = { "10.0.0.1", static_cast<std::uint16_t>(8000 + id.back()) };
+    endpoint.failureDomain = FailureDomainId("a");
+    endpoint.heartbeat = heartbeat;
+    endpoint.startedAtMs = 1000;
+    return endpoint;
+}
+
+struct Fixture {
+    Fixture()
+    {
+        this->applyList({ endpoint("e1", 5), endpoint("e2", 5) });
+    }
+
+    void noteCurrent()
+    {
+        if (this->view.noteCurrent(this->now))
+            this->registry.noteRegistryRecovered(this->now);
+    }
+
+    /** \brief Follows the registry without changes, by reads of this daemon or messages of its hub. */
+    void follow(Duration time)
+    {
+        for (const TimePoint end = this->now + time; this->now < end; this->now += 200ms)
+            this->noteCurrent();
+    }
+
+    void applyList(const std::vector<RegisteredEndpoint>& endpoints)
+    {
+        this->noteCurrent();
+        this->registry.replaceAll(endpoints, this->now);
+    }
+
+    std::size_t usable() const { return this->registry.candidates(service, this->now).size(); }
+
+    RegistryView view { heartbeatInterval };
+    EndpointRegistry registry;
+    TimePoint now { 100s };
+};
+
+}
+
+// A member read the store during a network partition, in vain, and left it to its hub afterwards. It reads again when the hub freezes.
+BOOST_FIXTURE_TEST_CASE(firstReadAfterAPauseIsNoEndOfAnOutage, Fixture)
+{
+    this->now += 3s;
+    this->applyList({ endpoint("e1", 7), endpoint("e2", 7) });
+    this->follow(6s);
+    this->now += 700ms;
+    this->applyList({ endpoint("e1", 12), endpoint("e2", 12) });
+    this->now += 600ms;
+    this->applyList({ endpoint("e2", 12) });
+    BOOST_TEST(this->usable() == 1U);
+}
+
+// A call takes longer than its timeout, and the next one succeeds.
+BOOST_FIXTURE_TEST_CASE(shortGapBetweenReadsIsNoOutage, Fixture)
+{
+    this->follow(2s);
+    this->now += 900ms;
+    this->applyList({ endpoint("e2", 6) });
+    BOOST_TEST(this->usable() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(endpointMissingAfterALongGapIsUsedForTwoSeconds, Fixture)
+{
+    this->now += 4s;
+    this->applyList({ endpoint("e2", 8) });
+    BOOST_TEST(this->usable() == 2U);
+    this->follow(1800ms);
+    this->applyList({ endpoint("e2", 9) });
+    BOOST_TEST(this->usable() == 2U);
+    this->now += drainLimit - 1800ms;
+    BOOST_TEST(this->usable() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ageIsUnknownBeforeTheFirstRead, Fixture)
+{
+    RegistryView fresh(heartbeatInterval);
+    BOOST_TEST(!fresh.age(this->now).has_value());
+    BOOST_TEST(!fresh.noteCurrent(this->now));
+    BOOST_TEST((fresh.age(this->now + 3s) == std::optional<Duration>(3s)));
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -10,6 +10,7 @@
     , settings(std::move(settings))
     , codecs(std::move(codecs))
     , random(std::random_device {}())
+    , registryView(this->settings.heartbeatInterval)
     , roster(this->settings.peers.value_or(this->settings.callers), this->settings.failureDomain)
     , storeReading(std::uniform_real_distribution<double>(0, 1)(this->random), bootNow())
     , waiters(io)
@@ -71,11 +72,20 @@
     return relation;
 }
 
+std::optional<Duration> GatewayContext::noteRegistryCurrent(TimePoint now)
+{
+    const auto age = this->registryView.age(now);
+    if (this->registryView.noteCurrent(now)) {
+        logLine(WriteLog::Level::Info, "endpoints-outdated", { { "viewAgeMs", milliseconds(*age) } });
+        this->registry.noteRegistryRecovered(now);
+    }
+    return age;
+}
+
 void GatewayContext::applyEndpoints(const std::vector<RegisteredEndpoint>& endpoints, const std::string& source)
 {
     const TimePoint now = bootNow();
-    const auto viewAge = this->registryView.age(now);
-    this->registryView.noteCurrent(now);
+    const auto viewAge = this->noteRegistryCurrent(now);
     for (const auto& [endpoint, removal] : this->registry.replaceAll(endpoints, now))
         logRemoval(endpoint, removal, source, viewAge);
     this->registryLoaded = true;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -53,6 +53,9 @@
      * \param source of the era, for the log
      * \returns its relation to the highest era known before; what comes with an outdated era must not be used */
     EraRelation noteStoreEra(std::optional<StoreEra>, const std::string& source);
+    /** \brief Records that the list of endpoints matches the registry now.
+     * \returns the age of the list before, or nothing if there was none */
+    std::optional<Duration> noteRegistryCurrent(TimePoint now);
     /** \brief Applies the complete list of the registry's entries.
      * \param source of the list, for the log */
     void applyEndpoints(const std::vector<RegisteredEndpoint>&, const std::string& source);
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -88,7 +88,7 @@
     const bool sameEndpoints = this->context.registryLoaded && peer.endpointsRevision == message.endpointsRevision;
     const bool sameConfiguration = this->context.table && this->context.table->version() >= message.configurationVersion;
     if (sameEndpoints && (message.followsStore || (message.relaysStore && this->isOwnHub(message.address))))
-        this->context.registryView.noteCurrent(now);
+        this->context.noteRegistryCurrent(now);
     if (message.followsStore && sameEndpoints && sameConfiguration)
         this->relayedAt = now;
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -42,8 +42,6 @@
         return;
     this->storeReachable = reachable;
     logLine(reachable ? WriteLog::Level::Info : WriteLog::Level::Warning, reachable ? "store-regained" : "store-lost", { { "reason", reason } });
-    if (reachable)
-        this->context.registry.noteRegistryRecovered(bootNow());
 }
 
 asio::awaitable<Result<HttpResponse>> StoreFollower::call(HttpConnection& connection, HttpRequest request, Duration timeout)
@@ -171,9 +169,7 @@
 void StoreFollower::apply(StoreCollection collection, const std::vector<StoreRecord>& records)
 {
     const TimePoint now = bootNow();
-    const auto viewAge = this->context.registryView.age(now);
-    if (collection == StoreCollection::Endpoints)
-        this->context.registryView.noteCurrent(now);
+    const auto viewAge = collection == StoreCollection::Endpoints ? this->context.noteRegistryCurrent(now) : std::nullopt;
     for (const StoreRecord& record : records) {
         if (collection == StoreCollection::Configuration) {
             if (record.value)
