Destroy requests in progress before the state that they release

Seen: Daemon.Gateway.gatewayEndsInTimeWithRequestsInProgress failed once in a run of eight tests at a time: the gateway ended with a segmentation fault instead of status 0. Cause: at the end of the process with requests in progress, the I/O context is destroyed last, and with it the suspended coroutines, whose reservations then change the load tracker and wake waiters that are destroyed already. Change: the daemon destroys all pending handlers while its state still exists.

--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -27,6 +27,14 @@
 // The process exits this long before the stop timeout, at which it would be killed.
 constexpr Duration killMargin = std::chrono::milliseconds(300);
 
+/** \brief I/O context whose pending handlers can be destroyed before the objects that they refer to. */
+class HandlerOwner : public asio::io_context {
+public:
+    using asio::io_context::io_context;
+
+    void destroyHandlers() { this->shutdown(); }
+};
+
 }
 
 class GatewayDaemon::State {
@@ -46,6 +54,11 @@
             this->metricsServer.emplace(this->io, httpAddress(*settings.metrics), [this](const HttpRequest& request) { return this->handleOperatorRequest(request); });
     }
 
+    // Suspended coroutines of requests in progress release their reservations in the context when they are destroyed.
+    ~State() { this->io.destroyHandlers(); }
+    State(const State&) = delete;
+    State& operator=(const State&) = delete;
+
     void run()
     {
         this->follower.start();
@@ -106,7 +119,7 @@
         this->io.stop();
     }
 
-    asio::io_context io { 1 };
+    HandlerOwner io { 1 };
     GatewayContext context;
     StoreFollower follower;
     PlacementController placement;
