Don't pass on endpoints that are only held

Seen: members that were not frozen took an endpoint back from the list of a hub that was, and used it until the hub's hold ended (DRAIN). Cause: a hub's list held every record, those that it had marked as removed among them, without the mark. Change: the list holds the entries of the registry only; each daemon decides by the age of its own view which endpoints to hold.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -304,6 +304,16 @@
     return *record.avoidedUntil - now;
 }
 
+std::vector<RegisteredEndpoint> EndpointRegistry::entries() const
+{
+    std::vector<RegisteredEndpoint> entries;
+    for (const auto& [id, record] : this->byId) {
+        if (!record.removedAt)
+            entries.push_back(record.endpoint);
+    }
+    return entries;
+}
+
 const EndpointRecord* EndpointRegistry::find(const EndpointId& id) const
 {
     const auto entry = this->byId.find(id);
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -119,6 +119,10 @@
     /** \returns a number that changes whenever an entry changes in more than its heartbeat */
     std::uint64_t revision() const { return this->changes; }
 
+    /** \returns the entries that are in the registry. Endpoints that this daemon only holds are left out: each daemon decides by the age of
+     * its own view which endpoints to hold */
+    std::vector<RegisteredEndpoint> entries() const;
+
     const std::map<EndpointId, EndpointRecord>& records() const { return this->byId; }
 
 private:
--- a/packages/Gateway/tests/RegistryView.cpp
+++ b/packages/Gateway/tests/RegistryView.cpp
@@ -96,6 +96,17 @@
     BOOST_TEST(this->usable() == 1U);
 }
 
+// Guards against requests of members whose hub was frozen: the hub held an endpoint, and they took it from the hub's list as registered.
+BOOST_FIXTURE_TEST_CASE(heldEndpointIsNotPassedOn, Fixture)
+{
+    this->now += 4s;
+    this->applyList({ endpoint("e2", 8) });
+    BOOST_TEST(this->usable() == 2U);
+    const std::vector<RegisteredEndpoint> entries = this->registry.entries();
+    BOOST_REQUIRE(entries.size() == 1U);
+    BOOST_TEST((entries.front().id == EndpointId("e2")));
+}
+
 BOOST_FIXTURE_TEST_CASE(ageIsUnknownBeforeTheFirstRead, Fixture)
 {
     RegistryView fresh(heartbeatInterval);
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -132,9 +132,7 @@
     const bool upToDate = this->hasCurrentEndpoints() || this->relaysStore();
     if (!entry->second.wantsEndpoints || !upToDate || entry->second.knownRevision == message.endpointsRevision)
         return;
-    message.endpoints.emplace();
-    for (const auto& [id, record] : this->context.registry.records())
-        message.endpoints->push_back(record.endpoint);
+    message.endpoints = this->context.registry.entries();
 }
 
 GossipMessage PeerExchange::messageFor(const SocketAddress& receiver)
