Let other daemons rely on the list of endpoints only while it is recent

Seen: no request yet; found while looking for the cause of the reported DRAIN elsewhere. Cause: a hub told members to rely on its list when its last call to the store had succeeded. After a suspension that is the call of before, so that until the first call returns or times out, members may get a list that is as old as the suspension is long. Change: RegistryView::isCurrent(): the list was known to match the registry within the last second. Evidence: Gateway.RegistryView.viewOfASuspendedDaemonIsNotCurrent; the tests of gateways pass. Conclusion: of the same class as the reported fault: the result of the last call was taken for the state now.

--- a/packages/Gateway/filbertspoke/src/Gateway/RegistryView.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/RegistryView.h
@@ -24,6 +24,9 @@
      * \returns whether the registry may have been unavailable before for long enough that entries of endpoints that are alive expired */
     bool noteCurrent(TimePoint now);
 
+    /** \returns whether the list was known to match the registry so recently that other daemons may rely on it */
+    bool isCurrent(TimePoint now) const;
+
     /** \returns the time since the list was last known to match the registry, or nothing if it never was */
     std::optional<Duration> age(TimePoint now) const;
 
--- a/packages/Gateway/tests/RegistryView.cpp
+++ b/packages/Gateway/tests/RegistryView.cpp
@@ -107,10 +107,23 @@
     BOOST_TEST((entries.front().id == EndpointId("e2")));
 }
 
+// Guards against a list of before a suspension: the last call of a hub that wakes up succeeded, so that it told others to rely on its list.
+BOOST_FIXTURE_TEST_CASE(viewOfASuspendedDaemonIsNotCurrent, Fixture)
+{
+    BOOST_TEST(this->view.isCurrent(this->now));
+    this->now += 750ms;
+    BOOST_TEST(this->view.isCurrent(this->now));
+    this->now += 2s;
+    BOOST_TEST(!this->view.isCurrent(this->now));
+    this->noteCurrent();
+    BOOST_TEST(this->view.isCurrent(this->now));
+}
+
 BOOST_FIXTURE_TEST_CASE(ageIsUnknownBeforeTheFirstRead, Fixture)
 {
     RegistryView fresh(heartbeatInterval);
     BOOST_TEST(!fresh.age(this->now).has_value());
+    BOOST_TEST(!fresh.isCurrent(this->now));
     BOOST_TEST(!fresh.noteCurrent(this->now));
     BOOST_TEST((fresh.age(this->now + 3s) == std::optional<Duration>(3s)));
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -75,7 +75,7 @@
 
 bool PeerExchange::hasCurrentEndpoints() const
 {
-    return this->context.registryLoaded && this->context.followsStore() && this->context.storeReading.reads();
+    return this->context.followsStore() && this->context.storeReading.reads() && this->context.registryView.isCurrent(bootNow());
 }
 
 bool PeerExchange::relaysStore() const
