--- a/packages/Core/filbertspoke/src/Core/Identifier.h
+++ b/packages/Core/filbertspoke/src/Core/Identifier.h
@@ -48,6 +48,7 @@
 struct ServiceKind;
 struct FailureDomainKind;
 struct AcceleratorKind;
+struct PromptPartKind;
 }
 
 using RequestId = Identifier<internal::RequestKind>;
@@ -59,6 +60,7 @@
 using ServiceId = Identifier<internal::ServiceKind>;
 using FailureDomainId = Identifier<internal::FailureDomainKind>;
 using AcceleratorId = Identifier<internal::AcceleratorKind>; ///< a kind of accelerator
+using PromptPartId = Identifier<internal::PromptPartKind>; ///< a part of a prompt that several requests may share
 
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
@@ -19,6 +19,7 @@
     std::string host;
     std::optional<Duration> timeLimit; ///< time for which the caller waits, counted from the arrival of the request
     std::string accountKey; ///< empty when the request has none
+    std::vector<PromptPartId> sharedPromptParts; ///< all parts of the prompt but the last one, which is the request's or its session's own
     double promptTokens = 0;
     double maximumOutputTokens = 0;
     std::optional<double> expectedOutputTokens; ///< estimate given by the caller
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -350,6 +350,7 @@
     this->task.upstream = nullptr;
     if (result.failure && this->failedEngine)
         result = { result.failure, this->failedEngineFault, this->failedEngine, "engine-lost" };
+    result.events = this->eventsInAttempt;
     co_return result;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -21,6 +21,14 @@
 // Time limit for reading and discarding the body of another request's response.
 constexpr Duration mismatchedBodyTimeout = std::chrono::milliseconds(200);
 
+std::string joined(const std::vector<PromptPartId>& parts)
+{
+    std::string text;
+    for (const PromptPartId& part : parts)
+        text += (text.empty() ? "" : ",") + part.str();
+    return text;
+}
+
 TimePoint deadlineOf(const CallerRequest& request, const Route& route, TimePoint received)
 {
     return received + std::min(request.timeLimit.value_or(route.timeout), route.timeout);
@@ -77,7 +85,7 @@
     const AttemptState state = this->history.state(this->timeLeft());
     const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
     this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -21,6 +21,7 @@
     std::optional<EndpointId> blamed; ///< the endpoint at fault; when empty, the first endpoint of the attempt
     std::string reason; ///< for log lines and metrics
     bool pushedBack = false; ///< the first endpoint refused the request and named the time for which it wants no others
+    std::uint32_t events = 0; ///< events of a stream that arrived in the attempt
 
     bool operator==(const AttemptResult&) const = default;
 };
