--- /dev/null
+++ b/packages/Daemon/tests/PromptQuarantine.cpp
@@ -0,0 +1,94 @@
+// Runs a gateway with engines that crash whenever they begin to write an answer on one part of a prompt.
+#include <filbertspoke/PlatformTesting>
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<std::string> firstEngines { "engine-a1", "engine-b1" };
+const std::string deadlyPart = "dead";
+// Requirement of the users: no more than three further requests with the part reach engines after the fifth crash.
+constexpr std::size_t crashLimit = 5;
+constexpr std::size_t requestsAfterLimit = 3;
+constexpr int soundRequestsPerCrash = 6;
+
+bool isDeadly(const HttpRequest& request)
+{
+    return findHeader(request.headers, "Prompt-Prefix").find(deadlyPart) != std::string_view::npos;
+}
+
+struct Fixture : GatewayScene {
+    Fixture()
+    {
+        this->start();
+        for (const std::string& id : firstEngines) {
+            this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
+                if (request.target.starts_with("/filbertspoke/"))
+                    return emptyReport();
+                if (isDeadly(request))
+                    return ReplicaScript { { streamHead(request) }, 5ms, ReplicaScript::End::Reset };
+                return ReplicaScript { { streamHead(request), eventChunk(1), lastChunk() }, 5ms, ReplicaScript::End::Keep };
+            });
+        }
+    }
+
+    std::size_t deadlyRequestsAt(const std::string& id) const
+    {
+        const auto& requests = this->replicas.at(id)->requests();
+        return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), isDeadly));
+    }
+
+    std::size_t deadlyRequests() const
+    {
+        return this->deadlyRequestsAt("engine-a1") + this->deadlyRequestsAt("engine-b1");
+    }
+
+    std::string callDeadly()
+    {
+        const auto caller = this->call("POST", "/chat/x", "Prompt-Prefix: common:5," + deadlyPart + ":5,own:5\r\n");
+        this->await([&] { return caller->closed() || caller->received().starts_with("HTTP/1.1 5"); });
+        return caller->received();
+    }
+
+    bool serveSound()
+    {
+        return this->answer(*this->call("POST", "/chat/x", "Prompt-Prefix: common:5,sound:5,own:5\r\n"), "0\r\n\r\n").find("id: 1") != std::string::npos;
+    }
+
+    /** \brief Sends a deadly request, restarts the engines that it crashed and sends sound requests. */
+    std::string crashAndRecover()
+    {
+        std::map<std::string, std::size_t> before;
+        for (const std::string& id : firstEngines)
+            before[id] = this->deadlyRequestsAt(id);
+        const std::string answer = this->callDeadly();
+        for (const std::string& id : firstEngines) {
+            if (this->deadlyRequestsAt(id) > before[id])
+                this->restartEndpoint(id);
+        }
+        this->await([&] { return this->serveSound(); });
+        for (int request = 0; request < soundRequestsPerCrash; ++request)
+            this->serveSound();
+        return answer;
+    }
+};
+
+}
+
+// Guards against one kind of request crashing engines one after the other.
+BOOST_FIXTURE_TEST_CASE(requestsThatCrashEnginesAreRefused, Fixture)
+{
+    std::string answer;
+    for (int request = 0; request < 8; ++request)
+        answer = this->crashAndRecover();
+    BOOST_TEST(this->deadlyRequests() <= crashLimit + requestsAfterLimit);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(this->serveSound());
+}
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -134,8 +134,9 @@
     this->secondStore.putConfiguration(text);
 }
 
-void GatewayScene::put(const EndpointText& endpoint)
+void GatewayScene::put(EndpointText endpoint)
 {
+    endpoint.startedAtMs += this->restarts[endpoint.id];
     const std::string text = endpointText(endpoint);
     this->store.putEndpoint(endpoint.id, text);
     this->secondStore.putEndpoint(endpoint.id, text);
@@ -147,6 +148,12 @@
     this->put({ id, this->replicas.at(id)->address(), "zone-a", state, layers == engineLayers.end() ? LayerRange() : layers->second, ++this->heartbeat });
 }
 
+void GatewayScene::restartEndpoint(const std::string& id)
+{
+    ++this->restarts[id];
+    this->putEndpoint(id);
+}
+
 void GatewayScene::putEngine(const std::string& id, const LayerRange& layers)
 {
     EndpointText endpoint { id, this->replicas.at(id)->address(), "zone-a", "ready", layers, ++this->heartbeat };
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -56,6 +56,8 @@
 
     void putConfiguration(int version, const std::string& bookingService = "app");
     void putEndpoint(const std::string& id, const std::string& state = "ready");
+    /** \brief Writes the entry of another run of the endpoint, with the same id and address. */
+    void restartEndpoint(const std::string& id);
     /** \brief Writes the entry of an engine.
      * \param layers that it holds; empty for none */
     void putEngine(const std::string& id, const LayerRange& layers);
@@ -75,12 +77,13 @@
 private:
     HttpAddress free(const std::string& address) const;
     Process launch(GatewayText);
-    void put(const EndpointText&);
+    void put(EndpointText);
     bool ready(const HttpAddress&);
 
     HttpAddress peers;
     HttpAddress secondPeers; ///< the higher of the two, so that the first gateway is the hub of a domain that they share
     std::uint64_t heartbeat = 0;
+    std::map<std::string, std::int64_t> restarts; ///< by endpoint
     int calls = 0;
     std::string folder;
 };
