--- a/packages/Daemon/tests/PromptQuarantine.cpp
+++ b/packages/Daemon/tests/PromptQuarantine.cpp
@@ -4,8 +4,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstddef>
-#include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 using namespace filbertspoke;
 using namespace std::chrono_literals;
@@ -18,6 +19,7 @@
 constexpr std::size_t crashLimit = 5;
 constexpr std::size_t requestsAfterLimit = 3;
 constexpr int soundRequestsPerCrash = 6;
+constexpr Duration prefillTime = 150ms;
 
 bool isDeadly(const HttpRequest& request)
 {
@@ -28,26 +30,21 @@
     Fixture()
     {
         this->start();
-        for (const std::string& id : firstEngines) {
-            this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
-                if (request.target.starts_with("/filbertspoke/"))
-                    return emptyReport();
-                if (isDeadly(request))
-                    return ReplicaScript { { streamHead(request) }, 5ms, ReplicaScript::End::Reset };
-                return ReplicaScript { { streamHead(request), eventChunk(1), lastChunk() }, 5ms, ReplicaScript::End::Keep };
-            });
-        }
-    }
-
-    std::size_t deadlyRequestsAt(const std::string& id) const
-    {
-        const auto& requests = this->replicas.at(id)->requests();
-        return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), isDeadly));
+        for (const std::string& id : firstEngines)
+            this->replicas.at(id)->setAnswer([this, id](const HttpRequest& request) { return this->answerAt(id, request); });
     }
 
-    std::size_t deadlyRequests() const
+    ReplicaScript answerAt(const std::string& id, const HttpRequest& request)
     {
-        return this->deadlyRequestsAt("engine-a1") + this->deadlyRequestsAt("engine-b1");
+        if (this->crashed.contains(id))
+            return { {}, 5ms, ReplicaScript::End::Reset };
+        if (request.target.starts_with("/filbertspoke/"))
+            return emptyReport();
+        if (!isDeadly(request))
+            return { { streamHead(request), eventChunk(1), lastChunk() }, 5ms, ReplicaScript::End::Keep };
+        ++this->deadlyRequests;
+        this->crashed.insert(id);
+        return { { streamHead(request) }, prefillTime, ReplicaScript::End::Reset };
     }
 
     std::string callDeadly()
@@ -65,19 +62,18 @@
     /** \brief Sends a deadly request, restarts the engines that it crashed and sends sound requests. */
     std::string crashAndRecover()
     {
-        std::map<std::string, std::size_t> before;
-        for (const std::string& id : firstEngines)
-            before[id] = this->deadlyRequestsAt(id);
         const std::string answer = this->callDeadly();
-        for (const std::string& id : firstEngines) {
-            if (this->deadlyRequestsAt(id) > before[id])
-                this->restartEndpoint(id);
-        }
+        for (const std::string& id : this->crashed)
+            this->restartEndpoint(id);
+        this->crashed.clear();
         this->await([&] { return this->serveSound(); });
         for (int request = 0; request < soundRequestsPerCrash; ++request)
             this->serveSound();
         return answer;
     }
+
+    std::set<std::string> crashed; ///< engines that are down
+    std::size_t deadlyRequests = 0; ///< that reached engines which were up
 };
 
 }
@@ -88,7 +84,7 @@
     std::string answer;
     for (int request = 0; request < 8; ++request)
         answer = this->crashAndRecover();
-    BOOST_TEST(this->deadlyRequests() <= crashLimit + requestsAfterLimit);
+    BOOST_TEST(this->deadlyRequests <= crashLimit + requestsAfterLimit);
     BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
     BOOST_TEST(this->serveSound());
 }
--- /dev/null
+++ b/packages/Gateway/tests/PromptQuarantine.cpp
@@ -0,0 +1,220 @@
+// Which prompt parts are found to crash engines, from what one or several daemons observe.
+#include <filbertspoke/Gateway>
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Parts = std::vector<PromptPartId>;
+
+const PromptPartId common("common");
+const PromptPartId deadly("deadly");
+const PromptPartId sound("sound");
+
+EndpointRun run(int number)
+{
+    return { EndpointId("e" + std::to_string(number)), 1000 };
+}
+
+struct Fixture {
+    void serveOthers(int requests)
+    {
+        for (int request = 0; request < requests; ++request)
+            this->quarantine.noteServed({ common, PromptPartId("other") }, this->now);
+    }
+
+    /** \brief An engine crashes under the parts, and requests without them are served afterwards. */
+    void crash(const Parts& parts, int engine)
+    {
+        this->quarantine.noteCrash(parts, run(engine), this->now);
+        this->now += 600ms;
+        this->serveOthers(2);
+    }
+
+    bool refuses(const Parts& parts)
+    {
+        this->quarantine.update(this->now);
+        return this->quarantine.refusalTime(parts, this->now).has_value();
+    }
+
+    PromptQuarantine quarantine;
+    TimePoint now { 100s };
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(partThatCrashesThreeEnginesIsQuarantined, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine) {
+        BOOST_TEST(!this->refuses({ common, deadly }));
+        this->crash({ common, deadly }, engine);
+    }
+    BOOST_TEST(this->refuses({ common, deadly }));
+    BOOST_TEST(!this->refuses({ common, sound }));
+    BOOST_TEST((this->quarantine.refusalTime({ deadly }, this->now) > std::optional<Duration>(9min)));
+}
+
+BOOST_FIXTURE_TEST_CASE(quarantineIsReportedOnce, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ deadly }, engine);
+    BOOST_TEST((this->quarantine.update(this->now) == Parts { deadly }));
+    BOOST_TEST(this->quarantine.update(this->now).empty());
+}
+
+// The repeat of a sound request that went down with an engine is served by another one.
+BOOST_FIXTURE_TEST_CASE(partOfARequestThatIsServedIsCleared, Fixture)
+{
+    for (int engine = 1; engine <= 5; ++engine) {
+        this->crash({ sound, deadly }, engine);
+        this->quarantine.noteServed({ sound }, this->now);
+    }
+    BOOST_TEST(!this->refuses({ sound }));
+    BOOST_TEST(this->refuses({ deadly }));
+}
+
+// A host, a rack or a network fails, and takes several engines with it.
+BOOST_FIXTURE_TEST_CASE(enginesThatFailTogetherCountAsOneCrash, Fixture)
+{
+    for (int engine = 1; engine <= 12; ++engine) {
+        this->quarantine.noteCrash({ sound }, run(engine), this->now);
+        this->now += 2ms;
+    }
+    this->now += 1s;
+    this->serveOthers(10);
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+BOOST_FIXTURE_TEST_CASE(oneEngineThatBreaksConnectionsIsNoEvidence, Fixture)
+{
+    for (int time = 0; time < 10; ++time)
+        this->crash({ sound }, 1);
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+// The whole service fails, so that no request is served, whatever its parts.
+BOOST_FIXTURE_TEST_CASE(nothingIsQuarantinedWhileNoRequestIsServed, Fixture)
+{
+    for (int engine = 1; engine <= 6; ++engine) {
+        this->quarantine.noteCrash({ sound }, run(engine), this->now);
+        this->now += 500ms;
+    }
+    BOOST_TEST(!this->refuses({ sound }));
+    this->serveOthers(3);
+    BOOST_TEST(this->refuses({ sound }));
+}
+
+// Guards against quarantining a rare part, all requests with which happened to be at engines that another part crashed.
+BOOST_FIXTURE_TEST_CASE(partWhoseCrashesAnotherPartExplainsIsReleased, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ sound, deadly }, engine);
+    this->crash({ deadly }, 4);
+    BOOST_TEST(this->refuses({ deadly }));
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+// Guards against quarantining the common first part of a class, no request of which was served while a deadly part crashed the engines.
+BOOST_FIXTURE_TEST_CASE(ofPartsAtTheSameCrashesOnlyTheOneServedLeastRecentlyIsQuarantined, Fixture)
+{
+    this->quarantine.noteServed({ sound }, this->now);
+    this->now += 1s;
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ sound, deadly }, engine);
+    BOOST_TEST(this->refuses({ sound, deadly }));
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+// Guards against quarantining sound parts on sites with many crashes: the daemons' evidence left out some of the deadly part's crashes.
+BOOST_FIXTURE_TEST_CASE(evidenceOfManyCrashesIsPassedOnWhole, Fixture)
+{
+    constexpr int crashes = 12;
+    PromptQuarantine other;
+    for (int engine = 1; engine <= crashes; ++engine) {
+        other.noteCrash(engine > crashes - 3 ? Parts { sound, deadly } : Parts { deadly }, run(engine), this->now);
+        this->now += 100ms;
+    }
+    this->quarantine.merge(other.evidence(this->now), this->now);
+    this->now += 600ms;
+    this->serveOthers(3);
+    BOOST_TEST(this->refuses({ deadly }));
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+// The caller of a deadly request may leave before its engine crashes, so that the crash is not counted against the deadly part.
+BOOST_FIXTURE_TEST_CASE(crashesThatAnotherPartExplainsAreNoEvidence, Fixture)
+{
+    for (int engine = 1; engine <= 4; ++engine)
+        this->crash({ deadly }, engine);
+    this->crash({ sound }, 5);
+    for (int engine = 6; engine <= 7; ++engine)
+        this->crash({ sound, deadly }, engine);
+    BOOST_TEST(this->refuses({ deadly }));
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+BOOST_FIXTURE_TEST_CASE(quarantineEndsAfterTenMinutes, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ deadly }, engine);
+    BOOST_TEST(this->refuses({ deadly }));
+    this->now += 10min;
+    BOOST_TEST(!this->refuses({ deadly }));
+}
+
+// Load pattern: a site of 118 gateways, none of which sees more than one of the crashes. Their observations meet at a hub.
+BOOST_FIXTURE_TEST_CASE(crashesSeenByDifferentDaemonsAddUp, Fixture)
+{
+    std::vector<PromptQuarantine> daemons(3);
+    for (int engine = 1; engine <= 3; ++engine) {
+        PromptQuarantine& daemon = daemons[static_cast<std::size_t>(engine) - 1];
+        daemon.noteCrash({ common, deadly }, run(engine), this->now);
+        this->now += 200ms;
+        this->quarantine.merge(daemon.evidence(this->now), this->now);
+    }
+    this->now += 200ms;
+    this->serveOthers(3);
+    BOOST_TEST(!this->refuses({ deadly }));
+    this->now += 100ms;
+    BOOST_TEST(this->refuses({ deadly }));
+    BOOST_TEST(!this->refuses({ common }));
+    // A member that served nothing meanwhile relies on the hub's decision.
+    daemons.front().merge(this->quarantine.evidence(this->now), this->now);
+    daemons.front().update(this->now);
+    BOOST_TEST(daemons.front().refusalTime({ deadly }, this->now).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(clearingOfAPartReachesOtherDaemons, Fixture)
+{
+    PromptQuarantine other;
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ sound }, engine);
+    other.merge(this->quarantine.evidence(this->now), this->now);
+    other.noteServed({ sound }, this->now);
+    BOOST_TEST(this->refuses({ sound }));
+    this->now += 200ms;
+    this->quarantine.merge(other.evidence(this->now), this->now);
+    BOOST_TEST(!this->refuses({ sound }));
+    // Evidence of before, which arrives over another way, does not count again.
+    PromptQuarantine late;
+    for (int engine = 1; engine <= 3; ++engine)
+        late.noteCrash({ sound }, run(engine), this->now - 1s);
+    this->quarantine.merge(late.evidence(this->now), this->now);
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+BOOST_FIXTURE_TEST_CASE(numberOfSuspectsIsLimited, Fixture)
+{
+    for (int part = 0; part < 10'000; ++part)
+        this->quarantine.noteCrash({ PromptPartId("p" + std::to_string(part)) }, run(1), this->now);
+    BOOST_TEST(this->quarantine.evidence(this->now).size() <= 32U);
+    this->now += 30s;
+    this->quarantine.update(this->now);
+    BOOST_TEST(this->quarantine.evidence(this->now).empty());
+}
--- a/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
@@ -55,6 +55,34 @@
     return endpoint;
 }
 
+wire::PromptPartEvidence toWire(const PromptPartEvidence& evidence)
+{
+    wire::PromptPartEvidence entry;
+    entry.part = evidence.part.str();
+    entry.quarantined = evidence.quarantined;
+    if (evidence.servedAge)
+        entry.__set_servedAgeMicroseconds(evidence.servedAge->count());
+    for (const EngineCrash& crash : evidence.crashes) {
+        wire::EngineCrash& sent = entry.crashes.emplace_back();
+        sent.endpoint = crash.run.endpoint.str();
+        sent.startedAtMs = crash.run.startedAtMs;
+        sent.ageMicroseconds = crash.age.count();
+    }
+    return entry;
+}
+
+PromptPartEvidence fromWire(const wire::PromptPartEvidence& entry)
+{
+    PromptPartEvidence evidence;
+    evidence.part = PromptPartId(entry.part);
+    evidence.quarantined = entry.quarantined;
+    if (entry.__isset.servedAgeMicroseconds)
+        evidence.servedAge = std::max(Duration(entry.servedAgeMicroseconds), Duration::zero());
+    for (const wire::EngineCrash& crash : entry.crashes)
+        evidence.crashes.push_back({ { EndpointId(crash.endpoint), crash.startedAtMs }, std::max(Duration(crash.ageMicroseconds), Duration::zero()) });
+    return evidence;
+}
+
 GossipMessage fromWire(wire::GatewayWord message)
 {
     GossipMessage gossip;
@@ -86,6 +114,8 @@
         gossip.storeEra = static_cast<StoreEra>(message.storeEra);
     for (const wire::LeavingEndpoint& run : message.leaving)
         gossip.leaving.push_back({ EndpointId(run.endpoint), run.startedAtMs });
+    for (const wire::PromptPartEvidence& evidence : message.promptParts)
+        gossip.promptParts.push_back(fromWire(evidence));
     if (message.__isset.siteGateways && message.siteGateways > 0)
         gossip.siteSize = SiteSize { static_cast<std::size_t>(message.siteGateways), std::max(Duration(message.siteGatewaysAgeMicroseconds), Duration::zero()) };
     if (message.__isset.configurationKey && message.__isset.configurationDocument)
@@ -135,6 +165,9 @@
         entry.startedAtMs = run.startedAtMs;
         message.leaving.push_back(std::move(entry));
     }
+    message.__isset.promptParts = !gossip.promptParts.empty();
+    for (const PromptPartEvidence& evidence : gossip.promptParts)
+        message.promptParts.push_back(toWire(evidence));
     if (gossip.storeEra)
         message.__set_storeEra(static_cast<std::int64_t>(*gossip.storeEra));
     message.__set_failureDomain(gossip.failureDomain.str());
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4296,6 +4296,353 @@
 }
 
 
+EngineCrash::~EngineCrash() noexcept {
+}
+
+
+void EngineCrash::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EngineCrash::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+
+void EngineCrash::__set_ageMicroseconds(const int64_t val) {
+  this->ageMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_endpoint = false;
+  bool isset_startedAtMs = false;
+  bool isset_ageMicroseconds = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          isset_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          isset_startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicroseconds);
+          isset_ageMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_endpoint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_startedAtMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t EngineCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineCrash");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicroseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineCrash &a, EngineCrash &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.ageMicroseconds, b.ageMicroseconds);
+}
+
+EngineCrash::EngineCrash(const EngineCrash& other124) {
+  endpoint = other124.endpoint;
+  startedAtMs = other124.startedAtMs;
+  ageMicroseconds = other124.ageMicroseconds;
+}
+EngineCrash::EngineCrash(EngineCrash&& other125) noexcept {
+  endpoint = std::move(other125.endpoint);
+  startedAtMs = other125.startedAtMs;
+  ageMicroseconds = other125.ageMicroseconds;
+}
+EngineCrash& EngineCrash::operator=(const EngineCrash& other126) {
+  endpoint = other126.endpoint;
+  startedAtMs = other126.startedAtMs;
+  ageMicroseconds = other126.ageMicroseconds;
+  return *this;
+}
+EngineCrash& EngineCrash::operator=(EngineCrash&& other127) noexcept {
+  endpoint = std::move(other127.endpoint);
+  startedAtMs = other127.startedAtMs;
+  ageMicroseconds = other127.ageMicroseconds;
+  return *this;
+}
+void EngineCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineCrash(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ", " << "ageMicroseconds=" << to_string(ageMicroseconds);
+  out << ")";
+}
+
+
+PromptPartEvidence::~PromptPartEvidence() noexcept {
+}
+
+
+void PromptPartEvidence::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void PromptPartEvidence::__set_crashes(const std::vector<EngineCrash> & val) {
+  this->crashes = val;
+}
+
+void PromptPartEvidence::__set_servedAgeMicroseconds(const int64_t val) {
+  this->servedAgeMicroseconds = val;
+__isset.servedAgeMicroseconds = true;
+}
+
+void PromptPartEvidence::__set_quarantined(const bool val) {
+  this->quarantined = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptPartEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptPartEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_part = false;
+  bool isset_crashes = false;
+  bool isset_quarantined = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          isset_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->crashes.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->crashes[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servedAgeMicroseconds);
+          this->__isset.servedAgeMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quarantined);
+          isset_quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_crashes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_quarantined)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PromptPartEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptPartEvidence");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<EngineCrash> ::const_iterator _iter133;
+    for (_iter133 = this->crashes.begin(); _iter133 != this->crashes.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.servedAgeMicroseconds) {
+    xfer += oprot->writeFieldBegin("servedAgeMicroseconds", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->servedAgeMicroseconds);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->quarantined);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptPartEvidence &a, PromptPartEvidence &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.crashes, b.crashes);
+  swap(a.servedAgeMicroseconds, b.servedAgeMicroseconds);
+  swap(a.quarantined, b.quarantined);
+  swap(a.__isset, b.__isset);
+}
+
+PromptPartEvidence::PromptPartEvidence(const PromptPartEvidence& other134) {
+  part = other134.part;
+  crashes = other134.crashes;
+  servedAgeMicroseconds = other134.servedAgeMicroseconds;
+  quarantined = other134.quarantined;
+  __isset = other134.__isset;
+}
+PromptPartEvidence::PromptPartEvidence(PromptPartEvidence&& other135) noexcept {
+  part = std::move(other135.part);
+  crashes = std::move(other135.crashes);
+  servedAgeMicroseconds = other135.servedAgeMicroseconds;
+  quarantined = other135.quarantined;
+  __isset = other135.__isset;
+}
+PromptPartEvidence& PromptPartEvidence::operator=(const PromptPartEvidence& other136) {
+  part = other136.part;
+  crashes = other136.crashes;
+  servedAgeMicroseconds = other136.servedAgeMicroseconds;
+  quarantined = other136.quarantined;
+  __isset = other136.__isset;
+  return *this;
+}
+PromptPartEvidence& PromptPartEvidence::operator=(PromptPartEvidence&& other137) noexcept {
+  part = std::move(other137.part);
+  crashes = std::move(other137.crashes);
+  servedAgeMicroseconds = other137.servedAgeMicroseconds;
+  quarantined = other137.quarantined;
+  __isset = other137.__isset;
+  return *this;
+}
+void PromptPartEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptPartEvidence(";
+  out << "part=" << to_string(part);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "servedAgeMicroseconds="; (__isset.servedAgeMicroseconds ? (out << to_string(servedAgeMicroseconds)) : (out << "<null>"));
+  out << ", " << "quarantined=" << to_string(quarantined);
+  out << ")";
+}
+
+
 GatewayWord::~GatewayWord() noexcept {
 }
 
@@ -4412,6 +4759,11 @@
   this->relaysStore = val;
 __isset.relaysStore = true;
 }
+
+void GatewayWord::__set_promptParts(const std::vector<PromptPartEvidence> & val) {
+  this->promptParts = val;
+__isset.promptParts = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -4483,14 +4835,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->work.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->work.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->work[_i128].read(iprot);
+              xfer += this->work[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4503,14 +4855,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->peers.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->peers.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += iprot->readString(this->peers[_i133]);
+              xfer += iprot->readString(this->peers[_i147]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4547,14 +4899,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->endpoints.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->endpoints.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->endpoints[_i138].read(iprot);
+              xfer += this->endpoints[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4567,14 +4919,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoided.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->avoided.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->avoided.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->avoided[_i143].read(iprot);
+              xfer += this->avoided[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4651,14 +5003,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->leaving.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->leaving.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->leaving[_i148].read(iprot);
+              xfer += this->leaving[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4671,14 +5023,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peerDomains.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->peerDomains.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->peerDomains.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += iprot->readString(this->peerDomains[_i153]);
+              xfer += iprot->readString(this->peerDomains[_i167]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4711,6 +5063,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->promptParts.clear();
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->promptParts.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
+            {
+              xfer += this->promptParts[_i172].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.promptParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4761,10 +5133,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter154;
-    for (_iter154 = this->work.begin(); _iter154 != this->work.end(); ++_iter154)
+    std::vector<EndpointWork> ::const_iterator _iter173;
+    for (_iter173 = this->work.begin(); _iter173 != this->work.end(); ++_iter173)
     {
-      xfer += (*_iter154).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4773,10 +5145,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter155;
-    for (_iter155 = this->peers.begin(); _iter155 != this->peers.end(); ++_iter155)
+    std::vector<std::string> ::const_iterator _iter174;
+    for (_iter174 = this->peers.begin(); _iter174 != this->peers.end(); ++_iter174)
     {
-      xfer += oprot->writeString((*_iter155));
+      xfer += oprot->writeString((*_iter174));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4800,10 +5172,10 @@
     xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-      std::vector<RegistryEntry> ::const_iterator _iter156;
-      for (_iter156 = this->endpoints.begin(); _iter156 != this->endpoints.end(); ++_iter156)
+      std::vector<RegistryEntry> ::const_iterator _iter175;
+      for (_iter175 = this->endpoints.begin(); _iter175 != this->endpoints.end(); ++_iter175)
       {
-        xfer += (*_iter156).write(oprot);
+        xfer += (*_iter175).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4813,10 +5185,10 @@
     xfer += oprot->writeFieldBegin("avoided", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->avoided.size()));
-      std::vector<AvoidedEndpoint> ::const_iterator _iter157;
-      for (_iter157 = this->avoided.begin(); _iter157 != this->avoided.end(); ++_iter157)
+      std::vector<AvoidedEndpoint> ::const_iterator _iter176;
+      for (_iter176 = this->avoided.begin(); _iter176 != this->avoided.end(); ++_iter176)
       {
-        xfer += (*_iter157).write(oprot);
+        xfer += (*_iter176).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4866,10 +5238,10 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector<LeavingEndpoint> ::const_iterator _iter158;
-      for (_iter158 = this->leaving.begin(); _iter158 != this->leaving.end(); ++_iter158)
+      std::vector<LeavingEndpoint> ::const_iterator _iter177;
+      for (_iter177 = this->leaving.begin(); _iter177 != this->leaving.end(); ++_iter177)
       {
-        xfer += (*_iter158).write(oprot);
+        xfer += (*_iter177).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4879,10 +5251,10 @@
     xfer += oprot->writeFieldBegin("peerDomains", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peerDomains.size()));
-      std::vector<std::string> ::const_iterator _iter159;
-      for (_iter159 = this->peerDomains.begin(); _iter159 != this->peerDomains.end(); ++_iter159)
+      std::vector<std::string> ::const_iterator _iter178;
+      for (_iter178 = this->peerDomains.begin(); _iter178 != this->peerDomains.end(); ++_iter178)
       {
-        xfer += oprot->writeString((*_iter159));
+        xfer += oprot->writeString((*_iter178));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4903,6 +5275,19 @@
     xfer += oprot->writeBool(this->relaysStore);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.promptParts) {
+    xfer += oprot->writeFieldBegin("promptParts", ::apache::thrift::protocol::T_LIST, 25);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->promptParts.size()));
+      std::vector<PromptPartEvidence> ::const_iterator _iter179;
+      for (_iter179 = this->promptParts.begin(); _iter179 != this->promptParts.end(); ++_iter179)
+      {
+        xfer += (*_iter179).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4934,117 +5319,122 @@
   swap(a.peersDigest, b.peersDigest);
   swap(a.knownPeersDigest, b.knownPeersDigest);
   swap(a.relaysStore, b.relaysStore);
+  swap(a.promptParts, b.promptParts);
   swap(a.__isset, b.__isset);
 }
 
-GatewayWord::GatewayWord(const GatewayWord& other160) {
-  daemon = other160.daemon;
-  address = other160.address;
-  port = other160.port;
-  configurationVersion = other160.configurationVersion;
-  work = other160.work;
-  peers = other160.peers;
-  wantsEndpoints = other160.wantsEndpoints;
-  configurationKey = other160.configurationKey;
-  configurationDocument = other160.configurationDocument;
-  endpoints = other160.endpoints;
-  avoided = other160.avoided;
-  failureDomain = other160.failureDomain;
-  sum = other160.sum;
-  endpointsRevision = other160.endpointsRevision;
-  knownRevision = other160.knownRevision;
-  followsStore = other160.followsStore;
-  siteGateways = other160.siteGateways;
-  siteGatewaysAgeMicroseconds = other160.siteGatewaysAgeMicroseconds;
-  storeEra = other160.storeEra;
-  leaving = other160.leaving;
-  peerDomains = other160.peerDomains;
-  peersDigest = other160.peersDigest;
-  knownPeersDigest = other160.knownPeersDigest;
-  relaysStore = other160.relaysStore;
-  __isset = other160.__isset;
-}
-GatewayWord::GatewayWord(GatewayWord&& other161) noexcept {
-  daemon = std::move(other161.daemon);
-  address = std::move(other161.address);
-  port = other161.port;
-  configurationVersion = other161.configurationVersion;
-  work = std::move(other161.work);
-  peers = std::move(other161.peers);
-  wantsEndpoints = other161.wantsEndpoints;
-  configurationKey = std::move(other161.configurationKey);
-  configurationDocument = std::move(other161.configurationDocument);
-  endpoints = std::move(other161.endpoints);
-  avoided = std::move(other161.avoided);
-  failureDomain = std::move(other161.failureDomain);
-  sum = other161.sum;
-  endpointsRevision = other161.endpointsRevision;
-  knownRevision = other161.knownRevision;
-  followsStore = other161.followsStore;
-  siteGateways = other161.siteGateways;
-  siteGatewaysAgeMicroseconds = other161.siteGatewaysAgeMicroseconds;
-  storeEra = other161.storeEra;
-  leaving = std::move(other161.leaving);
-  peerDomains = std::move(other161.peerDomains);
-  peersDigest = other161.peersDigest;
-  knownPeersDigest = other161.knownPeersDigest;
-  relaysStore = other161.relaysStore;
-  __isset = other161.__isset;
-}
-GatewayWord& GatewayWord::operator=(const GatewayWord& other162) {
-  daemon = other162.daemon;
-  address = other162.address;
-  port = other162.port;
-  configurationVersion = other162.configurationVersion;
-  work = other162.work;
-  peers = other162.peers;
-  wantsEndpoints = other162.wantsEndpoints;
-  configurationKey = other162.configurationKey;
-  configurationDocument = other162.configurationDocument;
-  endpoints = other162.endpoints;
-  avoided = other162.avoided;
-  failureDomain = other162.failureDomain;
-  sum = other162.sum;
-  endpointsRevision = other162.endpointsRevision;
-  knownRevision = other162.knownRevision;
-  followsStore = other162.followsStore;
-  siteGateways = other162.siteGateways;
-  siteGatewaysAgeMicroseconds = other162.siteGatewaysAgeMicroseconds;
-  storeEra = other162.storeEra;
-  leaving = other162.leaving;
-  peerDomains = other162.peerDomains;
-  peersDigest = other162.peersDigest;
-  knownPeersDigest = other162.knownPeersDigest;
-  relaysStore = other162.relaysStore;
-  __isset = other162.__isset;
+GatewayWord::GatewayWord(const GatewayWord& other180) {
+  daemon = other180.daemon;
+  address = other180.address;
+  port = other180.port;
+  configurationVersion = other180.configurationVersion;
+  work = other180.work;
+  peers = other180.peers;
+  wantsEndpoints = other180.wantsEndpoints;
+  configurationKey = other180.configurationKey;
+  configurationDocument = other180.configurationDocument;
+  endpoints = other180.endpoints;
+  avoided = other180.avoided;
+  failureDomain = other180.failureDomain;
+  sum = other180.sum;
+  endpointsRevision = other180.endpointsRevision;
+  knownRevision = other180.knownRevision;
+  followsStore = other180.followsStore;
+  siteGateways = other180.siteGateways;
+  siteGatewaysAgeMicroseconds = other180.siteGatewaysAgeMicroseconds;
+  storeEra = other180.storeEra;
+  leaving = other180.leaving;
+  peerDomains = other180.peerDomains;
+  peersDigest = other180.peersDigest;
+  knownPeersDigest = other180.knownPeersDigest;
+  relaysStore = other180.relaysStore;
+  promptParts = other180.promptParts;
+  __isset = other180.__isset;
+}
+GatewayWord::GatewayWord(GatewayWord&& other181) noexcept {
+  daemon = std::move(other181.daemon);
+  address = std::move(other181.address);
+  port = other181.port;
+  configurationVersion = other181.configurationVersion;
+  work = std::move(other181.work);
+  peers = std::move(other181.peers);
+  wantsEndpoints = other181.wantsEndpoints;
+  configurationKey = std::move(other181.configurationKey);
+  configurationDocument = std::move(other181.configurationDocument);
+  endpoints = std::move(other181.endpoints);
+  avoided = std::move(other181.avoided);
+  failureDomain = std::move(other181.failureDomain);
+  sum = other181.sum;
+  endpointsRevision = other181.endpointsRevision;
+  knownRevision = other181.knownRevision;
+  followsStore = other181.followsStore;
+  siteGateways = other181.siteGateways;
+  siteGatewaysAgeMicroseconds = other181.siteGatewaysAgeMicroseconds;
+  storeEra = other181.storeEra;
+  leaving = std::move(other181.leaving);
+  peerDomains = std::move(other181.peerDomains);
+  peersDigest = other181.peersDigest;
+  knownPeersDigest = other181.knownPeersDigest;
+  relaysStore = other181.relaysStore;
+  promptParts = std::move(other181.promptParts);
+  __isset = other181.__isset;
+}
+GatewayWord& GatewayWord::operator=(const GatewayWord& other182) {
+  daemon = other182.daemon;
+  address = other182.address;
+  port = other182.port;
+  configurationVersion = other182.configurationVersion;
+  work = other182.work;
+  peers = other182.peers;
+  wantsEndpoints = other182.wantsEndpoints;
+  configurationKey = other182.configurationKey;
+  configurationDocument = other182.configurationDocument;
+  endpoints = other182.endpoints;
+  avoided = other182.avoided;
+  failureDomain = other182.failureDomain;
+  sum = other182.sum;
+  endpointsRevision = other182.endpointsRevision;
+  knownRevision = other182.knownRevision;
+  followsStore = other182.followsStore;
+  siteGateways = other182.siteGateways;
+  siteGatewaysAgeMicroseconds = other182.siteGatewaysAgeMicroseconds;
+  storeEra = other182.storeEra;
+  leaving = other182.leaving;
+  peerDomains = other182.peerDomains;
+  peersDigest = other182.peersDigest;
+  knownPeersDigest = other182.knownPeersDigest;
+  relaysStore = other182.relaysStore;
+  promptParts = other182.promptParts;
+  __isset = other182.__isset;
   return *this;
 }
-GatewayWord& GatewayWord::operator=(GatewayWord&& other163) noexcept {
-  daemon = std::move(other163.daemon);
-  address = std::move(other163.address);
-  port = other163.port;
-  configurationVersion = other163.configurationVersion;
-  work = std::move(other163.work);
-  peers = std::move(other163.peers);
-  wantsEndpoints = other163.wantsEndpoints;
-  configurationKey = std::move(other163.configurationKey);
-  configurationDocument = std::move(other163.configurationDocument);
-  endpoints = std::move(other163.endpoints);
-  avoided = std::move(other163.avoided);
-  failureDomain = std::move(other163.failureDomain);
-  sum = other163.sum;
-  endpointsRevision = other163.endpointsRevision;
-  knownRevision = other163.knownRevision;
-  followsStore = other163.followsStore;
-  siteGateways = other163.siteGateways;
-  siteGatewaysAgeMicroseconds = other163.siteGatewaysAgeMicroseconds;
-  storeEra = other163.storeEra;
-  leaving = std::move(other163.leaving);
-  peerDomains = std::move(other163.peerDomains);
-  peersDigest = other163.peersDigest;
-  knownPeersDigest = other163.knownPeersDigest;
-  relaysStore = other163.relaysStore;
-  __isset = other163.__isset;
+GatewayWord& GatewayWord::operator=(GatewayWord&& other183) noexcept {
+  daemon = std::move(other183.daemon);
+  address = std::move(other183.address);
+  port = other183.port;
+  configurationVersion = other183.configurationVersion;
+  work = std::move(other183.work);
+  peers = std::move(other183.peers);
+  wantsEndpoints = other183.wantsEndpoints;
+  configurationKey = std::move(other183.configurationKey);
+  configurationDocument = std::move(other183.configurationDocument);
+  endpoints = std::move(other183.endpoints);
+  avoided = std::move(other183.avoided);
+  failureDomain = std::move(other183.failureDomain);
+  sum = other183.sum;
+  endpointsRevision = other183.endpointsRevision;
+  knownRevision = other183.knownRevision;
+  followsStore = other183.followsStore;
+  siteGateways = other183.siteGateways;
+  siteGatewaysAgeMicroseconds = other183.siteGatewaysAgeMicroseconds;
+  storeEra = other183.storeEra;
+  leaving = std::move(other183.leaving);
+  peerDomains = std::move(other183.peerDomains);
+  peersDigest = other183.peersDigest;
+  knownPeersDigest = other183.knownPeersDigest;
+  relaysStore = other183.relaysStore;
+  promptParts = std::move(other183.promptParts);
+  __isset = other183.__isset;
   return *this;
 }
 void GatewayWord::printTo(std::ostream& out) const {
@@ -5074,6 +5464,7 @@
   out << ", " << "peersDigest="; (__isset.peersDigest ? (out << to_string(peersDigest)) : (out << "<null>"));
   out << ", " << "knownPeersDigest="; (__isset.knownPeersDigest ? (out << to_string(knownPeersDigest)) : (out << "<null>"));
   out << ", " << "relaysStore="; (__isset.relaysStore ? (out << to_string(relaysStore)) : (out << "<null>"));
+  out << ", " << "promptParts="; (__isset.promptParts ? (out << to_string(promptParts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -96,6 +96,10 @@
 
 class LeavingEndpoint;
 
+class EngineCrash;
+
+class PromptPartEvidence;
+
 class GatewayWord;
 
 
@@ -1550,8 +1554,129 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj);
 
+
+/**
+ * The end of an engine's run while it was to begin the answer to a request.
+ */
+class EngineCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineCrash(const EngineCrash&);
+  EngineCrash(EngineCrash&&) noexcept;
+  EngineCrash& operator=(const EngineCrash&);
+  EngineCrash& operator=(EngineCrash&&) noexcept;
+  EngineCrash() noexcept
+              : endpoint(),
+                startedAtMs(0),
+                ageMicroseconds(0) {
+  }
+
+  virtual ~EngineCrash() noexcept;
+  std::string endpoint;
+  int64_t startedAtMs;
+  int64_t ageMicroseconds;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  void __set_ageMicroseconds(const int64_t val);
+
+  bool operator == (const EngineCrash & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    if (!(ageMicroseconds == rhs.ageMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineCrash &a, EngineCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineCrash& obj);
+
+typedef struct _PromptPartEvidence__isset {
+  _PromptPartEvidence__isset() : servedAgeMicroseconds(false) {}
+  bool servedAgeMicroseconds :1;
+} _PromptPartEvidence__isset;
+
+/**
+ * What a gateway knows of a prompt part whose requests were at engines that crashed.
+ */
+class PromptPartEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptPartEvidence(const PromptPartEvidence&);
+  PromptPartEvidence(PromptPartEvidence&&) noexcept;
+  PromptPartEvidence& operator=(const PromptPartEvidence&);
+  PromptPartEvidence& operator=(PromptPartEvidence&&) noexcept;
+  PromptPartEvidence() noexcept
+                     : part(),
+                       servedAgeMicroseconds(0),
+                       quarantined(0) {
+  }
+
+  virtual ~PromptPartEvidence() noexcept;
+  std::string part;
+  std::vector<EngineCrash>  crashes;
+  int64_t servedAgeMicroseconds;
+  bool quarantined;
+
+  _PromptPartEvidence__isset __isset;
+
+  void __set_part(const std::string& val);
+
+  void __set_crashes(const std::vector<EngineCrash> & val);
+
+  void __set_servedAgeMicroseconds(const int64_t val);
+
+  void __set_quarantined(const bool val);
+
+  bool operator == (const PromptPartEvidence & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (__isset.servedAgeMicroseconds != rhs.__isset.servedAgeMicroseconds)
+      return false;
+    else if (__isset.servedAgeMicroseconds && !(servedAgeMicroseconds == rhs.servedAgeMicroseconds))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptPartEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptPartEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptPartEvidence &a, PromptPartEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptPartEvidence& obj);
+
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false), promptParts(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1569,6 +1694,7 @@
   bool peersDigest :1;
   bool knownPeersDigest :1;
   bool relaysStore :1;
+  bool promptParts :1;
 } _GatewayWord__isset;
 
 /**
@@ -1633,6 +1759,7 @@
   int64_t peersDigest;
   int64_t knownPeersDigest;
   bool relaysStore;
+  std::vector<PromptPartEvidence>  promptParts;
 
   _GatewayWord__isset __isset;
 
@@ -1684,6 +1811,8 @@
 
   void __set_relaysStore(const bool val);
 
+  void __set_promptParts(const std::vector<PromptPartEvidence> & val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -1768,6 +1897,10 @@
       return false;
     else if (__isset.relaysStore && !(relaysStore == rhs.relaysStore))
       return false;
+    if (__isset.promptParts != rhs.__isset.promptParts)
+      return false;
+    else if (__isset.promptParts && !(promptParts == rhs.promptParts))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -201,6 +201,21 @@
   2: required i64 startedAtMs
 }
 
+/** The end of an engine's run while it was to begin the answer to a request. */
+struct EngineCrash {
+  1: required string endpoint
+  2: required i64 startedAtMs
+  3: required i64 ageMicroseconds
+}
+
+/** What a gateway knows of a prompt part whose requests were at engines that crashed. */
+struct PromptPartEvidence {
+  1: required string part
+  2: required list<EngineCrash> crashes
+  3: optional i64 servedAgeMicroseconds
+  4: required bool quarantined
+}
+
 /** What a gateway tells another one of itself; the answer is the other one's word. */
 struct GatewayWord {
   1: required string daemon
@@ -229,4 +244,5 @@
   22: optional i64 peersDigest
   23: optional i64 knownPeersDigest
   24: optional bool relaysStore
+  25: optional list<PromptPartEvidence> promptParts
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
@@ -28,6 +28,8 @@
 
 asio::awaitable<void> EngineFailureDetector::requestReport(ForwardStage first)
 {
+    this->reportStates[first.endpoint].inFlight = true;
+    this->reportStates[first.endpoint].requestedAt = bootNow();
     HttpConnection connection(this->context, httpAddress(first.address), endpointLimits(reportTimeout));
     HttpRequest request = this->codec->encodeReportRequest(first.endpoint);
     const HttpOutcome outcome = co_await exchange(connection, std::move(request), reportTimeout);
@@ -44,10 +46,8 @@
 asio::awaitable<std::optional<EndpointId>> EngineFailureDetector::findFailedEngine(ForwardMetadata metadata, RequestId request)
 {
     const ForwardStage first = metadata.stages.front();
-    if (!this->reportStates[first.endpoint].inFlight && bootNow() - this->reportStates[first.endpoint].receivedAt > reportLifetime) {
-        this->reportStates[first.endpoint].inFlight = true;
+    if (!this->reportStates[first.endpoint].inFlight && bootNow() - this->reportStates[first.endpoint].receivedAt > reportLifetime)
         co_await this->requestReport(first);
-    }
     while (this->reportStates[first.endpoint].inFlight)
         co_await sleepFor(this->context, sharedReportPollInterval);
     const ReportState& state = this->reportStates[first.endpoint];
@@ -63,4 +63,15 @@
     co_return failed;
 }
 
+asio::awaitable<bool> EngineFailureDetector::hasCrashed(ForwardStage engine, TimePoint brokenAt)
+{
+    while (this->reportStates[engine.endpoint].inFlight || this->reportStates[engine.endpoint].requestedAt < brokenAt) {
+        if (this->reportStates[engine.endpoint].inFlight)
+            co_await sleepFor(this->context, sharedReportPollInterval);
+        else
+            co_await this->requestReport(engine);
+    }
+    co_return this->reportStates[engine.endpoint].missedReports > 0;
+}
+
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.h
@@ -17,7 +17,7 @@
  * due to a delay of this daemon. */
 constexpr unsigned missedReportsForFailure = 2;
 
-/** \brief Determines which engine of a stalled chain has failed.
+/** \brief Determines which engine of a stalled chain has failed, and whether an engine whose connection broke has crashed.
  *
  * The failure of an engine stalls many streams at once. Streams with the same first engine share one report request to it, so
  * that these requests don't overload the daemon.
@@ -30,9 +30,15 @@
      * \returns the failed engine, the first one if it repeatedly does not respond, or nothing when none seems to have failed */
     boost::asio::awaitable<std::optional<EndpointId>> findFailedEngine(ForwardMetadata, RequestId);
 
+    /** \brief Requests a report from an engine whose connection broke.
+     * \param brokenAt time of the break; an older report is not used
+     * \returns whether the engine gives none, so that it has crashed. One that only broke a connection still responds */
+    boost::asio::awaitable<bool> hasCrashed(ForwardStage engine, TimePoint brokenAt);
+
 private:
     /** \brief Result of the last report request to an engine. */
     struct ReportState {
+        TimePoint requestedAt;
         TimePoint receivedAt;
         bool inFlight = false;
         unsigned missedReports = 0; ///< consecutive report requests without a response
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -68,6 +68,14 @@
     static constexpr unsigned maximumDoublings = 2;
 };
 
+/** \brief Records that the prompt parts were at the engine when it crashed, if its broken connection is due to a crash. */
+asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<PromptPartId> parts, ForwardStage engine, EndpointRun run)
+{
+    const TimePoint brokenAt = bootNow();
+    if (!parts.empty() && co_await context.failureDetector.hasCrashed(engine, brokenAt))
+        context.promptQuarantine.noteCrash(parts, run, brokenAt);
+}
+
 /** \brief Forwards one stream, over all chains that serve it in turn. */
 class StreamForwarder {
 public:
@@ -103,6 +111,7 @@
     bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
     std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
     EndpointFault failedEngineFault = EndpointFault::Failed; ///< how failedEngine failed
+    std::optional<Duration> refusalTime; ///< for which requests with a part of the prompt are refused
     std::vector<EndpointId> engines; ///< engines of the chain in use
     std::uint32_t eventsInAttempt = 0;
     TimePoint attemptStartedAt = bootNow();
@@ -162,6 +171,8 @@
             continue;
         this->lastEventId = event.id;
         this->lastProgress = bootNow();
+        if (this->eventsInAttempt == 0)
+            this->task.context.promptQuarantine.noteServed(this->task.request.sharedPromptParts, this->lastProgress);
         if (this->eventsInAttempt++ % eventsPerHealthReport == 0)
             this->reportChainHealthy();
     }
@@ -242,7 +253,9 @@
 {
     if (this->abandonedStalledChain || isTimeout(error))
         return { AttemptEnd::Lost, EndpointFault::Silent, {}, timeoutReason };
-    return { AttemptEnd::Lost, EndpointFault::Broken, {}, brokenReason };
+    AttemptResult result { AttemptEnd::Lost, EndpointFault::Broken, {}, brokenReason };
+    result.connectionBroken = true;
+    return result;
 }
 
 asio::awaitable<AttemptResult> StreamForwarder::relayBody(const UpstreamPointer& connection, const LayerChain& chain)
@@ -319,7 +332,7 @@
         co_return;
     }
     if (!this->headSent) {
-        co_await this->task.respondFailure(ErrorCode::NoPipeline);
+        co_await this->task.respondFailure(this->refusalTime ? ErrorCode::PromptQuarantined : ErrorCode::NoPipeline, this->refusalTime);
         co_return;
     }
     // The caller must be able to detect that the stream is incomplete.
@@ -339,6 +352,9 @@
     this->abandonedStalledChain = false;
     this->eventsInAttempt = 0;
     this->attemptStartedAt = bootNow();
+    const EndpointId& firstEngine = metadata.stages.front().endpoint;
+    const EndpointRecord* record = this->task.context.registry.find(firstEngine);
+    const EndpointRun firstRun { firstEngine, record ? record->endpoint.startedAtMs : 0 };
     const std::uint64_t subscription = this->subscribeToSuspicions(chain);
     const auto monitor = std::make_shared<AttemptMonitor>();
     monitor->firstEventLimit = std::max<Duration>(minFirstEventTimeout, chain.firstToken * firstEventFactor);
@@ -351,6 +367,8 @@
     if (result.failure && this->failedEngine)
         result = { result.failure, this->failedEngineFault, this->failedEngine, "engine-lost" };
     result.events = this->eventsInAttempt;
+    if (result.connectionBroken && result.events == 0 && !this->task.caller->disconnected())
+        asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.request.sharedPromptParts, metadata.stages.front(), firstRun), asio::detached);
     co_return result;
 }
 
@@ -359,8 +377,12 @@
     bool complete = false;
     bool retry = true;
     while (retry && !this->task.caller->disconnected()) {
+        if ((this->refusalTime = this->task.context.promptRefusalTime(this->task.request.sharedPromptParts)))
+            break;
         const std::optional<LayerChain> chain = co_await this->awaitChain();
         const auto metadata = chain ? this->metadataFor(*chain) : std::nullopt;
+        if ((this->refusalTime = this->task.context.promptRefusalTime(this->task.request.sharedPromptParts)))
+            break;
         if (!metadata || !this->task.chargeRetryBudget())
             break;
         this->logChain(*chain);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -107,7 +107,7 @@
     return this->context.registry.pushbackRemaining(this->service, layers, bootNow());
 }
 
-asio::awaitable<void> ForwardTask::respondFailure(ErrorCode reason)
+asio::awaitable<void> ForwardTask::respondFailure(ErrorCode reason, std::optional<Duration> returnAfter)
 {
     if (this->caller->disconnected()) {
         this->logOutcome("caller-gone", 0);
@@ -117,7 +117,7 @@
     const bool notRun = certainlyNotRun(state);
     Refusal refusal(notRun ? reason : ErrorCode::EndpointFailed, notRun ? Ran::No : Ran::Unknown);
     if (notRun)
-        refusal = refusal.retryAfter(this->retryAfterDelay());
+        refusal = refusal.retryAfter(returnAfter ? *returnAfter : this->retryAfterDelay());
     const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, this->request.id);
     this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
     this->logOutcome(std::string(name(refusal.code())), response.status);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -22,6 +22,7 @@
     std::string reason; ///< for log lines and metrics
     bool pushedBack = false; ///< the first endpoint refused the request and named the time for which it wants no others
     std::uint32_t events = 0; ///< events of a stream that arrived in the attempt
+    bool connectionBroken = false; ///< the first endpoint's connection broke before the end of the response
 
     bool operator==(const AttemptResult&) const = default;
 };
@@ -47,8 +48,9 @@
     bool noteFailure(const AttemptResult&, const EndpointId& first);
 
     /** \brief Sends the error response of a request that is not retried any more: \a reason with a Retry-After delay if no
-     * endpoint can have executed the request, otherwise EndpointFailed. */
-    boost::asio::awaitable<void> respondFailure(ErrorCode reason);
+     * endpoint can have executed the request, otherwise EndpointFailed.
+     * \param returnAfter Retry-After delay; retryAfterDelay() by default */
+    boost::asio::awaitable<void> respondFailure(ErrorCode reason, std::optional<Duration> returnAfter = {});
     /** \brief Logs a decision about the request, with the configuration version, the revision of the endpoint registry and
      * the age of the other daemons' load reports on which it is based. */
     void logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -98,6 +98,16 @@
     logLine(WriteLog::Level::Info, "endpoint-removed", { { "endpoint", endpoint.str() }, { "source", source }, { "held", removal == Removal::Held ? "yes" : "no" }, { "viewAgeMs", viewAge ? milliseconds(*viewAge) : "none" } });
 }
 
+std::optional<Duration> GatewayContext::promptRefusalTime(const std::vector<PromptPartId>& parts)
+{
+    const TimePoint now = bootNow();
+    for (const PromptPartId& part : this->promptQuarantine.update(now)) {
+        logLine(WriteLog::Level::Warning, "prompt-part-quarantined", { { "part", part.str() } });
+        this->metrics.count({ "prompt_parts_quarantined_total", "" });
+    }
+    return this->promptQuarantine.refusalTime(parts, now);
+}
+
 void GatewayContext::noteSignals(const EndpointId& endpoint, const EndpointSignals& signals)
 {
     if (signals.leaving && this->registry.noteLeaving(endpoint)) {
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -62,6 +62,8 @@
     /** \brief Logs the removal of an endpoint.
      * \param viewAge age of this daemon's list of endpoints before the read that shows the removal */
     static void logRemoval(const EndpointId&, Removal, const std::string& source, const std::optional<Duration>& viewAge);
+    /** \returns the time for which requests with these prompt parts are refused, or nothing when they may be sent */
+    std::optional<Duration> promptRefusalTime(const std::vector<PromptPartId>&);
     /** \brief Takes note of what an endpoint says about itself in an answer. */
     void noteSignals(const EndpointId&, const EndpointSignals&);
 
@@ -75,6 +77,7 @@
     StoreEraTracker storeEra; ///< changed only through noteStoreEra()
     RegistryView registryView;
     bool registryLoaded = false; ///< whether the registry has been filled once, from the store or a peer
+    PromptQuarantine promptQuarantine; ///< prompt parts that crash engines
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
     PeerTable roster; ///< the other gateways of the site
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -150,6 +150,7 @@
     message.endpointsRevision = this->revisionOffset + this->context.registry.revision();
     message.storeEra = this->context.storeEra.current();
     message.leaving = this->context.registry.reportedLeaving();
+    message.promptParts = this->context.promptQuarantine.evidence(bootNow());
     const auto entry = this->peerStates.find(receiver);
     message.knownRevision = entry == this->peerStates.end() ? 0 : entry->second.endpointsRevision;
     const TimePoint now = bootNow();
@@ -216,6 +217,7 @@
     }
     for (const EndpointRun& run : message.leaving)
         this->context.registry.noteRemoteLeaving(run);
+    this->context.promptQuarantine.merge(message.promptParts, now);
     if (message.configuration)
         this->context.applyConfiguration(*message.configuration, message.daemon.str());
     if (!outdated) {
