Name the other suspect in a way that the linter reads

Cause: clang-tidy does not take a structured binding that a nested lambda captures. Change: a reference in its place, no other.

--- a/packages/Gateway/filbertspoke/src/Gateway/PromptQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PromptQuarantine.cpp
@@ -150,10 +150,10 @@
 bool PromptQuarantine::isExplained(const PromptPartId& part, const Suspect& suspect, TimePoint now) const
 {
     return std::any_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
-        const auto& [otherPart, other] = entry;
+        const Suspect& other = entry.second;
         const bool servedLessRecently = suspect.servedAt && (!other.servedAt || *other.servedAt < *suspect.servedAt);
         const bool betterSupported = other.crashes.size() > suspect.crashes.size() || (other.crashes.size() == suspect.crashes.size() && servedLessRecently);
-        if (otherPart == part || !betterSupported || !isConvicted(other, now))
+        if (entry.first == part || !betterSupported || !isConvicted(other, now))
             return false;
         Crashes remaining = suspect.crashes;
         std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
