--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -180,7 +180,7 @@
         this->context.loads.replaceGroupLoad(message.failureDomain.str(), std::move(message.work), now);
 }
 
-void PeerExchange::applyEndpoints(const GossipMessage& message, PeerState& peer, TimePoint now)
+void PeerExchange::applyEndpoints(const GossipMessage& message, PeerState& peer)
 {
     if (!message.endpoints || this->hasCurrentEndpoints())
         return;
@@ -221,7 +221,7 @@
     if (message.configuration)
         this->context.applyConfiguration(*message.configuration, message.daemon.str());
     if (!outdated) {
-        this->applyEndpoints(message, peer, now);
+        this->applyEndpoints(message, peer);
         this->noteRelayed(message, peer, now);
     }
     this->applyWork(message, now);
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
@@ -41,7 +41,7 @@
     void addDocuments(GossipMessage&, const SocketAddress&);
     void handleMessage(GossipMessage);
     void applyWork(GossipMessage&, TimePoint now);
-    void applyEndpoints(const GossipMessage&, PeerState&, TimePoint now);
+    void applyEndpoints(const GossipMessage&, PeerState&);
     bool isOwnHub(const SocketAddress&) const;
     /** \returns whether this daemon reads the store itself and its endpoint list is up to date */
     bool hasCurrentEndpoints() const;
