--- a/packages/Gateway/filbertspoke/src/Gateway/PromptQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/PromptQuarantine.cpp
@@ -137,7 +137,7 @@
     }
 }
 
-bool PromptQuarantine::isConvicted(const Suspect& suspect, TimePoint now)
+bool PromptQuarantine::hasEnoughEvidence(const Suspect& suspect, TimePoint now)
 {
     const std::vector<TimePoint> crashes = separateCrashes(suspect.crashes);
     if (crashes.size() < requiredCrashes)
@@ -153,7 +153,7 @@
         const Suspect& other = entry.second;
         const bool servedLessRecently = suspect.servedAt && (!other.servedAt || *other.servedAt < *suspect.servedAt);
         const bool betterSupported = other.crashes.size() > suspect.crashes.size() || (other.crashes.size() == suspect.crashes.size() && servedLessRecently);
-        if (entry.first == part || !betterSupported || !isConvicted(other, now))
+        if (entry.first == part || !betterSupported || !hasEnoughEvidence(other, now))
             return false;
         Crashes remaining = suspect.crashes;
         std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
@@ -177,7 +177,7 @@
     std::vector<PromptPartId> added;
     for (auto& [part, suspect] : this->suspects) {
         const bool before = suspect.quarantined;
-        suspect.quarantined = isConvicted(suspect, now) && !this->isExplained(part, suspect, now);
+        suspect.quarantined = hasEnoughEvidence(suspect, now) && !this->isExplained(part, suspect, now);
         if (suspect.quarantined && !before)
             added.push_back(part);
     }
--- a/packages/Gateway/filbertspoke/src/Gateway/PromptQuarantine.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/PromptQuarantine.h
@@ -76,7 +76,7 @@
     /** \brief Clears a part, a request with which was served at \a at. */
     static void clear(Suspect&, TimePoint at);
     /** \returns whether the evidence against the part suffices by itself */
-    static bool isConvicted(const Suspect&, TimePoint now);
+    static bool hasEnoughEvidence(const Suspect&, TimePoint now);
     /** \returns whether a part with better evidence against it leaves too few crashes unexplained to suspect this one */
     bool isExplained(const PromptPartId&, const Suspect&, TimePoint now) const;
     /** \brief Erases what is too old to matter. */
--- a/packages/Gateway/tests/PromptQuarantine.cpp
+++ b/packages/Gateway/tests/PromptQuarantine.cpp
@@ -14,7 +14,7 @@
 using Parts = std::vector<PromptPartId>;
 
 const PromptPartId common("common");
-const PromptPartId deadly("deadly");
+const PromptPartId crashing("crashing");
 const PromptPartId sound("sound");
 
 EndpointRun run(int number)
@@ -52,19 +52,19 @@
 BOOST_FIXTURE_TEST_CASE(partThatCrashesThreeEnginesIsQuarantined, Fixture)
 {
     for (int engine = 1; engine <= 3; ++engine) {
-        BOOST_TEST(!this->refuses({ common, deadly }));
-        this->crash({ common, deadly }, engine);
+        BOOST_TEST(!this->refuses({ common, crashing }));
+        this->crash({ common, crashing }, engine);
     }
-    BOOST_TEST(this->refuses({ common, deadly }));
+    BOOST_TEST(this->refuses({ common, crashing }));
     BOOST_TEST(!this->refuses({ common, sound }));
-    BOOST_TEST((this->quarantine.refusalTime({ deadly }, this->now) > std::optional<Duration>(9min)));
+    BOOST_TEST((this->quarantine.refusalTime({ crashing }, this->now) > std::optional<Duration>(9min)));
 }
 
 BOOST_FIXTURE_TEST_CASE(quarantineIsReportedOnce, Fixture)
 {
     for (int engine = 1; engine <= 3; ++engine)
-        this->crash({ deadly }, engine);
-    BOOST_TEST((this->quarantine.update(this->now) == Parts { deadly }));
+        this->crash({ crashing }, engine);
+    BOOST_TEST((this->quarantine.update(this->now) == Parts { crashing }));
     BOOST_TEST(this->quarantine.update(this->now).empty());
 }
 
@@ -72,11 +72,11 @@
 BOOST_FIXTURE_TEST_CASE(partOfARequestThatIsServedIsCleared, Fixture)
 {
     for (int engine = 1; engine <= 5; ++engine) {
-        this->crash({ sound, deadly }, engine);
+        this->crash({ sound, crashing }, engine);
         this->quarantine.noteServed({ sound }, this->now);
     }
     BOOST_TEST(!this->refuses({ sound }));
-    BOOST_TEST(this->refuses({ deadly }));
+    BOOST_TEST(this->refuses({ crashing }));
 }
 
 // A host, a rack or a network fails, and takes several engines with it.
@@ -114,58 +114,58 @@
 BOOST_FIXTURE_TEST_CASE(partWhoseCrashesAnotherPartExplainsIsReleased, Fixture)
 {
     for (int engine = 1; engine <= 3; ++engine)
-        this->crash({ sound, deadly }, engine);
-    this->crash({ deadly }, 4);
-    BOOST_TEST(this->refuses({ deadly }));
+        this->crash({ sound, crashing }, engine);
+    this->crash({ crashing }, 4);
+    BOOST_TEST(this->refuses({ crashing }));
     BOOST_TEST(!this->refuses({ sound }));
 }
 
-// Guards against quarantining the common first part of a class, no request of which was served while a deadly part crashed the engines.
+// Guards against quarantining the common first part of a class, no request of which was served while a crashing part crashed the engines.
 BOOST_FIXTURE_TEST_CASE(ofPartsAtTheSameCrashesOnlyTheOneServedLeastRecentlyIsQuarantined, Fixture)
 {
     this->quarantine.noteServed({ sound }, this->now);
     this->now += 1s;
     for (int engine = 1; engine <= 3; ++engine)
-        this->crash({ sound, deadly }, engine);
-    BOOST_TEST(this->refuses({ sound, deadly }));
+        this->crash({ sound, crashing }, engine);
+    BOOST_TEST(this->refuses({ sound, crashing }));
     BOOST_TEST(!this->refuses({ sound }));
 }
 
-// Guards against quarantining sound parts on sites with many crashes: the daemons' evidence left out some of the deadly part's crashes.
+// Guards against quarantining sound parts on sites with many crashes: the daemons' evidence left out some of the crashing part's crashes.
 BOOST_FIXTURE_TEST_CASE(evidenceOfManyCrashesIsPassedOnWhole, Fixture)
 {
     constexpr int crashes = 12;
     PromptQuarantine other;
     for (int engine = 1; engine <= crashes; ++engine) {
-        other.noteCrash(engine > crashes - 3 ? Parts { sound, deadly } : Parts { deadly }, run(engine), this->now);
+        other.noteCrash(engine > crashes - 3 ? Parts { sound, crashing } : Parts { crashing }, run(engine), this->now);
         this->now += 100ms;
     }
     this->quarantine.merge(other.evidence(this->now), this->now);
     this->now += 600ms;
     this->serveOthers(3);
-    BOOST_TEST(this->refuses({ deadly }));
+    BOOST_TEST(this->refuses({ crashing }));
     BOOST_TEST(!this->refuses({ sound }));
 }
 
-// The caller of a deadly request may leave before its engine crashes, so that the crash is not counted against the deadly part.
+// The caller of a crashing request may leave before its engine crashes, so that the crash is not counted against the crashing part.
 BOOST_FIXTURE_TEST_CASE(crashesThatAnotherPartExplainsAreNoEvidence, Fixture)
 {
     for (int engine = 1; engine <= 4; ++engine)
-        this->crash({ deadly }, engine);
+        this->crash({ crashing }, engine);
     this->crash({ sound }, 5);
     for (int engine = 6; engine <= 7; ++engine)
-        this->crash({ sound, deadly }, engine);
-    BOOST_TEST(this->refuses({ deadly }));
+        this->crash({ sound, crashing }, engine);
+    BOOST_TEST(this->refuses({ crashing }));
     BOOST_TEST(!this->refuses({ sound }));
 }
 
 BOOST_FIXTURE_TEST_CASE(quarantineEndsAfterTenMinutes, Fixture)
 {
     for (int engine = 1; engine <= 3; ++engine)
-        this->crash({ deadly }, engine);
-    BOOST_TEST(this->refuses({ deadly }));
+        this->crash({ crashing }, engine);
+    BOOST_TEST(this->refuses({ crashing }));
     this->now += 10min;
-    BOOST_TEST(!this->refuses({ deadly }));
+    BOOST_TEST(!this->refuses({ crashing }));
 }
 
 // Load pattern: a site of 118 gateways, none of which sees more than one of the crashes. Their observations meet at a hub.
@@ -174,20 +174,20 @@
     std::vector<PromptQuarantine> daemons(3);
     for (int engine = 1; engine <= 3; ++engine) {
         PromptQuarantine& daemon = daemons[static_cast<std::size_t>(engine) - 1];
-        daemon.noteCrash({ common, deadly }, run(engine), this->now);
+        daemon.noteCrash({ common, crashing }, run(engine), this->now);
         this->now += 200ms;
         this->quarantine.merge(daemon.evidence(this->now), this->now);
     }
     this->now += 200ms;
     this->serveOthers(3);
-    BOOST_TEST(!this->refuses({ deadly }));
+    BOOST_TEST(!this->refuses({ crashing }));
     this->now += 100ms;
-    BOOST_TEST(this->refuses({ deadly }));
+    BOOST_TEST(this->refuses({ crashing }));
     BOOST_TEST(!this->refuses({ common }));
     // A member that served nothing meanwhile relies on the hub's decision.
     daemons.front().merge(this->quarantine.evidence(this->now), this->now);
     daemons.front().update(this->now);
-    BOOST_TEST(daemons.front().refusalTime({ deadly }, this->now).has_value());
+    BOOST_TEST(daemons.front().refusalTime({ crashing }, this->now).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(clearingOfAPartReachesOtherDaemons, Fixture)
--- a/packages/Gateway/tests/RegistryView.cpp
+++ b/packages/Gateway/tests/RegistryView.cpp
@@ -1,4 +1,6 @@
 // When entries of the registry may have expired unnoticed, so that endpoints whose entries are gone are still used for a while.
+#include "RegistryEntry.h"
+
 #include <filbertspoke/Gateway>
 
 #include <boost/test/unit_test.hpp>
@@ -7,31 +9,19 @@
 #include <vector>
 
 using namespace filbertspoke;
+using namespace filbertspoke::testing;
 using namespace std::chrono_literals;
 
 namespace {
 
-const ServiceId service("assistant");
 constexpr Duration heartbeatInterval = 1200ms;
 // Requirement of the users: an endpoint receives no new requests this long after the store has accepted that it leaves.
 constexpr Duration drainLimit = 2s;
 
-RegisteredEndpoint endpoint(const std::string& id, std::uint64_t heartbeat)
-{
-    RegisteredEndpoint endpoint;
-    endpoint.id = EndpointId(id);
-    endpoint.service = service;
-    endpoint.address = { "10.0.0.1", static_cast<std::uint16_t>(8000 + id.back()) };
-    endpoint.failureDomain = FailureDomainId("a");
-    endpoint.heartbeat = heartbeat;
-    endpoint.startedAtMs = 1000;
-    return endpoint;
-}
-
 struct Fixture {
     Fixture()
     {
-        this->applyList({ endpoint("e1", 5), endpoint("e2", 5) });
+        this->applyList({ registryEntry("e1", 5), registryEntry("e2", 5) });
     }
 
     void noteCurrent()
@@ -53,7 +43,7 @@
         this->registry.replaceAll(endpoints, this->now);
     }
 
-    std::size_t usable() const { return this->registry.candidates(service, this->now).size(); }
+    std::size_t usable() const { return this->registry.candidates(registryService, this->now).size(); }
 
     RegistryView view { heartbeatInterval };
     EndpointRegistry registry;
@@ -66,12 +56,12 @@
 BOOST_FIXTURE_TEST_CASE(firstReadAfterAPauseIsNoEndOfAnOutage, Fixture)
 {
     this->now += 3s;
-    this->applyList({ endpoint("e1", 7), endpoint("e2", 7) });
+    this->applyList({ registryEntry("e1", 7), registryEntry("e2", 7) });
     this->follow(6s);
     this->now += 700ms;
-    this->applyList({ endpoint("e1", 12), endpoint("e2", 12) });
+    this->applyList({ registryEntry("e1", 12), registryEntry("e2", 12) });
     this->now += 600ms;
-    this->applyList({ endpoint("e2", 12) });
+    this->applyList({ registryEntry("e2", 12) });
     BOOST_TEST(this->usable() == 1U);
 }
 
@@ -80,17 +70,17 @@
 {
     this->follow(2s);
     this->now += 900ms;
-    this->applyList({ endpoint("e2", 6) });
+    this->applyList({ registryEntry("e2", 6) });
     BOOST_TEST(this->usable() == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(endpointMissingAfterALongGapIsUsedForTwoSeconds, Fixture)
 {
     this->now += 4s;
-    this->applyList({ endpoint("e2", 8) });
+    this->applyList({ registryEntry("e2", 8) });
     BOOST_TEST(this->usable() == 2U);
     this->follow(1800ms);
-    this->applyList({ endpoint("e2", 9) });
+    this->applyList({ registryEntry("e2", 9) });
     BOOST_TEST(this->usable() == 2U);
     this->now += drainLimit - 1800ms;
     BOOST_TEST(this->usable() == 1U);
@@ -100,7 +90,7 @@
 BOOST_FIXTURE_TEST_CASE(heldEndpointIsNotPassedOn, Fixture)
 {
     this->now += 4s;
-    this->applyList({ endpoint("e2", 8) });
+    this->applyList({ registryEntry("e2", 8) });
     BOOST_TEST(this->usable() == 2U);
     const std::vector<RegisteredEndpoint> entries = this->registry.entries();
     BOOST_REQUIRE(entries.size() == 1U);
--- a/packages/Gateway/tests/StoreEra.cpp
+++ b/packages/Gateway/tests/StoreEra.cpp
@@ -1,5 +1,7 @@
 // The store of the platform may restart from a copy of its data that is some seconds old. Offsets then go back and are assigned again,
 // leases may be granted again, and entries of the registry reappear in older versions.
+#include "RegistryEntry.h"
+
 #include <filbertspoke/Gateway>
 
 #include <boost/test/unit_test.hpp>
@@ -8,28 +10,15 @@
 #include <string>
 
 using namespace filbertspoke;
+using namespace filbertspoke::testing;
 using namespace std::chrono_literals;
 
 namespace {
 
-const ServiceId service("app");
 constexpr Duration leaseLifetime = 1500ms;
 
-RegisteredEndpoint entry(const std::string& id, std::uint64_t heartbeat, bool draining = false)
-{
-    RegisteredEndpoint endpoint;
-    endpoint.id = EndpointId(id);
-    endpoint.service = service;
-    endpoint.address = { "10.0.0.1", static_cast<std::uint16_t>(8000 + id.back()) };
-    endpoint.failureDomain = FailureDomainId("a");
-    endpoint.heartbeat = heartbeat;
-    endpoint.startedAtMs = 1000;
-    endpoint.draining = draining;
-    return endpoint;
-}
-
 struct Fixture {
-    std::size_t usable() const { return this->registry.candidates(service, this->now).size(); }
+    std::size_t usable() const { return this->registry.candidates(registryService, this->now).size(); }
 
     void restartStore()
     {
@@ -89,37 +78,37 @@
 
 BOOST_FIXTURE_TEST_CASE(endpointThatLeftDoesNotReturnWithAnOlderEntry, Fixture)
 {
-    this->registry.update(entry("e1", 5, true));
+    this->registry.update(registryEntry("e1", 5, true));
     this->registry.remove(EndpointId("e1"), this->now);
     this->restartStore();
-    this->registry.replaceAll({ entry("e1", 4) }, this->now);
+    this->registry.replaceAll({ registryEntry("e1", 4) }, this->now);
     BOOST_TEST(this->usable() == 0U);
-    this->registry.replaceAll({ entry("e1", 5, true) }, this->now);
+    this->registry.replaceAll({ registryEntry("e1", 5, true) }, this->now);
     BOOST_TEST(!this->registry.find(EndpointId("e1")));
 }
 
 BOOST_FIXTURE_TEST_CASE(drainingEndpointStaysDrainingWhenItsEntryReturnsLater, Fixture)
 {
-    this->registry.update(entry("e1", 5, true));
+    this->registry.update(registryEntry("e1", 5, true));
     this->registry.remove(EndpointId("e1"), this->now);
-    this->registry.update(entry("e1", 6));
+    this->registry.update(registryEntry("e1", 6));
     BOOST_TEST(this->usable() == 0U);
 }
 
 BOOST_FIXTURE_TEST_CASE(endpointWhoseEntryExpiredReturnsWithItsNextHeartbeat, Fixture)
 {
-    this->registry.update(entry("e1", 5));
+    this->registry.update(registryEntry("e1", 5));
     this->registry.remove(EndpointId("e1"), this->now);
     BOOST_TEST(this->usable() == 0U);
-    this->registry.update(entry("e1", 6));
+    this->registry.update(registryEntry("e1", 6));
     BOOST_TEST(this->usable() == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(restartedEndpointReturnsAfterItsPredecessorLeft, Fixture)
 {
-    this->registry.update(entry("e1", 5, true));
+    this->registry.update(registryEntry("e1", 5, true));
     this->registry.remove(EndpointId("e1"), this->now);
-    RegisteredEndpoint restarted = entry("e1", 1);
+    RegisteredEndpoint restarted = registryEntry("e1", 1);
     restarted.startedAtMs = 2000;
     this->registry.update(restarted);
     BOOST_TEST(this->usable() == 1U);
@@ -128,10 +117,10 @@
 // The copy lacks the endpoints that registered last; they write their entries again within two seconds.
 BOOST_FIXTURE_TEST_CASE(endpointMissingInTheCopyIsUsedUntilItHasHadTimeToRegisterAgain, Fixture)
 {
-    this->registry.update(entry("e1", 5));
-    this->registry.update(entry("e2", 1));
+    this->registry.update(registryEntry("e1", 5));
+    this->registry.update(registryEntry("e2", 1));
     this->restartStore();
-    this->registry.replaceAll({ entry("e1", 4) }, this->now);
+    this->registry.replaceAll({ registryEntry("e1", 4) }, this->now);
     BOOST_TEST(this->usable() == 2U);
     this->now += 2s;
     this->registry.expire(this->now);
@@ -140,10 +129,10 @@
 
 BOOST_FIXTURE_TEST_CASE(removedEndpointsAreForgottenEventually, Fixture)
 {
-    this->registry.update(entry("e1", 5));
+    this->registry.update(registryEntry("e1", 5));
     this->registry.remove(EndpointId("e1"), this->now);
     this->now += std::chrono::minutes(5);
     this->registry.expire(this->now);
-    this->registry.update(entry("e1", 5));
+    this->registry.update(registryEntry("e1", 5));
     BOOST_TEST(this->usable() == 1U);
 }
