Log the request rates that endpoints accept according to their answers

Cause: no log line or metric told what an answer says of a rate limit, so that the hypotheses of the incident could not be told apart. The division of limits that the class offers is not used by any decision yet.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointSignals.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointSignals.h
@@ -12,6 +12,7 @@
 struct EndpointSignals {
     bool leaving = false; ///< it is shutting down and must get no new requests
     std::optional<Duration> pushback; ///< it refused the request and wants no further ones from this daemon for this time
+    std::optional<double> requestsPerSecond; ///< rate of requests that it accepts from all daemons together; nothing if it names none
 
     auto operator<=>(const EndpointSignals&) const = default;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -1,6 +1,8 @@
 #include <filbertspoke/Proxy>
 
+#include <functional>
 #include <random>
+#include <string>
 #include <utility>
 
 namespace filbertspoke {
@@ -11,6 +13,7 @@
     , codecs(std::move(codecs))
     , random(std::random_device {}())
     , registryView(this->settings.heartbeatInterval)
+    , rateLimits(std::hash<std::string> {}(this->settings.daemon.str()))
     , roster(this->settings.peers.value_or(this->settings.callers), this->settings.failureDomain)
     , storeReading(std::uniform_real_distribution<double>(0, 1)(this->random), bootNow())
     , waiters(io)
@@ -114,6 +117,7 @@
         logLine(WriteLog::Level::Info, "endpoint-leaving", { { "endpoint", endpoint.str() }, { "source", "its answer" } });
         this->metrics.count({ "endpoints_leaving_total", "" });
     }
+    this->noteRateLimit(endpoint, signals.requestsPerSecond);
     if (signals.pushback) {
         this->registry.notePushback(endpoint, *signals.pushback, this->randomFraction(), bootNow());
         logLine(WriteLog::Level::Info, "endpoint-pushback", { { "endpoint", endpoint.str() }, { "forMs", milliseconds(*signals.pushback) } });
@@ -121,6 +125,15 @@
     }
 }
 
+void GatewayContext::noteRateLimit(const EndpointId& endpoint, std::optional<double> requestsPerSecond)
+{
+    const EndpointRecord* record = this->registry.find(endpoint);
+    if (!record || !this->rateLimits.noteAnswer({ endpoint, record->endpoint.startedAtMs }, requestsPerSecond, bootNow()))
+        return;
+    logLine(WriteLog::Level::Info, "endpoint-rate-limit", { { "endpoint", endpoint.str() }, { "perSecond", requestsPerSecond ? std::to_string(*requestsPerSecond) : "none" }, { "source", "its answer" } });
+    this->metrics.count({ "endpoint_rate_limit_changes_total", "" });
+}
+
 void logLine(WriteLog::Level level, const std::string& event, std::vector<std::pair<std::string, std::string>> fields)
 {
     LogWriter::write({ level, event, std::move(fields) });
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -67,6 +67,9 @@
     /** \brief Takes note of what an endpoint says about itself in an answer. */
     void noteSignals(const EndpointId&, const EndpointSignals&);
 
+    /** \brief Takes note of the request rate that an endpoint accepts according to an answer; nothing if the answer names none. */
+    void noteRateLimit(const EndpointId&, std::optional<double> requestsPerSecond);
+
     boost::asio::io_context& io;
     GatewaySettings settings; ///< replaced as a whole when the settings file is reloaded
     const GatewayCodecs codecs;
@@ -77,6 +80,7 @@
     StoreEraTracker storeEra; ///< changed only through noteStoreEra()
     RegistryView registryView;
     bool registryLoaded = false; ///< whether the registry has been filled once, from the store or a peer
+    RequestRateLimits rateLimits;
     PromptQuarantine promptQuarantine; ///< prompt parts that crash engines
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
