--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -160,6 +160,11 @@
     return answer.insert(answer.find("\r\n") + 2, "Server-Leaving: 1\r\n");
 }
 
+std::string limitingAnswer(std::string answer, const std::string& requestsPerSecond)
+{
+    return answer.insert(answer.find("\r\n") + 2, "Server-Limit: " + requestsPerSecond + "\r\n");
+}
+
 std::string pushbackAnswer(const std::string& seconds)
 {
     std::string answer = fullAnswer();
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -60,6 +60,8 @@
 std::string fullAnswer();
 /** \returns the answer with a header by which the endpoint says that it is leaving */
 std::string leavingAnswer(std::string answer);
+/** \returns the answer with a header by which the endpoint names the requests that it accepts in a second from all gateways together */
+std::string limitingAnswer(std::string answer, const std::string& requestsPerSecond);
 /** \returns an answer that says that the endpoint has not run the request and wants no others for the time */
 std::string pushbackAnswer(const std::string& seconds);
 /** \returns the head of a stream in chunks, with id and seal */
