Log a fingerprint of each request whose attempt failed

Cause: the log could not tell whether two attempts were of the same request, so that the hypotheses of the incident could not be told apart. Change: attempt-failed names a digest of account, method, host, target and body (requestDigest of the package Idempotency, 128 bits of it).

--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -21,6 +21,8 @@
 // Time limit for reading and discarding the body of another request's response.
 constexpr Duration mismatchedBodyTimeout = std::chrono::milliseconds(200);
 
+constexpr std::size_t fingerprintDigits = 32; // 128 bits
+
 std::string joined(const std::vector<PromptPartId>& parts)
 {
     std::string text;
@@ -29,6 +31,11 @@
     return text;
 }
 
+std::string fingerprintOf(const CallerRequest& request, const std::optional<AccountId>& account)
+{
+    return requestDigest({ account ? account->str() : "", request.http.method, request.host, request.http.target, request.http.body }).substr(0, fingerprintDigits);
+}
+
 TimePoint deadlineOf(const CallerRequest& request, const Route& route, TimePoint received)
 {
     return received + std::min(request.timeLimit.value_or(route.timeout), route.timeout);
@@ -43,6 +50,7 @@
     , route(route)
     , service(std::move(service))
     , account(std::move(account))
+    , fingerprint(fingerprintOf(this->request, this->account))
     , received(received)
     , deadline(deadlineOf(this->request, this->route, received))
     , history(this->route)
@@ -85,7 +93,7 @@
     const AttemptState state = this->history.state(this->timeLeft());
     const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
     this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -94,6 +94,7 @@
     const Route route;
     const ServiceId service;
     const std::optional<AccountId> account;
+    const std::string fingerprint; ///< the same for all requests of the account with the same method, host, target and body
     const TimePoint received;
     const TimePoint deadline;
     UpstreamPointer upstream; ///< connection of the attempt in progress
