--- a/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
@@ -41,8 +41,8 @@
         return "draining";
     case ErrorCode::ConfigurationUnavailable:
         return "configuration-unavailable";
-    case ErrorCode::PromptQuarantined:
-        return "prompt-quarantined";
+    case ErrorCode::RequestQuarantined:
+        return "request-quarantined";
     case ErrorCode::NoEndpoint:
         return "no-endpoint";
     case ErrorCode::NoPipeline:
--- a/packages/Core/filbertspoke/src/Core/ErrorCode.h
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.h
@@ -30,7 +30,7 @@
     NotReady,
     Draining,
     ConfigurationUnavailable,
-    PromptQuarantined,
+    RequestQuarantined,
     // Failures of endpoints, peers or the platform, and a caller that disconnected.
     NoEndpoint,
     NoPipeline,
--- a/packages/Core/filbertspoke/src/Core/Identifier.h
+++ b/packages/Core/filbertspoke/src/Core/Identifier.h
@@ -49,6 +49,7 @@
 struct FailureDomainKind;
 struct AcceleratorKind;
 struct PromptPartKind;
+struct RequestTraitKind;
 }
 
 using RequestId = Identifier<internal::RequestKind>;
@@ -61,6 +62,7 @@
 using FailureDomainId = Identifier<internal::FailureDomainKind>;
 using AcceleratorId = Identifier<internal::AcceleratorKind>; ///< a kind of accelerator
 using PromptPartId = Identifier<internal::PromptPartKind>; ///< a part of a prompt that several requests may share
+using RequestTraitId = Identifier<internal::RequestTraitKind>; ///< a property of requests that may crash endpoints: a part of their prompt, or their fingerprint
 
 }
 
--- a/packages/Daemon/tests/RequestQuarantine.cpp
+++ b/packages/Daemon/tests/RequestQuarantine.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <set>
 #include <string>
@@ -13,7 +14,10 @@
 
 namespace {
 
-// Requirement of the users: no more than three further sends after the third crash.
+using Clock = std::chrono::steady_clock;
+
+// Requirement of the users: no more than three further sends from three seconds after the third crash on. Here from one second on.
+constexpr auto adjustmentTime = 1s;
 constexpr std::size_t crashLimit = 3;
 constexpr std::size_t sendsAfterLimit = 3;
 constexpr int callersRequests = 8;
@@ -39,6 +43,7 @@
         if (request.target == this->crashingTarget) {
             ++this->crashes;
             this->crashed.insert(id);
+            this->replicas.at(id)->setListening(false);
             const std::vector<std::string> head { streamHead(request) };
             return { stream ? head : std::vector<std::string> {}, 50ms, ReplicaScript::End::Reset };
         }
@@ -54,16 +59,29 @@
         return caller->received().find(ending) != std::string::npos;
     }
 
-    /** \brief Sends the crashing request several times. In between the crashed endpoints restart, and other requests are served. */
+    /** \brief Sends the crashing request several times. In between the crashed endpoints restart, and other requests are served. Crashes beyond
+     * the third one count only after the adjustment time. */
     void repeatCrashingRequest(const std::string& method, const std::string& soundTarget, const std::string& ending)
     {
+        bool adjusted = false;
         for (int request = 0; request < callersRequests; ++request) {
             const auto caller = this->call(method, this->crashingTarget);
             this->await([&] { return caller->closed() || caller->received().starts_with("HTTP/1.1 5"); });
             this->lastAnswer = caller->received();
-            for (const std::string& id : this->crashed)
+            for (const std::string& id : this->crashed) {
+                this->replicas.at(id)->setListening(true);
                 this->restartEndpoint(id);
+            }
             this->crashed.clear();
+            const auto restarted = Clock::now();
+            if (!adjusted && this->crashes >= crashLimit) {
+                adjusted = true;
+                this->crashes = crashLimit;
+                this->await([&] {
+                    this->serve(method, soundTarget, ending);
+                    return Clock::now() - restarted > adjustmentTime;
+                });
+            }
             this->await([&] { return this->serve(method, soundTarget, ending); });
             for (int sound = 0; sound < soundRequestsPerCrash; ++sound)
                 this->serve(method, soundTarget, ending);
--- a/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
@@ -4,7 +4,7 @@
 #include "EndpointRegistry.h"
 #include "LoadTracker.h"
 #include "PeerTable.h"
-#include "PromptQuarantine.h"
+#include "RequestQuarantine.h"
 #include "RequestRateLimits.h"
 #include "StoreEraTracker.h"
 
@@ -50,7 +50,7 @@
     std::vector<AvoidedEndpoint> avoided;
     std::vector<EndpointRun> leaving; ///< endpoints that are leaving although their entries don't say so yet
     std::vector<RateLimitReport> rateLimits; ///< that endpoints named in their answers
-    std::vector<PromptPartEvidence> promptParts; ///< parts of prompts whose requests were at engines that crashed
+    std::vector<RequestTraitEvidence> requestTraits; ///< whose requests were at endpoints that crashed
     std::uint64_t peersDigest = 0; ///< of the gateways that the sender can reach
     std::uint64_t knownPeersDigest = 0; ///< of the receiver's gateways as the sender last received them
     std::optional<std::vector<PeerAddress>> peers; ///< the reachable gateways; sent to a receiver whose knownPeersDigest differs
--- a/packages/Gateway/filbertspoke/src/Gateway/PromptQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
@@ -8,94 +8,95 @@
 namespace {
 
 constexpr std::size_t requiredCrashes = 3;
-// Engines that crash within this time of each other count as one crash: a failing host, rack or network takes several with it.
+// Endpoints that crash within this time of each other count as one crash: a failing host, rack or network takes several with it.
+// A request that was sent after the crash before is evidence nevertheless.
 constexpr Duration crashSpacing = std::chrono::milliseconds(25);
 // Within this time after the last required crash, nearly all daemons have heard of each other's observations, over up to three exchanges
 // of 200 ms at most each.
 constexpr Duration propagationTime = std::chrono::milliseconds(500);
-// Requests without the part that must have been served meanwhile: when the whole service fails, its requests tell nothing of a part.
+// Requests without the trait that must have been served meanwhile: when the whole service fails, its requests tell nothing of a trait.
 constexpr std::size_t requiredOthersServed = 3;
 constexpr Duration suspectLifetime = std::chrono::seconds(30);
-// Evidence that a part is sound is passed on for this time.
+// Evidence that a trait is sound is passed on for this time.
 constexpr Duration clearedLifetime = std::chrono::seconds(5);
 constexpr Duration quarantineLifetime = std::chrono::minutes(10);
 constexpr Duration servedLifetime = std::chrono::minutes(10);
-constexpr std::size_t maximumServedParts = 4096;
-constexpr std::size_t maximumSuspects = 256;
+constexpr std::size_t maximumServedTraits = 4096;
+constexpr std::size_t maximumSuspects = 1024;
 constexpr std::size_t maximumEvidence = 32;
 constexpr std::size_t maximumCrashes = 32;
 
 }
 
-std::vector<TimePoint> PromptQuarantine::separateCrashes(const Crashes& crashes)
+std::vector<TimePoint> RequestQuarantine::separateCrashes(const Crashes& crashes)
 {
-    std::vector<TimePoint> times;
-    times.reserve(crashes.size());
-    for (const auto& [run, at] : crashes)
-        times.push_back(at);
-    std::sort(times.begin(), times.end());
+    std::vector<Crash> ordered;
+    ordered.reserve(crashes.size());
+    for (const auto& [run, crash] : crashes)
+        ordered.push_back(crash);
+    std::sort(ordered.begin(), ordered.end(), [](const Crash& a, const Crash& b) { return a.at < b.at; });
     std::vector<TimePoint> separate;
-    for (const TimePoint at : times) {
-        if (separate.empty() || at - separate.back() >= crashSpacing)
-            separate.push_back(at);
+    for (const Crash& crash : ordered) {
+        if (separate.empty() || crash.at - separate.back() >= crashSpacing || crash.sentAt >= separate.back())
+            separate.push_back(crash.at);
     }
     return separate;
 }
 
-TimePoint PromptQuarantine::lastCrashAt(const Suspect& suspect)
+TimePoint RequestQuarantine::lastCrashAt(const Suspect& suspect)
 {
     TimePoint last;
-    for (const auto& [run, at] : suspect.crashes)
-        last = std::max(last, at);
+    for (const auto& [run, crash] : suspect.crashes)
+        last = std::max(last, crash.at);
     return last;
 }
 
-void PromptQuarantine::clear(Suspect& suspect, TimePoint at)
+void RequestQuarantine::clear(Suspect& suspect, TimePoint at)
 {
     if (suspect.servedAt && *suspect.servedAt >= at)
         return;
     suspect.servedAt = at;
-    if (std::erase_if(suspect.crashes, [at](const auto& crash) { return crash.second <= at; }) == 0)
+    if (std::erase_if(suspect.crashes, [at](const auto& crash) { return crash.second.at <= at; }) == 0)
         return;
     suspect.othersServed = 0;
     suspect.quarantinedElsewhere = false;
 }
 
-void PromptQuarantine::noteCrash(const std::vector<PromptPartId>& parts, const EndpointRun& run, TimePoint now)
+void RequestQuarantine::noteCrash(const std::vector<RequestTraitId>& traits, const EndpointRun& run, TimePoint now, Duration held)
 {
-    for (const PromptPartId& part : parts) {
-        if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(part))
+    for (const RequestTraitId& trait : traits) {
+        if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(trait))
             this->forget(now);
-        if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(part))
+        if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(trait))
             return;
-        const auto [entry, added] = this->suspects.try_emplace(part);
+        const auto [entry, added] = this->suspects.try_emplace(trait);
         Suspect& suspect = entry->second;
-        const auto served = this->servedAt.find(part);
+        const auto served = this->servedAt.find(trait);
         if (added && served != this->servedAt.end())
             suspect.servedAt = served->second;
         if (suspect.crashes.empty())
             suspect.othersServed = 0;
-        suspect.crashes.try_emplace(run, now);
+        suspect.crashes.try_emplace(run, Crash { now, now - held });
     }
 }
 
-void PromptQuarantine::noteServed(const std::vector<PromptPartId>& parts, TimePoint now)
+void RequestQuarantine::noteServed(const std::vector<RequestTraitId>& shared, TimePoint now, const RequestTraitId& fingerprint)
 {
-    if (this->servedAt.size() >= maximumServedParts)
+    if (this->servedAt.size() >= maximumServedTraits)
         std::erase_if(this->servedAt, [now](const auto& entry) { return now - entry.second >= servedLifetime; });
-    if (this->servedAt.size() >= maximumServedParts)
+    if (this->servedAt.size() >= maximumServedTraits)
         this->servedAt.clear();
-    for (const PromptPartId& part : parts)
-        this->servedAt.insert_or_assign(part, now);
-    for (auto& [part, suspect] : this->suspects) {
-        if (std::find(parts.begin(), parts.end(), part) != parts.end())
+    for (const RequestTraitId& trait : shared)
+        this->servedAt.insert_or_assign(trait, now);
+    for (auto& [trait, suspect] : this->suspects) {
+        if (trait == fingerprint || std::find(shared.begin(), shared.end(), trait) != shared.end())
             clear(suspect, now);
         else
             ++suspect.othersServed;
     }
 }
 
-std::vector<PromptPartEvidence> PromptQuarantine::evidence(TimePoint now) const
+std::vector<RequestTraitEvidence> RequestQuarantine::evidence(TimePoint now) const
 {
     std::vector<Suspects::const_iterator> order;
     for (auto suspect = this->suspects.begin(); suspect != this->suspects.end(); ++suspect)
@@ -104,31 +105,31 @@
         return std::make_pair(a->second.quarantined, a->second.crashes.size()) > std::make_pair(b->second.quarantined, b->second.crashes.size());
     });
     order.resize(std::min(order.size(), maximumEvidence));
-    std::vector<PromptPartEvidence> evidence;
+    std::vector<RequestTraitEvidence> evidence;
     for (const auto& entry : order) {
-        PromptPartEvidence& part = evidence.emplace_back();
-        part.part = entry->first;
-        part.quarantined = entry->second.quarantined;
+        RequestTraitEvidence& trait = evidence.emplace_back();
+        trait.trait = entry->first;
+        trait.quarantined = entry->second.quarantined;
         if (entry->second.servedAt)
-            part.servedAge = now - *entry->second.servedAt;
-        for (const auto& [run, at] : entry->second.crashes) {
-            if (part.crashes.size() < maximumCrashes)
-                part.crashes.push_back({ run, now - at });
+            trait.servedAge = now - *entry->second.servedAt;
+        for (const auto& [run, crash] : entry->second.crashes) {
+            if (trait.crashes.size() < maximumCrashes)
+                trait.crashes.push_back({ run, now - crash.at, crash.at - crash.sentAt });
         }
     }
     return evidence;
 }
 
-void PromptQuarantine::merge(const std::vector<PromptPartEvidence>& evidence, TimePoint now)
+void RequestQuarantine::merge(const std::vector<RequestTraitEvidence>& evidence, TimePoint now)
 {
-    for (const PromptPartEvidence& reported : evidence) {
-        for (const EngineCrash& crash : reported.crashes) {
-            const auto known = this->suspects.find(reported.part);
+    for (const RequestTraitEvidence& reported : evidence) {
+        for (const EndpointCrash& crash : reported.crashes) {
+            const auto known = this->suspects.find(reported.trait);
             const bool cleared = known != this->suspects.end() && known->second.servedAt && *known->second.servedAt >= now - crash.age;
             if (!cleared)
-                this->noteCrash({ reported.part }, crash.run, now - crash.age);
+                this->noteCrash({ reported.trait }, crash.run, now - crash.age, crash.held);
         }
-        const auto suspect = this->suspects.find(reported.part);
+        const auto suspect = this->suspects.find(reported.trait);
         if (suspect == this->suspects.end())
             continue;
         if (reported.servedAge)
@@ -137,8 +138,10 @@
     }
 }
 
-bool PromptQuarantine::hasEnoughEvidence(const Suspect& suspect, TimePoint now)
+bool RequestQuarantine::hasEnoughEvidence(const Suspect& suspect, TimePoint now)
 {
+    if (suspect.crashes.size() < requiredCrashes)
+        return false;
     const std::vector<TimePoint> crashes = separateCrashes(suspect.crashes);
     if (crashes.size() < requiredCrashes)
         return false;
@@ -147,13 +150,13 @@
     return suspect.othersServed >= requiredOthersServed && now - crashes[requiredCrashes - 1] >= propagationTime;
 }
 
-bool PromptQuarantine::isExplained(const PromptPartId& part, const Suspect& suspect, TimePoint now) const
+bool RequestQuarantine::isExplained(const RequestTraitId& trait, const Suspect& suspect, TimePoint now) const
 {
     return std::any_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
         const Suspect& other = entry.second;
         const bool servedLessRecently = suspect.servedAt && (!other.servedAt || *other.servedAt < *suspect.servedAt);
         const bool betterSupported = other.crashes.size() > suspect.crashes.size() || (other.crashes.size() == suspect.crashes.size() && servedLessRecently);
-        if (entry.first == part || !betterSupported || !hasEnoughEvidence(other, now))
+        if (entry.first == trait || !betterSupported || !hasEnoughEvidence(other, now))
             return false;
         Crashes remaining = suspect.crashes;
         std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
@@ -161,7 +164,7 @@
     });
 }
 
-void PromptQuarantine::forget(TimePoint now)
+void RequestQuarantine::forget(TimePoint now)
 {
     std::erase_if(this->suspects, [now](const auto& entry) {
         const Suspect& suspect = entry.second;
@@ -171,24 +174,24 @@
     });
 }
 
-std::vector<PromptPartId> PromptQuarantine::update(TimePoint now)
+std::vector<RequestTraitId> RequestQuarantine::update(TimePoint now)
 {
     this->forget(now);
-    std::vector<PromptPartId> added;
-    for (auto& [part, suspect] : this->suspects) {
+    std::vector<RequestTraitId> added;
+    for (auto& [trait, suspect] : this->suspects) {
         const bool before = suspect.quarantined;
-        suspect.quarantined = hasEnoughEvidence(suspect, now) && !this->isExplained(part, suspect, now);
+        suspect.quarantined = hasEnoughEvidence(suspect, now) && !this->isExplained(trait, suspect, now);
         if (suspect.quarantined && !before)
-            added.push_back(part);
+            added.push_back(trait);
     }
     return added;
 }
 
-std::optional<Duration> PromptQuarantine::refusalTime(const std::vector<PromptPartId>& parts, TimePoint now) const
+std::optional<Duration> RequestQuarantine::refusalTime(const std::vector<RequestTraitId>& traits, TimePoint now) const
 {
     std::optional<Duration> time;
-    for (const PromptPartId& part : parts) {
-        const auto suspect = this->suspects.find(part);
+    for (const RequestTraitId& trait : traits) {
+        const auto suspect = this->suspects.find(trait);
         if (suspect != this->suspects.end() && suspect->second.quarantined)
             time = std::max(time.value_or(Duration::zero()), lastCrashAt(suspect->second) + quarantineLifetime - now);
     }
--- a/packages/Gateway/tests/PromptQuarantine.cpp
+++ b/packages/Gateway/tests/RequestQuarantine.cpp
@@ -1,4 +1,4 @@
-// Which prompt parts are found to crash engines, from what one or several daemons observe.
+// Which traits of requests are found to crash endpoints, from what one or several daemons observe.
 #include <filbertspoke/Gateway>
 
 #include <boost/test/unit_test.hpp>
@@ -11,11 +11,11 @@
 
 namespace {
 
-using Parts = std::vector<PromptPartId>;
+using Parts = std::vector<RequestTraitId>;
 
-const PromptPartId common("common");
-const PromptPartId crashing("crashing");
-const PromptPartId sound("sound");
+const RequestTraitId common("common");
+const RequestTraitId crashing("crashing");
+const RequestTraitId sound("sound");
 
 EndpointRun run(int number)
 {
@@ -26,7 +26,7 @@
     void serveOthers(int requests)
     {
         for (int request = 0; request < requests; ++request)
-            this->quarantine.noteServed({ common, PromptPartId("other") }, this->now);
+            this->quarantine.noteServed({ common, RequestTraitId("other") }, this->now);
     }
 
     /** \brief An engine crashes under the parts, and requests without them are served afterwards. */
@@ -43,7 +43,7 @@
         return this->quarantine.refusalTime(parts, this->now).has_value();
     }
 
-    PromptQuarantine quarantine;
+    RequestQuarantine quarantine;
     TimePoint now { 100s };
 };
 
@@ -135,7 +135,7 @@
 BOOST_FIXTURE_TEST_CASE(evidenceOfManyCrashesIsPassedOnWhole, Fixture)
 {
     constexpr int crashes = 12;
-    PromptQuarantine other;
+    RequestQuarantine other;
     for (int engine = 1; engine <= crashes; ++engine) {
         other.noteCrash(engine > crashes - 3 ? Parts { sound, crashing } : Parts { crashing }, run(engine), this->now);
         this->now += 100ms;
@@ -171,9 +171,9 @@
 // Load pattern: a site of 118 gateways, none of which sees more than one of the crashes. Their observations meet at a hub.
 BOOST_FIXTURE_TEST_CASE(crashesSeenByDifferentDaemonsAddUp, Fixture)
 {
-    std::vector<PromptQuarantine> daemons(3);
+    std::vector<RequestQuarantine> daemons(3);
     for (int engine = 1; engine <= 3; ++engine) {
-        PromptQuarantine& daemon = daemons[static_cast<std::size_t>(engine) - 1];
+        RequestQuarantine& daemon = daemons[static_cast<std::size_t>(engine) - 1];
         daemon.noteCrash({ common, crashing }, run(engine), this->now);
         this->now += 200ms;
         this->quarantine.merge(daemon.evidence(this->now), this->now);
@@ -192,7 +192,7 @@
 
 BOOST_FIXTURE_TEST_CASE(clearingOfAPartReachesOtherDaemons, Fixture)
 {
-    PromptQuarantine other;
+    RequestQuarantine other;
     for (int engine = 1; engine <= 3; ++engine)
         this->crash({ sound }, engine);
     other.merge(this->quarantine.evidence(this->now), this->now);
@@ -202,7 +202,7 @@
     this->quarantine.merge(other.evidence(this->now), this->now);
     BOOST_TEST(!this->refuses({ sound }));
     // Evidence of before, which arrives over another way, does not count again.
-    PromptQuarantine late;
+    RequestQuarantine late;
     for (int engine = 1; engine <= 3; ++engine)
         late.noteCrash({ sound }, run(engine), this->now - 1s);
     this->quarantine.merge(late.evidence(this->now), this->now);
@@ -212,9 +212,73 @@
 BOOST_FIXTURE_TEST_CASE(numberOfSuspectsIsLimited, Fixture)
 {
     for (int part = 0; part < 10'000; ++part)
-        this->quarantine.noteCrash({ PromptPartId("p" + std::to_string(part)) }, run(1), this->now);
+        this->quarantine.noteCrash({ RequestTraitId("p" + std::to_string(part)) }, run(1), this->now);
     BOOST_TEST(this->quarantine.evidence(this->now).size() <= 32U);
     this->now += 30s;
     this->quarantine.update(this->now);
     BOOST_TEST(this->quarantine.evidence(this->now).empty());
 }
+
+// Load pattern: one request crashes engine after engine, each with requests of other callers that are served by another engine at once.
+BOOST_FIXTURE_TEST_CASE(fingerprintOfACrashingRequestIsQuarantinedAndItsPromptIsNot, Fixture)
+{
+    const RequestTraitId fingerprint("request:crashing");
+    const RequestTraitId bystander("request:sound");
+    for (int engine = 1; engine <= 3; ++engine) {
+        this->quarantine.noteCrash({ common, fingerprint }, run(engine), this->now);
+        this->quarantine.noteCrash({ common, bystander }, run(engine), this->now);
+        this->now += 200ms;
+        this->quarantine.noteServed({ common }, this->now, bystander);
+        this->serveOthers(2);
+    }
+    this->now += 500ms;
+    BOOST_TEST(this->refuses({ common, fingerprint }));
+    BOOST_TEST(!this->refuses({ common, bystander }));
+}
+
+// The crashes that each of many daemons sees come with more sound requests than one message holds.
+BOOST_FIXTURE_TEST_CASE(fingerprintIsFoundAmongManyBystandersOfDifferentDaemons, Fixture)
+{
+    const RequestTraitId fingerprint("request:zz");
+    std::vector<RequestQuarantine> daemons(3);
+    for (int engine = 1; engine <= 3; ++engine) {
+        RequestQuarantine& daemon = daemons[static_cast<std::size_t>(engine) - 1];
+        daemon.noteCrash({ fingerprint }, run(engine), this->now);
+        for (int bystander = 0; bystander < 60; ++bystander) {
+            const RequestTraitId sound("request:b" + std::to_string(engine) + "-" + std::to_string(bystander));
+            daemon.noteCrash({ sound }, run(engine), this->now);
+            daemon.noteServed({}, this->now + 300ms, sound);
+        }
+        this->now += 400ms;
+        this->quarantine.merge(daemon.evidence(this->now), this->now);
+    }
+    this->now += 500ms;
+    this->serveOthers(3);
+    BOOST_TEST(this->refuses({ fingerprint }));
+}
+
+// Guards against a memory that grows with each request.
+BOOST_FIXTURE_TEST_CASE(servedFingerprintsDoNotDisplaceSharedTraits, Fixture)
+{
+    this->quarantine.noteServed({ sound }, this->now);
+    for (int request = 0; request < 10'000; ++request)
+        this->quarantine.noteServed({ common }, this->now, RequestTraitId("request:" + std::to_string(request)));
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ sound, crashing }, engine);
+    BOOST_TEST(this->refuses({ crashing }));
+    BOOST_TEST(!this->refuses({ sound }));
+}
+
+// Plain services crash within a millisecond, so that a repeat crashes the next replica at once.
+BOOST_FIXTURE_TEST_CASE(crashesUnderARequestThatWasSentAfterTheOneBeforeAreSeparate, Fixture)
+{
+    for (int replica = 1; replica <= 3; ++replica) {
+        this->now += 2ms;
+        this->quarantine.noteCrash({ crashing }, run(replica), this->now, 1ms);
+        this->quarantine.noteCrash({ sound }, run(replica), this->now, 100ms);
+    }
+    this->now += 600ms;
+    this->serveOthers(3);
+    BOOST_TEST(this->refuses({ crashing }));
+    BOOST_TEST(!this->refuses({ sound }));
+}
--- a/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
@@ -55,31 +55,32 @@
     return endpoint;
 }
 
-wire::PromptPartEvidence toWire(const PromptPartEvidence& evidence)
+wire::RequestTraitEvidence toWire(const RequestTraitEvidence& evidence)
 {
-    wire::PromptPartEvidence entry;
-    entry.part = evidence.part.str();
+    wire::RequestTraitEvidence entry;
+    entry.trait = evidence.trait.str();
     entry.quarantined = evidence.quarantined;
     if (evidence.servedAge)
         entry.__set_servedAgeMicroseconds(evidence.servedAge->count());
-    for (const EngineCrash& crash : evidence.crashes) {
-        wire::EngineCrash& sent = entry.crashes.emplace_back();
+    for (const EndpointCrash& crash : evidence.crashes) {
+        wire::EndpointCrash& sent = entry.crashes.emplace_back();
         sent.endpoint = crash.run.endpoint.str();
         sent.startedAtMs = crash.run.startedAtMs;
         sent.ageMicroseconds = crash.age.count();
+        sent.heldMicroseconds = crash.held.count();
     }
     return entry;
 }
 
-PromptPartEvidence fromWire(const wire::PromptPartEvidence& entry)
+RequestTraitEvidence fromWire(const wire::RequestTraitEvidence& entry)
 {
-    PromptPartEvidence evidence;
-    evidence.part = PromptPartId(entry.part);
+    RequestTraitEvidence evidence;
+    evidence.trait = RequestTraitId(entry.trait);
     evidence.quarantined = entry.quarantined;
     if (entry.__isset.servedAgeMicroseconds)
         evidence.servedAge = std::max(Duration(entry.servedAgeMicroseconds), Duration::zero());
-    for (const wire::EngineCrash& crash : entry.crashes)
-        evidence.crashes.push_back({ { EndpointId(crash.endpoint), crash.startedAtMs }, std::max(Duration(crash.ageMicroseconds), Duration::zero()) });
+    for (const wire::EndpointCrash& crash : entry.crashes)
+        evidence.crashes.push_back({ { EndpointId(crash.endpoint), crash.startedAtMs }, std::max(Duration(crash.ageMicroseconds), Duration::zero()), std::max(Duration(crash.heldMicroseconds), Duration::zero()) });
     return evidence;
 }
 
@@ -137,8 +138,8 @@
         gossip.leaving.push_back({ EndpointId(run.endpoint), run.startedAtMs });
     for (const wire::RateLimit& limit : message.rateLimits)
         gossip.rateLimits.push_back(fromWire(limit));
-    for (const wire::PromptPartEvidence& evidence : message.promptParts)
-        gossip.promptParts.push_back(fromWire(evidence));
+    for (const wire::RequestTraitEvidence& evidence : message.requestTraits)
+        gossip.requestTraits.push_back(fromWire(evidence));
     if (message.__isset.siteGateways && message.siteGateways > 0)
         gossip.siteSize = SiteSize { static_cast<std::size_t>(message.siteGateways), std::max(Duration(message.siteGatewaysAgeMicroseconds), Duration::zero()) };
     if (message.__isset.configurationKey && message.__isset.configurationDocument)
@@ -193,9 +194,9 @@
     message.__isset.rateLimits = !gossip.rateLimits.empty();
     for (const RateLimitReport& report : gossip.rateLimits)
         message.rateLimits.push_back(toWire(report));
-    message.__isset.promptParts = !gossip.promptParts.empty();
-    for (const PromptPartEvidence& evidence : gossip.promptParts)
-        message.promptParts.push_back(toWire(evidence));
+    message.__isset.requestTraits = !gossip.requestTraits.empty();
+    for (const RequestTraitEvidence& evidence : gossip.requestTraits)
+        message.requestTraits.push_back(toWire(evidence));
     if (gossip.storeEra)
         message.__set_storeEra(static_cast<std::int64_t>(*gossip.storeEra));
     message.__set_failureDomain(gossip.failureDomain.str());
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4503,29 +4503,33 @@
 }
 
 
-EngineCrash::~EngineCrash() noexcept {
+EndpointCrash::~EndpointCrash() noexcept {
 }
 
 
-void EngineCrash::__set_endpoint(const std::string& val) {
+void EndpointCrash::__set_endpoint(const std::string& val) {
   this->endpoint = val;
 }
 
-void EngineCrash::__set_startedAtMs(const int64_t val) {
+void EndpointCrash::__set_startedAtMs(const int64_t val) {
   this->startedAtMs = val;
 }
 
-void EngineCrash::__set_ageMicroseconds(const int64_t val) {
+void EndpointCrash::__set_ageMicroseconds(const int64_t val) {
   this->ageMicroseconds = val;
 }
-std::ostream& operator<<(std::ostream& out, const EngineCrash& obj)
+
+void EndpointCrash::__set_heldMicroseconds(const int64_t val) {
+  this->heldMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointCrash& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EngineCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EndpointCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4540,6 +4544,7 @@
   bool isset_endpoint = false;
   bool isset_startedAtMs = false;
   bool isset_ageMicroseconds = false;
+  bool isset_heldMicroseconds = false;
 
   while (true)
   {
@@ -4573,6 +4578,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldMicroseconds);
+          isset_heldMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4588,13 +4601,15 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_ageMicroseconds)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_heldMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t EngineCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EndpointCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("EngineCrash");
+  xfer += oprot->writeStructBegin("EndpointCrash");
 
   xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->endpoint);
@@ -4608,78 +4623,88 @@
   xfer += oprot->writeI64(this->ageMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heldMicroseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->heldMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(EngineCrash &a, EngineCrash &b) {
+void swap(EndpointCrash &a, EndpointCrash &b) {
   using ::std::swap;
   swap(a.endpoint, b.endpoint);
   swap(a.startedAtMs, b.startedAtMs);
   swap(a.ageMicroseconds, b.ageMicroseconds);
+  swap(a.heldMicroseconds, b.heldMicroseconds);
 }
 
-EngineCrash::EngineCrash(const EngineCrash& other128) {
+EndpointCrash::EndpointCrash(const EndpointCrash& other128) {
   endpoint = other128.endpoint;
   startedAtMs = other128.startedAtMs;
   ageMicroseconds = other128.ageMicroseconds;
+  heldMicroseconds = other128.heldMicroseconds;
 }
-EngineCrash::EngineCrash(EngineCrash&& other129) noexcept {
+EndpointCrash::EndpointCrash(EndpointCrash&& other129) noexcept {
   endpoint = std::move(other129.endpoint);
   startedAtMs = other129.startedAtMs;
   ageMicroseconds = other129.ageMicroseconds;
+  heldMicroseconds = other129.heldMicroseconds;
 }
-EngineCrash& EngineCrash::operator=(const EngineCrash& other130) {
+EndpointCrash& EndpointCrash::operator=(const EndpointCrash& other130) {
   endpoint = other130.endpoint;
   startedAtMs = other130.startedAtMs;
   ageMicroseconds = other130.ageMicroseconds;
+  heldMicroseconds = other130.heldMicroseconds;
   return *this;
 }
-EngineCrash& EngineCrash::operator=(EngineCrash&& other131) noexcept {
+EndpointCrash& EndpointCrash::operator=(EndpointCrash&& other131) noexcept {
   endpoint = std::move(other131.endpoint);
   startedAtMs = other131.startedAtMs;
   ageMicroseconds = other131.ageMicroseconds;
+  heldMicroseconds = other131.heldMicroseconds;
   return *this;
 }
-void EngineCrash::printTo(std::ostream& out) const {
+void EndpointCrash::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "EngineCrash(";
+  out << "EndpointCrash(";
   out << "endpoint=" << to_string(endpoint);
   out << ", " << "startedAtMs=" << to_string(startedAtMs);
   out << ", " << "ageMicroseconds=" << to_string(ageMicroseconds);
+  out << ", " << "heldMicroseconds=" << to_string(heldMicroseconds);
   out << ")";
 }
 
 
-PromptPartEvidence::~PromptPartEvidence() noexcept {
+RequestTraitEvidence::~RequestTraitEvidence() noexcept {
 }
 
 
-void PromptPartEvidence::__set_part(const std::string& val) {
-  this->part = val;
+void RequestTraitEvidence::__set_trait(const std::string& val) {
+  this->trait = val;
 }
 
-void PromptPartEvidence::__set_crashes(const std::vector<EngineCrash> & val) {
+void RequestTraitEvidence::__set_crashes(const std::vector<EndpointCrash> & val) {
   this->crashes = val;
 }
 
-void PromptPartEvidence::__set_servedAgeMicroseconds(const int64_t val) {
+void RequestTraitEvidence::__set_servedAgeMicroseconds(const int64_t val) {
   this->servedAgeMicroseconds = val;
 __isset.servedAgeMicroseconds = true;
 }
 
-void PromptPartEvidence::__set_quarantined(const bool val) {
+void RequestTraitEvidence::__set_quarantined(const bool val) {
   this->quarantined = val;
 }
-std::ostream& operator<<(std::ostream& out, const PromptPartEvidence& obj)
+std::ostream& operator<<(std::ostream& out, const RequestTraitEvidence& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PromptPartEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RequestTraitEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4691,7 +4716,7 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_part = false;
+  bool isset_trait = false;
   bool isset_crashes = false;
   bool isset_quarantined = false;
 
@@ -4705,8 +4730,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->part);
-          isset_part = true;
+          xfer += iprot->readString(this->trait);
+          isset_trait = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4756,7 +4781,7 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_part)
+  if (!isset_trait)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_crashes)
     throw TProtocolException(TProtocolException::INVALID_DATA);
@@ -4765,19 +4790,19 @@
   return xfer;
 }
 
-uint32_t PromptPartEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RequestTraitEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PromptPartEvidence");
+  xfer += oprot->writeStructBegin("RequestTraitEvidence");
 
-  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldBegin("trait", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->trait);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<EngineCrash> ::const_iterator _iter137;
+    std::vector<EndpointCrash> ::const_iterator _iter137;
     for (_iter137 = this->crashes.begin(); _iter137 != this->crashes.end(); ++_iter137)
     {
       xfer += (*_iter137).write(oprot);
@@ -4800,49 +4825,49 @@
   return xfer;
 }
 
-void swap(PromptPartEvidence &a, PromptPartEvidence &b) {
+void swap(RequestTraitEvidence &a, RequestTraitEvidence &b) {
   using ::std::swap;
-  swap(a.part, b.part);
+  swap(a.trait, b.trait);
   swap(a.crashes, b.crashes);
   swap(a.servedAgeMicroseconds, b.servedAgeMicroseconds);
   swap(a.quarantined, b.quarantined);
   swap(a.__isset, b.__isset);
 }
 
-PromptPartEvidence::PromptPartEvidence(const PromptPartEvidence& other138) {
-  part = other138.part;
+RequestTraitEvidence::RequestTraitEvidence(const RequestTraitEvidence& other138) {
+  trait = other138.trait;
   crashes = other138.crashes;
   servedAgeMicroseconds = other138.servedAgeMicroseconds;
   quarantined = other138.quarantined;
   __isset = other138.__isset;
 }
-PromptPartEvidence::PromptPartEvidence(PromptPartEvidence&& other139) noexcept {
-  part = std::move(other139.part);
+RequestTraitEvidence::RequestTraitEvidence(RequestTraitEvidence&& other139) noexcept {
+  trait = std::move(other139.trait);
   crashes = std::move(other139.crashes);
   servedAgeMicroseconds = other139.servedAgeMicroseconds;
   quarantined = other139.quarantined;
   __isset = other139.__isset;
 }
-PromptPartEvidence& PromptPartEvidence::operator=(const PromptPartEvidence& other140) {
-  part = other140.part;
+RequestTraitEvidence& RequestTraitEvidence::operator=(const RequestTraitEvidence& other140) {
+  trait = other140.trait;
   crashes = other140.crashes;
   servedAgeMicroseconds = other140.servedAgeMicroseconds;
   quarantined = other140.quarantined;
   __isset = other140.__isset;
   return *this;
 }
-PromptPartEvidence& PromptPartEvidence::operator=(PromptPartEvidence&& other141) noexcept {
-  part = std::move(other141.part);
+RequestTraitEvidence& RequestTraitEvidence::operator=(RequestTraitEvidence&& other141) noexcept {
+  trait = std::move(other141.trait);
   crashes = std::move(other141.crashes);
   servedAgeMicroseconds = other141.servedAgeMicroseconds;
   quarantined = other141.quarantined;
   __isset = other141.__isset;
   return *this;
 }
-void PromptPartEvidence::printTo(std::ostream& out) const {
+void RequestTraitEvidence::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PromptPartEvidence(";
-  out << "part=" << to_string(part);
+  out << "RequestTraitEvidence(";
+  out << "trait=" << to_string(trait);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "servedAgeMicroseconds="; (__isset.servedAgeMicroseconds ? (out << to_string(servedAgeMicroseconds)) : (out << "<null>"));
   out << ", " << "quarantined=" << to_string(quarantined);
@@ -4967,9 +4992,9 @@
 __isset.relaysStore = true;
 }
 
-void GatewayWord::__set_promptParts(const std::vector<PromptPartEvidence> & val) {
-  this->promptParts = val;
-__isset.promptParts = true;
+void GatewayWord::__set_requestTraits(const std::vector<RequestTraitEvidence> & val) {
+  this->requestTraits = val;
+__isset.requestTraits = true;
 }
 
 void GatewayWord::__set_rateLimits(const std::vector<RateLimit> & val) {
@@ -5278,19 +5303,19 @@
       case 25:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->promptParts.clear();
+            this->requestTraits.clear();
             uint32_t _size172;
             ::apache::thrift::protocol::TType _etype175;
             xfer += iprot->readListBegin(_etype175, _size172);
-            this->promptParts.resize(_size172);
+            this->requestTraits.resize(_size172);
             uint32_t _i176;
             for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += this->promptParts[_i176].read(iprot);
+              xfer += this->requestTraits[_i176].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.promptParts = true;
+          this->__isset.requestTraits = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5507,12 +5532,12 @@
     xfer += oprot->writeBool(this->relaysStore);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.promptParts) {
-    xfer += oprot->writeFieldBegin("promptParts", ::apache::thrift::protocol::T_LIST, 25);
+  if (this->__isset.requestTraits) {
+    xfer += oprot->writeFieldBegin("requestTraits", ::apache::thrift::protocol::T_LIST, 25);
     {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->promptParts.size()));
-      std::vector<PromptPartEvidence> ::const_iterator _iter188;
-      for (_iter188 = this->promptParts.begin(); _iter188 != this->promptParts.end(); ++_iter188)
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requestTraits.size()));
+      std::vector<RequestTraitEvidence> ::const_iterator _iter188;
+      for (_iter188 = this->requestTraits.begin(); _iter188 != this->requestTraits.end(); ++_iter188)
       {
         xfer += (*_iter188).write(oprot);
       }
@@ -5564,7 +5589,7 @@
   swap(a.peersDigest, b.peersDigest);
   swap(a.knownPeersDigest, b.knownPeersDigest);
   swap(a.relaysStore, b.relaysStore);
-  swap(a.promptParts, b.promptParts);
+  swap(a.requestTraits, b.requestTraits);
   swap(a.rateLimits, b.rateLimits);
   swap(a.__isset, b.__isset);
 }
@@ -5594,7 +5619,7 @@
   peersDigest = other190.peersDigest;
   knownPeersDigest = other190.knownPeersDigest;
   relaysStore = other190.relaysStore;
-  promptParts = other190.promptParts;
+  requestTraits = other190.requestTraits;
   rateLimits = other190.rateLimits;
   __isset = other190.__isset;
 }
@@ -5623,7 +5648,7 @@
   peersDigest = other191.peersDigest;
   knownPeersDigest = other191.knownPeersDigest;
   relaysStore = other191.relaysStore;
-  promptParts = std::move(other191.promptParts);
+  requestTraits = std::move(other191.requestTraits);
   rateLimits = std::move(other191.rateLimits);
   __isset = other191.__isset;
 }
@@ -5652,7 +5677,7 @@
   peersDigest = other192.peersDigest;
   knownPeersDigest = other192.knownPeersDigest;
   relaysStore = other192.relaysStore;
-  promptParts = other192.promptParts;
+  requestTraits = other192.requestTraits;
   rateLimits = other192.rateLimits;
   __isset = other192.__isset;
   return *this;
@@ -5682,7 +5707,7 @@
   peersDigest = other193.peersDigest;
   knownPeersDigest = other193.knownPeersDigest;
   relaysStore = other193.relaysStore;
-  promptParts = std::move(other193.promptParts);
+  requestTraits = std::move(other193.requestTraits);
   rateLimits = std::move(other193.rateLimits);
   __isset = other193.__isset;
   return *this;
@@ -5714,7 +5739,7 @@
   out << ", " << "peersDigest="; (__isset.peersDigest ? (out << to_string(peersDigest)) : (out << "<null>"));
   out << ", " << "knownPeersDigest="; (__isset.knownPeersDigest ? (out << to_string(knownPeersDigest)) : (out << "<null>"));
   out << ", " << "relaysStore="; (__isset.relaysStore ? (out << to_string(relaysStore)) : (out << "<null>"));
-  out << ", " << "promptParts="; (__isset.promptParts ? (out << to_string(promptParts)) : (out << "<null>"));
+  out << ", " << "requestTraits="; (__isset.requestTraits ? (out << to_string(requestTraits)) : (out << "<null>"));
   out << ", " << "rateLimits="; (__isset.rateLimits ? (out << to_string(rateLimits)) : (out << "<null>"));
   out << ")";
 }
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -98,9 +98,9 @@
 
 class RateLimit;
 
-class EngineCrash;
+class EndpointCrash;
 
-class PromptPartEvidence;
+class RequestTraitEvidence;
 
 class GatewayWord;
 
@@ -1646,25 +1646,30 @@
 
 
 /**
- * The end of an engine's run while it was to begin the answer to a request.
+ * The end of an endpoint's run while it was to begin the answer to a request.
  */
-class EngineCrash : public virtual ::apache::thrift::TBase {
+class EndpointCrash : public virtual ::apache::thrift::TBase {
  public:
 
-  EngineCrash(const EngineCrash&);
-  EngineCrash(EngineCrash&&) noexcept;
-  EngineCrash& operator=(const EngineCrash&);
-  EngineCrash& operator=(EngineCrash&&) noexcept;
-  EngineCrash() noexcept
-              : endpoint(),
-                startedAtMs(0),
-                ageMicroseconds(0) {
+  EndpointCrash(const EndpointCrash&);
+  EndpointCrash(EndpointCrash&&) noexcept;
+  EndpointCrash& operator=(const EndpointCrash&);
+  EndpointCrash& operator=(EndpointCrash&&) noexcept;
+  EndpointCrash() noexcept
+                : endpoint(),
+                  startedAtMs(0),
+                  ageMicroseconds(0),
+                  heldMicroseconds(0) {
   }
 
-  virtual ~EngineCrash() noexcept;
+  virtual ~EndpointCrash() noexcept;
   std::string endpoint;
   int64_t startedAtMs;
   int64_t ageMicroseconds;
+  /**
+   * Time for which the endpoint had the request.
+   */
+  int64_t heldMicroseconds;
 
   void __set_endpoint(const std::string& val);
 
@@ -1672,7 +1677,9 @@
 
   void __set_ageMicroseconds(const int64_t val);
 
-  bool operator == (const EngineCrash & rhs) const
+  void __set_heldMicroseconds(const int64_t val);
+
+  bool operator == (const EndpointCrash & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
       return false;
@@ -1680,13 +1687,15 @@
       return false;
     if (!(ageMicroseconds == rhs.ageMicroseconds))
       return false;
+    if (!(heldMicroseconds == rhs.heldMicroseconds))
+      return false;
     return true;
   }
-  bool operator != (const EngineCrash &rhs) const {
+  bool operator != (const EndpointCrash &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const EngineCrash & ) const;
+  bool operator < (const EndpointCrash & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1694,50 +1703,50 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(EngineCrash &a, EngineCrash &b);
+void swap(EndpointCrash &a, EndpointCrash &b);
 
-std::ostream& operator<<(std::ostream& out, const EngineCrash& obj);
+std::ostream& operator<<(std::ostream& out, const EndpointCrash& obj);
 
-typedef struct _PromptPartEvidence__isset {
-  _PromptPartEvidence__isset() : servedAgeMicroseconds(false) {}
+typedef struct _RequestTraitEvidence__isset {
+  _RequestTraitEvidence__isset() : servedAgeMicroseconds(false) {}
   bool servedAgeMicroseconds :1;
-} _PromptPartEvidence__isset;
+} _RequestTraitEvidence__isset;
 
 /**
- * What a gateway knows of a prompt part whose requests were at engines that crashed.
+ * What a gateway knows of a trait of requests, a part of their prompt or their fingerprint, that were at endpoints which crashed.
  */
-class PromptPartEvidence : public virtual ::apache::thrift::TBase {
+class RequestTraitEvidence : public virtual ::apache::thrift::TBase {
  public:
 
-  PromptPartEvidence(const PromptPartEvidence&);
-  PromptPartEvidence(PromptPartEvidence&&) noexcept;
-  PromptPartEvidence& operator=(const PromptPartEvidence&);
-  PromptPartEvidence& operator=(PromptPartEvidence&&) noexcept;
-  PromptPartEvidence() noexcept
-                     : part(),
-                       servedAgeMicroseconds(0),
-                       quarantined(0) {
+  RequestTraitEvidence(const RequestTraitEvidence&);
+  RequestTraitEvidence(RequestTraitEvidence&&) noexcept;
+  RequestTraitEvidence& operator=(const RequestTraitEvidence&);
+  RequestTraitEvidence& operator=(RequestTraitEvidence&&) noexcept;
+  RequestTraitEvidence() noexcept
+                       : trait(),
+                         servedAgeMicroseconds(0),
+                         quarantined(0) {
   }
 
-  virtual ~PromptPartEvidence() noexcept;
-  std::string part;
-  std::vector<EngineCrash>  crashes;
+  virtual ~RequestTraitEvidence() noexcept;
+  std::string trait;
+  std::vector<EndpointCrash>  crashes;
   int64_t servedAgeMicroseconds;
   bool quarantined;
 
-  _PromptPartEvidence__isset __isset;
+  _RequestTraitEvidence__isset __isset;
 
-  void __set_part(const std::string& val);
+  void __set_trait(const std::string& val);
 
-  void __set_crashes(const std::vector<EngineCrash> & val);
+  void __set_crashes(const std::vector<EndpointCrash> & val);
 
   void __set_servedAgeMicroseconds(const int64_t val);
 
   void __set_quarantined(const bool val);
 
-  bool operator == (const PromptPartEvidence & rhs) const
+  bool operator == (const RequestTraitEvidence & rhs) const
   {
-    if (!(part == rhs.part))
+    if (!(trait == rhs.trait))
       return false;
     if (!(crashes == rhs.crashes))
       return false;
@@ -1749,11 +1758,11 @@
       return false;
     return true;
   }
-  bool operator != (const PromptPartEvidence &rhs) const {
+  bool operator != (const RequestTraitEvidence &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PromptPartEvidence & ) const;
+  bool operator < (const RequestTraitEvidence & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1761,12 +1770,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PromptPartEvidence &a, PromptPartEvidence &b);
+void swap(RequestTraitEvidence &a, RequestTraitEvidence &b);
 
-std::ostream& operator<<(std::ostream& out, const PromptPartEvidence& obj);
+std::ostream& operator<<(std::ostream& out, const RequestTraitEvidence& obj);
 
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false), promptParts(false), rateLimits(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false), requestTraits(false), rateLimits(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1784,7 +1793,7 @@
   bool peersDigest :1;
   bool knownPeersDigest :1;
   bool relaysStore :1;
-  bool promptParts :1;
+  bool requestTraits :1;
   bool rateLimits :1;
 } _GatewayWord__isset;
 
@@ -1850,7 +1859,7 @@
   int64_t peersDigest;
   int64_t knownPeersDigest;
   bool relaysStore;
-  std::vector<PromptPartEvidence>  promptParts;
+  std::vector<RequestTraitEvidence>  requestTraits;
   std::vector<RateLimit>  rateLimits;
 
   _GatewayWord__isset __isset;
@@ -1903,7 +1912,7 @@
 
   void __set_relaysStore(const bool val);
 
-  void __set_promptParts(const std::vector<PromptPartEvidence> & val);
+  void __set_requestTraits(const std::vector<RequestTraitEvidence> & val);
 
   void __set_rateLimits(const std::vector<RateLimit> & val);
 
@@ -1991,9 +2000,9 @@
       return false;
     else if (__isset.relaysStore && !(relaysStore == rhs.relaysStore))
       return false;
-    if (__isset.promptParts != rhs.__isset.promptParts)
+    if (__isset.requestTraits != rhs.__isset.requestTraits)
       return false;
-    else if (__isset.promptParts && !(promptParts == rhs.promptParts))
+    else if (__isset.requestTraits && !(requestTraits == rhs.requestTraits))
       return false;
     if (__isset.rateLimits != rhs.__isset.rateLimits)
       return false;
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -212,17 +212,19 @@
   4: required i64 ageMicroseconds
 }
 
-/** The end of an engine's run while it was to begin the answer to a request. */
-struct EngineCrash {
+/** The end of an endpoint's run while it was to begin the answer to a request. */
+struct EndpointCrash {
   1: required string endpoint
   2: required i64 startedAtMs
   3: required i64 ageMicroseconds
+  /** Time for which the endpoint had the request. */
+  4: required i64 heldMicroseconds
 }
 
-/** What a gateway knows of a prompt part whose requests were at engines that crashed. */
-struct PromptPartEvidence {
-  1: required string part
-  2: required list<EngineCrash> crashes
+/** What a gateway knows of a trait of requests, a part of their prompt or their fingerprint, that were at endpoints which crashed. */
+struct RequestTraitEvidence {
+  1: required string trait
+  2: required list<EndpointCrash> crashes
   3: optional i64 servedAgeMicroseconds
   4: required bool quarantined
 }
@@ -255,6 +257,6 @@
   22: optional i64 peersDigest
   23: optional i64 knownPeersDigest
   24: optional bool relaysStore
-  25: optional list<PromptPartEvidence> promptParts
+  25: optional list<RequestTraitEvidence> requestTraits
   26: optional list<RateLimit> rateLimits
 }
--- a/packages/Peer/tests/GossipMessage.cpp
+++ b/packages/Peer/tests/GossipMessage.cpp
@@ -16,7 +16,7 @@
     gossip.avoided = { { EndpointId("e2"), 400ms } };
     gossip.storeEra = 3;
     gossip.leaving = { { EndpointId("e3"), 1700000000001 } };
-    gossip.promptParts = { { PromptPartId("p1"), { { { EndpointId("e4"), 1700000000002 }, 250ms } }, 900ms, true }, { PromptPartId("p2"), {}, {}, false } };
+    gossip.requestTraits = { { RequestTraitId("p1"), { { { EndpointId("e4"), 1700000000002 }, 250ms, 90ms } }, 900ms, true }, { RequestTraitId("p2"), {}, {}, false } };
     gossip.peers = { { { "10.0.0.2", 8229 }, FailureDomainId("b") } };
     gossip.peersDigest = 0x8000000000000001;
     gossip.knownPeersDigest = 11;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -23,6 +23,8 @@
 constexpr Duration minStallTimeout = std::chrono::milliseconds(150);
 // Responses are buffered completely. Plain services send a few kilobytes; a host has memory for a hundred responses of this size.
 constexpr std::size_t maximumResponseBytes = 1024 * 1024;
+// A replica that is alive accepts a connection within a few milliseconds.
+constexpr Duration crashCheckTimeout = std::chrono::milliseconds(250);
 // Interval of checks for another endpoint while a call is stalled.
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(50);
 
@@ -65,9 +67,22 @@
     co_return true;
 }
 
+/** \brief Records that a request with the traits was at the replica when it crashed, if its broken connection is due to a crash: one that only
+ * broke a connection still accepts new ones. */
+asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<RequestTraitId> traits, SocketAddress address, EndpointRun run, TimePoint sentAt)
+{
+    const TimePoint brokenAt = bootNow();
+    const UpstreamPointer connection = context.pool.create(address);
+    const std::error_code refused = co_await connection->connect(crashCheckTimeout);
+    connection->close();
+    if (refused)
+        context.noteCrash(traits, run, sentAt, brokenAt);
+}
+
 /** \brief State of the coroutine that monitors one attempt; shared because it may outlive the attempt. */
 struct StallMonitor {
     bool finished = false; ///< the response has begun, or the attempt has ended
+    bool aborted = false; ///< the attempt was aborted because it had no response
 };
 
 /** \brief Aborts an attempt that has no response after \a stallTimeout, as soon as a retry at another endpoint is possible. */
@@ -78,6 +93,7 @@
     while (!monitor->finished) {
         const auto historyAfter = task.historyAfterStall(endpoint);
         if (historyAfter && task.upstream && pickEndpoint(task, *historyAfter) && task.chargeRetryBudget()) {
+            monitor->aborted = true;
             task.upstream->close();
             co_return;
         }
@@ -92,8 +108,11 @@
         asio::co_spawn(task.context.io, monitorStall(task.context, task, monitor, endpoint.id, std::max<Duration>(minStallTimeout, task.route.targetLatency * stallLatencyFactor)), asio::detached);
     const Result<EndpointReply> reply = co_await task.readReply(connection, endpoint.id, task.timeLeft());
     monitor->finished = true;
-    if (!reply)
-        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+    if (!reply) {
+        AttemptResult result { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+        result.connectionBroken = !monitor->aborted && !isTimeout(reply.error());
+        co_return result;
+    }
     HttpResponse response;
     response.status = reply->status;
     response.headers = reply->headers;
@@ -116,6 +135,7 @@
         if (!finalAttempt)
             co_return *failure;
     }
+    task.noteServed();
     task.caller->stopWatching();
     task.logOutcome(reply->status < 400 ? "answered" : "endpoint-failure", reply->status);
     task.context.metrics.observeCall(bootNow() - task.received);
@@ -142,7 +162,10 @@
 {
     const WorkInProgress load { 1, 0 };
     const TimePoint latestStart = bootNow() + scaled(task.timeLeft(), rateLimitWaitFraction);
+    std::optional<Duration> refusalTime;
     while (!task.caller->disconnected()) {
+        if ((refusalTime = task.context.refusalTime(task.traits())))
+            break;
         const EndpointRecord* picked = pickEndpoint(task, task.history);
         if (!picked && co_await awaitRateLimit(task, latestStart))
             continue;
@@ -159,11 +182,13 @@
             task.context.registry.noteSuccess(endpoint.id, startedAt);
             co_return;
         }
+        if (result.connectionBroken && !task.caller->disconnected())
+            asio::co_spawn(task.context.io, noteCrash(task.context, task.traits(), endpoint.address, { endpoint.id, endpoint.startedAtMs }, startedAt), asio::detached);
         if (task.caller->disconnected() || !task.noteFailure(result, endpoint.id))
             break;
     }
     task.caller->stopWatching();
-    co_await task.respondFailure(ErrorCode::NoEndpoint);
+    co_await task.respondFailure(refusalTime ? ErrorCode::RequestQuarantined : ErrorCode::NoEndpoint, refusalTime);
 }
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -68,12 +68,12 @@
     static constexpr unsigned maximumDoublings = 2;
 };
 
-/** \brief Records that the prompt parts were at the engine when it crashed, if its broken connection is due to a crash. */
-asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<PromptPartId> parts, ForwardStage engine, EndpointRun run)
+/** \brief Records that a request with the traits was at the engine when it crashed, if its broken connection is due to a crash. */
+asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<RequestTraitId> traits, ForwardStage engine, EndpointRun run, TimePoint sentAt)
 {
     const TimePoint brokenAt = bootNow();
-    if (!parts.empty() && co_await context.failureDetector.hasCrashed(engine, brokenAt))
-        context.promptQuarantine.noteCrash(parts, run, brokenAt);
+    if (co_await context.failureDetector.hasCrashed(engine, brokenAt))
+        context.noteCrash(traits, run, sentAt, brokenAt);
 }
 
 /** \brief Forwards one stream, over all chains that serve it in turn. */
@@ -111,7 +111,7 @@
     bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
     std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
     EndpointFault failedEngineFault = EndpointFault::Failed; ///< how failedEngine failed
-    std::optional<Duration> refusalTime; ///< for which requests with a part of the prompt are refused
+    std::optional<Duration> refusalTime; ///< for which the request is refused because it may crash endpoints
     std::vector<EndpointId> engines; ///< engines of the chain in use
     std::uint32_t eventsInAttempt = 0;
     TimePoint attemptStartedAt = bootNow();
@@ -181,7 +181,7 @@
         this->lastEventId = event.id;
         this->lastProgress = bootNow();
         if (this->eventsInAttempt == 0)
-            this->task.context.promptQuarantine.noteServed(this->task.request.sharedPromptParts, this->lastProgress);
+            this->task.noteServed();
         if (this->eventsInAttempt++ % eventsPerHealthReport == 0)
             this->reportChainHealthy();
     }
@@ -342,7 +342,7 @@
         co_return;
     }
     if (!this->headSent) {
-        co_await this->task.respondFailure(this->refusalTime ? ErrorCode::PromptQuarantined : ErrorCode::NoPipeline, this->refusalTime);
+        co_await this->task.respondFailure(this->refusalTime ? ErrorCode::RequestQuarantined : ErrorCode::NoPipeline, this->refusalTime);
         co_return;
     }
     // The caller must be able to detect that the stream is incomplete.
@@ -377,8 +377,9 @@
     if (result.failure && this->failedEngine)
         result = { result.failure, this->failedEngineFault, this->failedEngine, "engine-lost" };
     result.events = this->eventsInAttempt;
-    if (result.connectionBroken && result.events == 0 && !this->task.caller->disconnected())
-        asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.request.sharedPromptParts, metadata.stages.front(), firstRun), asio::detached);
+    const bool firstEngineLost = result.connectionBroken || (result.failure && this->failedEngine == firstEngine);
+    if (firstEngineLost && result.events == 0 && !this->task.caller->disconnected())
+        asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.traits(), metadata.stages.front(), firstRun, this->attemptStartedAt), asio::detached);
     co_return result;
 }
 
@@ -387,11 +388,11 @@
     bool complete = false;
     bool retry = true;
     while (retry && !this->task.caller->disconnected()) {
-        if ((this->refusalTime = this->task.context.promptRefusalTime(this->task.request.sharedPromptParts)))
+        if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
             break;
         const std::optional<LayerChain> chain = co_await this->awaitChain();
         const auto metadata = chain ? this->metadataFor(*chain) : std::nullopt;
-        if ((this->refusalTime = this->task.context.promptRefusalTime(this->task.request.sharedPromptParts)))
+        if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
             break;
         if (!metadata || !this->task.chargeRetryBudget())
             break;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -31,9 +31,18 @@
     return text;
 }
 
-std::string fingerprintOf(const CallerRequest& request, const std::optional<AccountId>& account)
+std::vector<RequestTraitId> promptTraitsOf(const CallerRequest& request)
 {
-    return requestDigest({ account ? account->str() : "", request.http.method, request.host, request.http.target, request.http.body }).substr(0, fingerprintDigits);
+    std::vector<RequestTraitId> traits;
+    for (const PromptPartId& part : request.sharedPromptParts)
+        traits.emplace_back("prompt-part:" + part.str());
+    return traits;
+}
+
+RequestTraitId fingerprintOf(const CallerRequest& request, const std::optional<AccountId>& account)
+{
+    const std::string digest = requestDigest({ account ? account->str() : "", request.http.method, request.host, request.http.target, request.http.body });
+    return RequestTraitId("request:" + digest.substr(0, fingerprintDigits));
 }
 
 TimePoint deadlineOf(const CallerRequest& request, const Route& route, TimePoint received)
@@ -50,6 +59,7 @@
     , route(route)
     , service(std::move(service))
     , account(std::move(account))
+    , promptTraits(promptTraitsOf(this->request))
     , fingerprint(fingerprintOf(this->request, this->account))
     , received(received)
     , deadline(deadlineOf(this->request, this->route, received))
@@ -93,7 +103,7 @@
     const AttemptState state = this->history.state(this->timeLeft());
     const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
     this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
@@ -119,6 +129,18 @@
     return forwarded && forwarded->engine ? forwarded->engine->layers : 0;
 }
 
+std::vector<RequestTraitId> ForwardTask::traits() const
+{
+    std::vector<RequestTraitId> traits = this->promptTraits;
+    traits.push_back(this->fingerprint);
+    return traits;
+}
+
+void ForwardTask::noteServed()
+{
+    this->context.requestQuarantine.noteServed(this->promptTraits, bootNow(), this->fingerprint);
+}
+
 std::vector<EndpointId> ForwardTask::receivingEndpoints() const
 {
     std::vector<EndpointId> endpoints;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -85,6 +85,11 @@
     /** \returns whether more requests wait than the endpoints with a rate limit will accept from this daemon in the time */
     bool rateLimitQueueIsFull(std::size_t waiting, Duration) const;
 
+    /** \returns the traits for which the request may be refused */
+    std::vector<RequestTraitId> traits() const;
+    /** \brief Records that the request was served, so that it crashes no endpoint. */
+    void noteServed();
+
     /** \returns whether the caller's connection stays open after the response */
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
 
@@ -94,7 +99,8 @@
     const Route route;
     const ServiceId service;
     const std::optional<AccountId> account;
-    const std::string fingerprint; ///< the same for all requests of the account with the same method, host, target and body
+    const std::vector<RequestTraitId> promptTraits; ///< shared parts of the prompt
+    const RequestTraitId fingerprint; ///< the same for all requests of the account with the same method, host, target and body
     const TimePoint received;
     const TimePoint deadline;
     UpstreamPointer upstream; ///< connection of the attempt in progress
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -102,14 +102,23 @@
     logLine(WriteLog::Level::Info, "endpoint-removed", { { "endpoint", endpoint.str() }, { "source", source }, { "held", removal == Removal::Held ? "yes" : "no" }, { "viewAgeMs", viewAge ? milliseconds(*viewAge) : "none" } });
 }
 
-std::optional<Duration> GatewayContext::promptRefusalTime(const std::vector<PromptPartId>& parts)
+void GatewayContext::noteCrash(const std::vector<RequestTraitId>& traits, const EndpointRun& run, TimePoint sentAt, TimePoint brokenAt)
+{
+    std::string names;
+    for (const RequestTraitId& trait : traits)
+        names += (names.empty() ? "" : ",") + trait.str();
+    logLine(WriteLog::Level::Warning, "endpoint-crashed", { { "endpoint", run.endpoint.str() }, { "traits", names }, { "ageMs", milliseconds(bootNow() - brokenAt) } });
+    this->requestQuarantine.noteCrash(traits, run, brokenAt, brokenAt - sentAt);
+}
+
+std::optional<Duration> GatewayContext::refusalTime(const std::vector<RequestTraitId>& traits)
 {
     const TimePoint now = bootNow();
-    for (const PromptPartId& part : this->promptQuarantine.update(now)) {
-        logLine(WriteLog::Level::Warning, "prompt-part-quarantined", { { "part", part.str() } });
-        this->metrics.count({ "prompt_parts_quarantined_total", "" });
+    for (const RequestTraitId& trait : this->requestQuarantine.update(now)) {
+        logLine(WriteLog::Level::Warning, "request-trait-quarantined", { { "trait", trait.str() } });
+        this->metrics.count({ "request_traits_quarantined_total", "" });
     }
-    return this->promptQuarantine.refusalTime(parts, now);
+    return this->requestQuarantine.refusalTime(traits, now);
 }
 
 void GatewayContext::noteSignals(const EndpointId& endpoint, const EndpointSignals& signals)
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -62,8 +62,11 @@
     /** \brief Logs the removal of an endpoint.
      * \param viewAge age of this daemon's list of endpoints before the read that shows the removal */
     static void logRemoval(const EndpointId&, Removal, const std::string& source, const std::optional<Duration>& viewAge);
-    /** \returns the time for which requests with these prompt parts are refused, or nothing when they may be sent */
-    std::optional<Duration> promptRefusalTime(const std::vector<PromptPartId>&);
+    /** \brief Records that an endpoint crashed while it was to begin the answer to a request with these traits.
+     * \param sentAt when the request was sent to it */
+    void noteCrash(const std::vector<RequestTraitId>&, const EndpointRun&, TimePoint sentAt, TimePoint brokenAt);
+    /** \returns the time for which requests with these traits are refused, or nothing when they may be sent */
+    std::optional<Duration> refusalTime(const std::vector<RequestTraitId>&);
     /** \brief Takes note of what an endpoint says about itself in an answer. */
     void noteSignals(const EndpointId&, const EndpointSignals&);
 
@@ -85,7 +88,7 @@
     bool registryLoaded = false; ///< whether the registry has been filled once, from the store or a peer
     RequestRateLimits rateLimits;
     std::map<ServiceId, unsigned> rateLimitedCalls; ///< calls that wait until a rate limit accepts them
-    PromptQuarantine promptQuarantine; ///< prompt parts that crash engines
+    RequestQuarantine requestQuarantine; ///< traits of requests that crash endpoints
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
     PeerTable roster; ///< the other gateways of the site
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -151,7 +151,7 @@
     message.storeEra = this->context.storeEra.current();
     message.leaving = this->context.registry.reportedLeaving();
     message.rateLimits = this->context.rateLimits.reports(bootNow());
-    message.promptParts = this->context.promptQuarantine.evidence(bootNow());
+    message.requestTraits = this->context.requestQuarantine.evidence(bootNow());
     const auto entry = this->peerStates.find(receiver);
     message.knownRevision = entry == this->peerStates.end() ? 0 : entry->second.endpointsRevision;
     const TimePoint now = bootNow();
@@ -219,7 +219,7 @@
     for (const EndpointRun& run : message.leaving)
         this->context.registry.noteRemoteLeaving(run);
     this->context.rateLimits.merge(message.rateLimits, now);
-    this->context.promptQuarantine.merge(message.promptParts, now);
+    this->context.requestQuarantine.merge(message.requestTraits, now);
     if (message.configuration)
         this->context.applyConfiguration(*message.configuration, message.daemon.str());
     if (!outdated) {
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -13,6 +13,8 @@
 #include <cstdio>
 #include <utility>
 
+#include <fcntl.h>
+
 namespace filbertspoke {
 
 namespace asio = boost::asio;
@@ -23,8 +25,11 @@
 public:
     State(asio::io_context& context, const std::string& address, Answer answer)
         : acceptor(context, tcp::endpoint(asio::ip::make_address(address), 0))
+        , endpoint(this->acceptor.local_endpoint())
         , answer(std::move(answer))
     {
+        // A gateway that the test starts would keep the socket listening.
+        ::fcntl(this->acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
     }
 
     asio::awaitable<void> listen()
@@ -94,6 +99,7 @@
     }
 
     tcp::acceptor acceptor;
+    tcp::endpoint endpoint; ///< kept while the acceptor is closed
     Answer answer;
     std::vector<HttpRequest> requests;
     int abandoned = 0;
@@ -113,7 +119,7 @@
 
 HttpAddress ReplicaStandIn::address() const
 {
-    const auto endpoint = this->state->acceptor.local_endpoint();
+    const tcp::endpoint& endpoint = this->state->endpoint;
     return { endpoint.address().to_string(), endpoint.port() };
 }
 
@@ -127,6 +133,20 @@
     return this->state->abandoned;
 }
 
+void ReplicaStandIn::setListening(bool listening)
+{
+    tcp::acceptor& acceptor = this->state->acceptor;
+    if (listening == acceptor.is_open())
+        return;
+    if (!listening) {
+        acceptor.close();
+        return;
+    }
+    acceptor = tcp::acceptor(acceptor.get_executor(), { this->state->endpoint.address(), 0 });
+    this->state->endpoint = acceptor.local_endpoint();
+    asio::co_spawn(acceptor.get_executor(), this->state->listen(), asio::detached);
+}
+
 void ReplicaStandIn::setAnswer(Answer answer)
 {
     this->state->answer = std::move(answer);
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -43,6 +43,8 @@
     const std::vector<HttpRequest>& requests() const;
     /** \returns how many connections ended before their answer was whole */
     int abandoned() const;
+    /** \brief Stops accepting connections, or accepts them again at another port. */
+    void setListening(bool);
     /** \brief Replaces the answers from now on. */
     void setAnswer(Answer);
 
