--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -42,6 +42,17 @@
     return script;
 }
 
+/** \brief Ends the process.
+ * \returns all lines that it has written */
+std::string logOf(Process& process)
+{
+    process.kill();
+    std::string log;
+    while (const auto line = process.readLine())
+        log += *line + '\n';
+    return log;
+}
+
 }
 
 class RawCaller::State : public std::enable_shared_from_this<State> {
@@ -186,7 +197,7 @@
 {
     this->gateway = this->launch({ "gateway-1", "zone-a", this->callers, this->readiness, this->peers, this->store.address(), { this->peers } });
     if (!this->await([&] { return this->ready(this->readiness); }))
-        throw std::runtime_error("the gateway is not ready");
+        throw std::runtime_error("the gateway is not ready; its log:\n" + logOf(*this->gateway));
 }
 
 void GatewayScene::startSecond(const std::string& failureDomain, const HttpAddress& storeAddress)
@@ -195,7 +206,7 @@
     const HttpAddress secondReadiness = this->free(host);
     this->second = this->launch({ "gateway-2", failureDomain, this->secondCallers, secondReadiness, this->secondPeers, storeAddress, { this->peers } });
     if (!this->await([&] { return this->ready(secondReadiness); }))
-        throw std::runtime_error("the second gateway is not ready");
+        throw std::runtime_error("the second gateway is not ready; its log:\n" + logOf(*this->second));
 }
 
 void GatewayScene::startSecondWithoutStore()
