--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
@@ -33,8 +33,6 @@
 constexpr auto pollPause = 20ms;
 // Far shorter than the loading of the program, so that the hangup still meets its first statements.
 constexpr auto loaderPollPause = 1ms;
-// Status of a process that SIGTERM ended by the system's default.
-constexpr int endedBySigterm = 128 + SIGTERM;
 const std::string leavingReplica = "app-3";
 // Separates the generator of the faults that were added later from those of the callers.
 constexpr std::uint64_t signalSeedOffset = 1000;
@@ -226,13 +224,12 @@
 {
     if (std::exchange(gateway.handled, true))
         co_return;
-    // A program that is still being started has read no request; the system ends it.
     const bool handled = gateway.process->handles(SIGTERM);
     gateway.process->signal(SIGTERM);
     while (gateway.process->running())
         co_await this->sleep(pollPause);
     const int status = gateway.process->wait();
-    if (status != 0 && (handled || status != endedBySigterm))
+    if (status != 0)
         this->record.breach(gateway.text.name + " ended with " + std::to_string(status) + " after SIGTERM, for which it had " + (handled ? "a" : "no") + " handler");
     this->site.start(gateway);
     gateway.handled = false;
