A gateway that starts long after the crashes takes over the quarantine from those that run

Cause: RequestQuarantine forgets suspects 30 s after their last crash unless it has quarantined them itself, and does so before it decides. What another gateway has quarantined came with crashes older than that and was erased before it counted, with every message anew. Change: what another gateway has quarantined is kept as long as the gateway's own quarantines. Evidence: Gateway.RequestQuarantine.quarantineReachesADaemonThatStartsLongAfterTheCrashes failed before (four checks) and passes.

--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
@@ -170,7 +170,7 @@
         const Suspect& suspect = entry.second;
         if (suspect.crashes.empty())
             return !suspect.servedAt || now - *suspect.servedAt >= clearedLifetime;
-        return now - lastCrashAt(suspect) >= (suspect.quarantined ? quarantineLifetime : suspectLifetime);
+        return now - lastCrashAt(suspect) >= (suspect.quarantined || suspect.quarantinedElsewhere ? quarantineLifetime : suspectLifetime);
     });
 }
 
--- a/packages/Gateway/tests/RequestQuarantine.cpp
+++ b/packages/Gateway/tests/RequestQuarantine.cpp
@@ -190,6 +190,25 @@
     BOOST_TEST(daemons.front().refusalTime({ crashing }, this->now).has_value());
 }
 
+// Guards against a daemon that starts again long after the crashes and lets a quarantined request through.
+BOOST_FIXTURE_TEST_CASE(quarantineReachesADaemonThatStartsLongAfterTheCrashes, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ common, crashing }, engine);
+    BOOST_TEST(this->refuses({ crashing }));
+    for (const Duration later : { 31s, 5min - 1s }) {
+        this->now += later;
+        RequestQuarantine started;
+        this->quarantine.update(this->now);
+        started.merge(this->quarantine.evidence(this->now), this->now);
+        for (int round = 0; round < 2; ++round) {
+            started.update(this->now);
+            BOOST_TEST(started.refusalTime({ crashing }, this->now).has_value());
+            BOOST_TEST(!started.refusalTime({ common }, this->now).has_value());
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(clearingOfAPartReachesOtherDaemons, Fixture)
 {
     RequestQuarantine other;
