Keep quarantined requests in the store, so that they outlast all gateways

Cause: the quarantine was in the gateways' memory only. Change: the hub of each failure domain writes quarantined traits with their crashes to a collection in the platform's store and removes them when they end (StoredQuarantine decides, StoreFollower carries out); gateways that read the store take them over at their start and after the store restarted from a copy. Log lines quarantine-stored, -not-stored, -read, -record-unreadable.

--- a/packages/Daemon/tests/RequestQuarantine.cpp
+++ b/packages/Daemon/tests/RequestQuarantine.cpp
@@ -88,6 +88,23 @@
         }
     }
 
+    /** \brief Kills the gateway and starts it again, then sends the crashing request several times. The crashed endpoints restart. */
+    void repeatAfterLossOfAllGateways(const std::string& method)
+    {
+        this->gateway->kill();
+        this->start();
+        for (int request = 0; request < callersRequests; ++request) {
+            const auto caller = this->call(method, this->crashingTarget);
+            this->await([&] { return caller->closed() || caller->received().starts_with("HTTP/1.1 5"); });
+            this->lastAnswer = caller->received();
+            for (const std::string& id : this->crashed) {
+                this->replicas.at(id)->setListening(true);
+                this->restartEndpoint(id);
+            }
+            this->crashed.clear();
+        }
+    }
+
     std::string crashingTarget;
     std::set<std::string> crashed; ///< endpoints that are down
     std::size_t crashes = 0;
@@ -123,3 +140,15 @@
     BOOST_TEST(this->lastAnswer.starts_with("HTTP/1.1 503"));
     BOOST_TEST(this->serve("POST", "/book/x", "served"));
 }
+
+// Guards against a crashing request that crashes endpoints again each time that all gateways were lost.
+BOOST_FIXTURE_TEST_CASE(quarantinedRequestStaysRefusedAfterTheLossOfAllGateways, Fixture)
+{
+    this->crashOn("/book/crashing", { "app-1", "app-2" });
+    this->repeatCrashingRequest("POST", "/book/x", "served");
+    for (int loss = 0; loss < 3; ++loss)
+        this->repeatAfterLossOfAllGateways("POST");
+    BOOST_TEST(this->crashes <= crashLimit + sendsAfterLimit);
+    BOOST_TEST(this->lastAnswer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(this->serve("POST", "/book/x", "served"));
+}
--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
@@ -96,6 +96,21 @@
     }
 }
 
+RequestTraitEvidence RequestQuarantine::evidenceOf(const Suspects::value_type& entry, TimePoint now)
+{
+    const auto& [trait, suspect] = entry;
+    RequestTraitEvidence evidence;
+    evidence.trait = trait;
+    evidence.quarantined = suspect.quarantined;
+    if (suspect.servedAt)
+        evidence.servedAge = now - *suspect.servedAt;
+    for (const auto& [run, crash] : suspect.crashes) {
+        if (evidence.crashes.size() < maximumCrashes)
+            evidence.crashes.push_back({ run, now - crash.at, crash.at - crash.sentAt });
+    }
+    return evidence;
+}
+
 std::vector<RequestTraitEvidence> RequestQuarantine::evidence(TimePoint now) const
 {
     std::vector<Suspects::const_iterator> order;
@@ -106,16 +121,18 @@
     });
     order.resize(std::min(order.size(), maximumEvidence));
     std::vector<RequestTraitEvidence> evidence;
-    for (const auto& entry : order) {
-        RequestTraitEvidence& trait = evidence.emplace_back();
-        trait.trait = entry->first;
-        trait.quarantined = entry->second.quarantined;
-        if (entry->second.servedAt)
-            trait.servedAge = now - *entry->second.servedAt;
-        for (const auto& [run, crash] : entry->second.crashes) {
-            if (trait.crashes.size() < maximumCrashes)
-                trait.crashes.push_back({ run, now - crash.at, crash.at - crash.sentAt });
-        }
+    evidence.reserve(order.size());
+    for (const auto& entry : order)
+        evidence.push_back(evidenceOf(*entry, now));
+    return evidence;
+}
+
+std::vector<RequestTraitEvidence> RequestQuarantine::quarantined(TimePoint now) const
+{
+    std::vector<RequestTraitEvidence> evidence;
+    for (const auto& entry : this->suspects) {
+        if (entry.second.quarantined)
+            evidence.push_back(evidenceOf(entry, now));
     }
     return evidence;
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
@@ -58,6 +58,8 @@
 
     /** \returns the evidence to send to other daemons, limited to the traits that are suspected most */
     std::vector<RequestTraitEvidence> evidence(TimePoint now) const;
+    /** \returns the evidence for all quarantined traits */
+    std::vector<RequestTraitEvidence> quarantined(TimePoint now) const;
     /** \brief Adds the evidence of another daemon. */
     void merge(const std::vector<RequestTraitEvidence>&, TimePoint now);
 
@@ -82,6 +84,7 @@
     };
     using Suspects = std::map<RequestTraitId, Suspect>;
 
+    static RequestTraitEvidence evidenceOf(const Suspects::value_type&, TimePoint now);
     /** \returns the times of the crashes that count as separate ones, in order */
     static std::vector<TimePoint> separateCrashes(const Crashes&);
     static TimePoint lastCrashAt(const Suspect&);
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreCodec.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreCodec.h
@@ -12,10 +12,11 @@
 
 namespace filbertspoke {
 
-/** \brief The collections of the platform's store that a daemon follows. */
+/** \brief The collections of the platform's store that daemons use. */
 enum class StoreCollection {
     Configuration,
     Endpoints,
+    Quarantine, ///< traits of requests that crash endpoints; written by the daemons, see QuarantineRecord
 };
 
 /** \brief A record of a key; without a value it is a tombstone, which deletes the key. */
@@ -53,6 +54,9 @@
     /** \returns the records, LogTruncated when the store no longer keeps them, or another error */
     virtual Result<StorePage> decodeFollow(const HttpResponse&, LogOffset from) const = 0;
 
+    /** \returns the request that writes the records; the store answers it with status 200 once they are stored */
+    virtual HttpRequest encodeWrite(StoreCollection, const std::vector<StoreRecord>&) const = 0;
+
     /** \returns the configuration, nothing for a record that contains none, or MalformedRecord when it can't be read */
     virtual Result<std::optional<ForwardingTable>> decodeConfiguration(const StoreRecord&) const = 0;
     /** \returns the endpoint, or MalformedRecord when the record can't be read */
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -26,6 +26,8 @@
 constexpr Duration transferAllowance = std::chrono::seconds(2);
 // A daemon whose hub follows the store checks at this interval whether the hub still does.
 constexpr Duration roleCheckInterval = std::chrono::milliseconds(100);
+// Interval of checks for changes of the quarantine; all daemons may be killed right after one.
+constexpr Duration quarantineCheckInterval = std::chrono::milliseconds(100);
 
 }
 
@@ -33,6 +35,7 @@
 {
     asio::co_spawn(this->context.io, this->follow(StoreCollection::Configuration), asio::detached);
     asio::co_spawn(this->context.io, this->follow(StoreCollection::Endpoints), asio::detached);
+    asio::co_spawn(this->context.io, this->keepQuarantine(), asio::detached);
 }
 
 void StoreFollower::noteReachable(bool reachable, const std::string& reason)
@@ -142,6 +145,65 @@
     }
 }
 
+asio::awaitable<void> StoreFollower::keepQuarantine()
+{
+    HttpConnection connection(this->context.io, httpAddress(this->context.settings.store), {});
+    std::optional<Position> snapshot;
+    unsigned failures = 0;
+    while (true) {
+        if (snapshot && snapshot->era != this->context.storeEra.current())
+            snapshot.reset();
+        bool succeeded = true;
+        if (!snapshot && this->context.followsStore()) {
+            snapshot = co_await this->readSnapshot(connection, StoreCollection::Quarantine);
+            succeeded = snapshot.has_value();
+        } else if (snapshot && this->context.roster.isHub()) {
+            succeeded = co_await this->writeQuarantine(connection);
+        }
+        failures = succeeded ? 0 : failures + 1;
+        co_await sleepFor(this->context.io, succeeded ? quarantineCheckInterval : this->context.storeReading.retryDelay(this->context.roster.rank(), failures));
+    }
+}
+
+asio::awaitable<bool> StoreFollower::writeQuarantine(HttpConnection& connection)
+{
+    const QuarantineChanges changes = this->storedQuarantine.changes(this->context.requestQuarantine.quarantined(bootNow()));
+    if (changes.empty())
+        co_return true;
+    std::vector<StoreRecord> records;
+    for (const RequestTraitEvidence& evidence : changes.added)
+        records.push_back(encodeQuarantineRecord(evidence, std::chrono::system_clock::now()));
+    for (const RequestTraitId& trait : changes.removed)
+        records.push_back({ trait.str(), std::nullopt });
+    HttpRequest request = this->context.codecs.store->encodeWrite(StoreCollection::Quarantine, records);
+    const auto response = co_await this->call(connection, std::move(request), storeTimeout);
+    const bool written = response && response->status == 200;
+    if (written)
+        this->storedQuarantine.noteWritten(changes);
+    logLine(written ? WriteLog::Level::Info : WriteLog::Level::Warning, written ? "quarantine-stored" : "quarantine-not-stored", { { "added", std::to_string(changes.added.size()) }, { "removed", std::to_string(changes.removed.size()) }, { "reason", response ? "status " + std::to_string(response->status) : response.error().message() } });
+    co_return written;
+}
+
+void StoreFollower::applyQuarantine(const std::vector<StoreRecord>& records)
+{
+    std::set<RequestTraitId> traits;
+    std::vector<RequestTraitEvidence> evidence;
+    for (const StoreRecord& record : records) {
+        if (!record.value)
+            continue;
+        traits.emplace(record.key);
+        const auto decoded = decodeQuarantineRecord(record, std::chrono::system_clock::now());
+        if (decoded)
+            evidence.push_back(*decoded);
+        else
+            logLine(WriteLog::Level::Warning, "quarantine-record-unreadable", { { "key", record.key }, { "reason", decoded.error().message() } });
+    }
+    this->context.requestQuarantine.merge(evidence, bootNow());
+    this->storedQuarantine.noteRead(std::move(traits));
+    if (!records.empty())
+        logLine(WriteLog::Level::Info, "quarantine-read", { { "traits", std::to_string(evidence.size()) } });
+}
+
 std::optional<RegisteredEndpoint> StoreFollower::readEndpoint(const StoreRecord& record)
 {
     const auto endpoint = this->context.codecs.store->decodeEndpoint(record);
@@ -153,6 +215,10 @@
 
 void StoreFollower::applySnapshot(StoreCollection collection, const std::vector<StoreRecord>& records)
 {
+    if (collection == StoreCollection::Quarantine) {
+        this->applyQuarantine(records);
+        return;
+    }
     if (collection == StoreCollection::Configuration) {
         this->apply(collection, records);
         return;
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.h
@@ -7,7 +7,7 @@
 
 namespace filbertspoke {
 
-/** \brief Keeps the configuration and the endpoint registry in sync with the platform's store. */
+/** \brief Keeps the configuration and the endpoint registry in sync with the platform's store, and the store with the quarantine. */
 class StoreFollower {
 public:
     explicit StoreFollower(GatewayContext& context)
@@ -15,7 +15,7 @@
     {
     }
 
-    /** \brief Starts to follow both collections of the store. */
+    /** \brief Starts to follow the collections of the store. */
     void start();
 
 private:
@@ -26,6 +26,11 @@
     };
 
     boost::asio::awaitable<void> follow(StoreCollection);
+    /** \brief Reads the quarantined traits once in each era of the store, and writes changes to them while this daemon is a hub. */
+    boost::asio::awaitable<void> keepQuarantine();
+    /** \returns whether the store has the changes */
+    boost::asio::awaitable<bool> writeQuarantine(HttpConnection&);
+    void applyQuarantine(const std::vector<StoreRecord>&);
     boost::asio::awaitable<std::optional<Position>> readSnapshot(HttpConnection&, StoreCollection);
     boost::asio::awaitable<std::error_code> readChanges(HttpConnection&, StoreCollection, Position&);
     boost::asio::awaitable<Result<HttpResponse>> call(HttpConnection&, HttpRequest, Duration timeout);
@@ -36,6 +41,7 @@
 
     GatewayContext& context;
     bool storeReachable = true;
+    StoredQuarantine storedQuarantine;
 };
 
 }
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
@@ -101,10 +101,26 @@
     if (path == "/filbertspoke/log-join")
         return this->join(json::parse(request.body).as_object());
     if (path == "/filbertspoke/log-append")
-        return respond(200, R"({"Offset":0,"EndOffset":0})");
+        return this->append(query["Topic"], request.body);
     return respond(404);
 }
 
+HttpResponse StoreStandIn::append(const std::string& topic, std::string_view records)
+{
+    constexpr std::size_t lengthBytes = 4;
+    while (topic.starts_with("keyed.") && records.size() > lengthBytes) {
+        std::size_t size = 0;
+        for (const char byte : records.substr(0, lengthBytes))
+            size = size << 8 | static_cast<unsigned char>(byte);
+        const std::string_view content = records.substr(lengthBytes, size);
+        const std::size_t keySize = static_cast<unsigned char>(content.front());
+        const std::string_view value = content.substr(1 + keySize);
+        this->put(topic, std::string(content.substr(1, keySize)), value.empty() ? std::nullopt : std::optional(std::string(value)));
+        records.remove_prefix(lengthBytes + content.size());
+    }
+    return respond(200, R"({"Offset":0,"EndOffset":0})");
+}
+
 HttpResponse StoreStandIn::join(const json::object& request)
 {
     const std::string member(request.at("Member").as_string());
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -43,6 +44,8 @@
 
     HttpResponse answer(const HttpRequest&);
     HttpResponse join(const boost::json::object&);
+    /** \brief Appends keyed records; other topics keep none. */
+    HttpResponse append(const std::string& topic, std::string_view records);
     HttpResponse newest(const std::vector<Record>&) const;
     HttpResponse respondWithEra(const HttpRequest&);
     static HttpResponse read(const std::vector<Record>&, std::size_t from);
