A stop that is requested while the program starts is carried out gracefully

Cause: SIGTERM before the gateway handled it. Change: the program blocks the signals that request a stop in its first statements and lets them through once the daemon handles them. The soak sends SIGTERM once the loader has handed over to the program, as it does with the hangup; every status but 0 is a breach as before.

--- a/packages/Daemon/program/main.cpp
+++ b/packages/Daemon/program/main.cpp
@@ -26,6 +26,16 @@
 constexpr int exitMalformedSettings = 2;
 constexpr int exitMissingOption = 106; // exit code of CLI11 for a missing required option
 
+/** \brief Blocks or unblocks the signals that request a stop. */
+void maskStopSignals(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    ::pthread_sigmask(how, &signals, nullptr);
+}
+
 void printProblems(const std::string& file, const std::vector<DocumentProblem>& problems)
 {
     for (const DocumentProblem& problem : problems)
@@ -37,6 +47,7 @@
     LogWriter::open(STDOUT_FILENO, std::string(name(settings.logLevel())), settings.daemon());
     try {
         Daemon daemon(settings);
+        maskStopSignals(SIG_UNBLOCK);
         daemon.run();
     } catch (const std::exception& error) {
         LogWriter::write({ WriteLog::Level::Error, "failed", { { "reason", error.what() } } });
@@ -50,6 +61,7 @@
     LogWriter::open(STDOUT_FILENO, std::string(name(settings.logLevel)), settings.daemon);
     try {
         GatewayDaemon daemon(settings, { std::make_shared<PlatformCallerCodec>(), std::make_shared<PlatformEngineCodec>(), std::make_shared<PlatformStoreCodec>() }, file);
+        maskStopSignals(SIG_UNBLOCK);
         daemon.run();
     } catch (const std::exception& error) {
         LogWriter::write({ WriteLog::Level::Error, "failed", { { "reason", error.what() } } });
@@ -97,6 +109,8 @@
     // By default SIGHUP would terminate the process. It requests a reload of the settings, so there is nothing to do for it until they
     // have been read; the gateway installs its own handler then.
     std::signal(SIGHUP, SIG_IGN);
+    // A stop that is requested before the daemon can carry it out stays pending until then.
+    maskStopSignals(SIG_BLOCK);
     CLI::App app("filbertspoked: routes requests to engine pipelines and to plain services", "filbertspoked");
     std::string file;
     bool checkOnly = false;
--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
@@ -31,7 +31,8 @@
 constexpr auto drainLimit = 2s;
 constexpr auto drainWatch = 1s;
 constexpr auto pollPause = 20ms;
-// Far shorter than the loading of the program, so that the hangup still meets its first statements.
+// Before the loader has handed over to the program, a signal meets the system's default, which ends the process. The pause is far shorter
+// than the loading, so that the signal still meets the first statements.
 constexpr auto loaderPollPause = 1ms;
 const std::string leavingReplica = "app-3";
 // Separates the generator of the faults that were added later from those of the callers.
@@ -190,7 +191,6 @@
 
 SoakRun::Task SoakRun::hangUp(SoakGateway& gateway)
 {
-    // Before the loader has handed over to the program, a signal meets the system's default.
     const unsigned begun = gateway.starts;
     while (!gateway.handled && gateway.starts == begun && !gateway.process->handles(SIGHUP))
         co_await this->sleep(loaderPollPause);
@@ -224,13 +224,14 @@
 {
     if (std::exchange(gateway.handled, true))
         co_return;
-    const bool handled = gateway.process->handles(SIGTERM);
+    while (!gateway.process->handles(SIGTERM))
+        co_await this->sleep(loaderPollPause);
     gateway.process->signal(SIGTERM);
     while (gateway.process->running())
         co_await this->sleep(pollPause);
     const int status = gateway.process->wait();
     if (status != 0)
-        this->record.breach(gateway.text.name + " ended with " + std::to_string(status) + " after SIGTERM, for which it had " + (handled ? "a" : "no") + " handler");
+        this->record.breach(gateway.text.name + " ended with " + std::to_string(status) + " after SIGTERM");
     this->site.start(gateway);
     gateway.handled = false;
 }
--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -163,7 +163,7 @@
 {
     std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
     for (std::string line; std::getline(status, line);) {
-        if (!line.starts_with("SigIgn:") && !line.starts_with("SigCgt:"))
+        if (!line.starts_with("SigBlk:") && !line.starts_with("SigIgn:") && !line.starts_with("SigCgt:"))
             continue;
         const std::uint64_t mask = std::stoull(line.substr(line.find('\t') + 1), nullptr, 16);
         if (mask >> (signal - 1) & 1)
