--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
@@ -64,6 +64,7 @@
     settings.callers = readAddress(root, "callers");
     settings.readiness = readAddress(root, "readiness");
     settings.peers = readOptionalAddress(root, "peers");
+    settings.handover = readOptionalAddress(root, "handover");
     settings.metrics = readOptionalAddress(root, "metrics");
     settings.seeds = readSeeds(root);
     settings.store = readAddress(root, "store");
--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
@@ -29,6 +29,7 @@
     SocketAddress callers; ///< listening address for the load balancer's connections
     SocketAddress readiness; ///< listening address for the load balancer's readiness checks
     std::optional<SocketAddress> peers; ///< listening address for other daemons; none disables the exchange with them
+    std::optional<SocketAddress> handover; ///< listening address for requests that other daemons can't serve themselves; none to take none
     std::optional<SocketAddress> metrics; ///< listening address for requests for metrics, if any
     std::vector<SocketAddress> seeds; ///< initial addresses of other daemons
     SocketAddress store; ///< address of the store
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -281,6 +281,22 @@
     this->unreachable[entry->second.endpoint.failureDomain].insert_or_assign(id, now);
 }
 
+void EndpointRegistry::forgetFaults(const ServiceId& service)
+{
+    for (auto& [id, record] : this->byId) {
+        if (record.endpoint.service != service)
+            continue;
+        record.consecutiveFaults = 0;
+        record.faultRate = 0;
+        record.lastFault.reset();
+        record.unreachableAt.reset();
+        record.avoidedUntil.reset();
+        const auto domain = this->unreachable.find(record.endpoint.failureDomain);
+        if (domain != this->unreachable.end())
+            domain->second.erase(id);
+    }
+}
+
 bool EndpointRegistry::isAvoided(const EndpointRecord& record, TimePoint now) const
 {
     if (isSuspected(record, now))
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -100,6 +100,8 @@
     void noteSuccess(const EndpointId&, TimePoint begun);
     /** \brief Records that another daemon avoids the endpoint for \a remaining from now on. */
     void noteRemoteAvoidance(const EndpointId&, Duration remaining, TimePoint now);
+    /** \brief Forgets that endpoints of the service were unreachable or silent, because this daemon's own paths were the reason. */
+    void forgetFaults(const ServiceId&);
     /** \returns whether the endpoint is suspected, or its failure domain appears to be unreachable */
     bool isAvoided(const EndpointRecord&, TimePoint now) const;
 
--- a/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
@@ -48,6 +48,8 @@
     bool relaysStore = false; ///< whether the sender gets the state from a gateway that reads the store, and passes it on
     std::optional<StoreEra> storeEra; ///< highest era of the store that the sender knows; the endpoint list is of this era
     std::vector<AvoidedEndpoint> avoided;
+    std::optional<SocketAddress> handover; ///< at which the sender takes requests that other gateways can't serve
+    std::vector<ServiceId> unreachableServices; ///< from whose endpoints the sender is cut off
     std::vector<EndpointRun> leaving; ///< endpoints that are leaving although their entries don't say so yet
     std::vector<RateLimitReport> rateLimits; ///< that endpoints named in their answers
     std::vector<RequestTraitEvidence> requestTraits; ///< whose requests were at endpoints that crashed
--- a/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
@@ -136,6 +136,10 @@
         gossip.storeEra = static_cast<StoreEra>(message.storeEra);
     for (const wire::LeavingEndpoint& run : message.leaving)
         gossip.leaving.push_back({ EndpointId(run.endpoint), run.startedAtMs });
+    if (message.__isset.handoverAddress)
+        gossip.handover = parseSocketAddress(message.handoverAddress);
+    for (const std::string& service : message.unreachableServices)
+        gossip.unreachableServices.emplace_back(service);
     for (const wire::RateLimit& limit : message.rateLimits)
         gossip.rateLimits.push_back(fromWire(limit));
     for (const wire::RequestTraitEvidence& evidence : message.requestTraits)
@@ -191,6 +195,11 @@
         entry.startedAtMs = run.startedAtMs;
         message.leaving.push_back(std::move(entry));
     }
+    if (gossip.handover)
+        message.__set_handoverAddress(formatSocketAddress(*gossip.handover));
+    message.__isset.unreachableServices = !gossip.unreachableServices.empty();
+    for (const ServiceId& service : gossip.unreachableServices)
+        message.unreachableServices.push_back(service.str());
     message.__isset.rateLimits = !gossip.rateLimits.empty();
     for (const RateLimitReport& report : gossip.rateLimits)
         message.rateLimits.push_back(toWire(report));
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -5001,6 +5001,16 @@
   this->rateLimits = val;
 __isset.rateLimits = true;
 }
+
+void GatewayWord::__set_handoverAddress(const std::string& val) {
+  this->handoverAddress = val;
+__isset.handoverAddress = true;
+}
+
+void GatewayWord::__set_unreachableServices(const std::vector<std::string> & val) {
+  this->unreachableServices = val;
+__isset.unreachableServices = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -5340,6 +5350,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->handoverAddress);
+          this->__isset.handoverAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unreachableServices.clear();
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->unreachableServices.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
+            {
+              xfer += iprot->readString(this->unreachableServices[_i186]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unreachableServices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5390,10 +5428,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter182;
-    for (_iter182 = this->work.begin(); _iter182 != this->work.end(); ++_iter182)
+    std::vector<EndpointWork> ::const_iterator _iter187;
+    for (_iter187 = this->work.begin(); _iter187 != this->work.end(); ++_iter187)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5402,10 +5440,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter183;
-    for (_iter183 = this->peers.begin(); _iter183 != this->peers.end(); ++_iter183)
+    std::vector<std::string> ::const_iterator _iter188;
+    for (_iter188 = this->peers.begin(); _iter188 != this->peers.end(); ++_iter188)
     {
-      xfer += oprot->writeString((*_iter183));
+      xfer += oprot->writeString((*_iter188));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5429,10 +5467,10 @@
     xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-      std::vector<RegistryEntry> ::const_iterator _iter184;
-      for (_iter184 = this->endpoints.begin(); _iter184 != this->endpoints.end(); ++_iter184)
+      std::vector<RegistryEntry> ::const_iterator _iter189;
+      for (_iter189 = this->endpoints.begin(); _iter189 != this->endpoints.end(); ++_iter189)
       {
-        xfer += (*_iter184).write(oprot);
+        xfer += (*_iter189).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5442,10 +5480,10 @@
     xfer += oprot->writeFieldBegin("avoided", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->avoided.size()));
-      std::vector<AvoidedEndpoint> ::const_iterator _iter185;
-      for (_iter185 = this->avoided.begin(); _iter185 != this->avoided.end(); ++_iter185)
+      std::vector<AvoidedEndpoint> ::const_iterator _iter190;
+      for (_iter190 = this->avoided.begin(); _iter190 != this->avoided.end(); ++_iter190)
       {
-        xfer += (*_iter185).write(oprot);
+        xfer += (*_iter190).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5495,10 +5533,10 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector<LeavingEndpoint> ::const_iterator _iter186;
-      for (_iter186 = this->leaving.begin(); _iter186 != this->leaving.end(); ++_iter186)
+      std::vector<LeavingEndpoint> ::const_iterator _iter191;
+      for (_iter191 = this->leaving.begin(); _iter191 != this->leaving.end(); ++_iter191)
       {
-        xfer += (*_iter186).write(oprot);
+        xfer += (*_iter191).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5508,10 +5546,10 @@
     xfer += oprot->writeFieldBegin("peerDomains", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peerDomains.size()));
-      std::vector<std::string> ::const_iterator _iter187;
-      for (_iter187 = this->peerDomains.begin(); _iter187 != this->peerDomains.end(); ++_iter187)
+      std::vector<std::string> ::const_iterator _iter192;
+      for (_iter192 = this->peerDomains.begin(); _iter192 != this->peerDomains.end(); ++_iter192)
       {
-        xfer += oprot->writeString((*_iter187));
+        xfer += oprot->writeString((*_iter192));
       }
       xfer += oprot->writeListEnd();
     }
@@ -5536,10 +5574,10 @@
     xfer += oprot->writeFieldBegin("requestTraits", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requestTraits.size()));
-      std::vector<RequestTraitEvidence> ::const_iterator _iter188;
-      for (_iter188 = this->requestTraits.begin(); _iter188 != this->requestTraits.end(); ++_iter188)
+      std::vector<RequestTraitEvidence> ::const_iterator _iter193;
+      for (_iter193 = this->requestTraits.begin(); _iter193 != this->requestTraits.end(); ++_iter193)
       {
-        xfer += (*_iter188).write(oprot);
+        xfer += (*_iter193).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5549,10 +5587,28 @@
     xfer += oprot->writeFieldBegin("rateLimits", ::apache::thrift::protocol::T_LIST, 26);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rateLimits.size()));
-      std::vector<RateLimit> ::const_iterator _iter189;
-      for (_iter189 = this->rateLimits.begin(); _iter189 != this->rateLimits.end(); ++_iter189)
+      std::vector<RateLimit> ::const_iterator _iter194;
+      for (_iter194 = this->rateLimits.begin(); _iter194 != this->rateLimits.end(); ++_iter194)
       {
-        xfer += (*_iter189).write(oprot);
+        xfer += (*_iter194).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.handoverAddress) {
+    xfer += oprot->writeFieldBegin("handoverAddress", ::apache::thrift::protocol::T_STRING, 27);
+    xfer += oprot->writeString(this->handoverAddress);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.unreachableServices) {
+    xfer += oprot->writeFieldBegin("unreachableServices", ::apache::thrift::protocol::T_LIST, 28);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachableServices.size()));
+      std::vector<std::string> ::const_iterator _iter195;
+      for (_iter195 = this->unreachableServices.begin(); _iter195 != this->unreachableServices.end(); ++_iter195)
+      {
+        xfer += oprot->writeString((*_iter195));
       }
       xfer += oprot->writeListEnd();
     }
@@ -5591,125 +5647,135 @@
   swap(a.relaysStore, b.relaysStore);
   swap(a.requestTraits, b.requestTraits);
   swap(a.rateLimits, b.rateLimits);
+  swap(a.handoverAddress, b.handoverAddress);
+  swap(a.unreachableServices, b.unreachableServices);
   swap(a.__isset, b.__isset);
 }
 
-GatewayWord::GatewayWord(const GatewayWord& other190) {
-  daemon = other190.daemon;
-  address = other190.address;
-  port = other190.port;
-  configurationVersion = other190.configurationVersion;
-  work = other190.work;
-  peers = other190.peers;
-  wantsEndpoints = other190.wantsEndpoints;
-  configurationKey = other190.configurationKey;
-  configurationDocument = other190.configurationDocument;
-  endpoints = other190.endpoints;
-  avoided = other190.avoided;
-  failureDomain = other190.failureDomain;
-  sum = other190.sum;
-  endpointsRevision = other190.endpointsRevision;
-  knownRevision = other190.knownRevision;
-  followsStore = other190.followsStore;
-  siteGateways = other190.siteGateways;
-  siteGatewaysAgeMicroseconds = other190.siteGatewaysAgeMicroseconds;
-  storeEra = other190.storeEra;
-  leaving = other190.leaving;
-  peerDomains = other190.peerDomains;
-  peersDigest = other190.peersDigest;
-  knownPeersDigest = other190.knownPeersDigest;
-  relaysStore = other190.relaysStore;
-  requestTraits = other190.requestTraits;
-  rateLimits = other190.rateLimits;
-  __isset = other190.__isset;
-}
-GatewayWord::GatewayWord(GatewayWord&& other191) noexcept {
-  daemon = std::move(other191.daemon);
-  address = std::move(other191.address);
-  port = other191.port;
-  configurationVersion = other191.configurationVersion;
-  work = std::move(other191.work);
-  peers = std::move(other191.peers);
-  wantsEndpoints = other191.wantsEndpoints;
-  configurationKey = std::move(other191.configurationKey);
-  configurationDocument = std::move(other191.configurationDocument);
-  endpoints = std::move(other191.endpoints);
-  avoided = std::move(other191.avoided);
-  failureDomain = std::move(other191.failureDomain);
-  sum = other191.sum;
-  endpointsRevision = other191.endpointsRevision;
-  knownRevision = other191.knownRevision;
-  followsStore = other191.followsStore;
-  siteGateways = other191.siteGateways;
-  siteGatewaysAgeMicroseconds = other191.siteGatewaysAgeMicroseconds;
-  storeEra = other191.storeEra;
-  leaving = std::move(other191.leaving);
-  peerDomains = std::move(other191.peerDomains);
-  peersDigest = other191.peersDigest;
-  knownPeersDigest = other191.knownPeersDigest;
-  relaysStore = other191.relaysStore;
-  requestTraits = std::move(other191.requestTraits);
-  rateLimits = std::move(other191.rateLimits);
-  __isset = other191.__isset;
-}
-GatewayWord& GatewayWord::operator=(const GatewayWord& other192) {
-  daemon = other192.daemon;
-  address = other192.address;
-  port = other192.port;
-  configurationVersion = other192.configurationVersion;
-  work = other192.work;
-  peers = other192.peers;
-  wantsEndpoints = other192.wantsEndpoints;
-  configurationKey = other192.configurationKey;
-  configurationDocument = other192.configurationDocument;
-  endpoints = other192.endpoints;
-  avoided = other192.avoided;
-  failureDomain = other192.failureDomain;
-  sum = other192.sum;
-  endpointsRevision = other192.endpointsRevision;
-  knownRevision = other192.knownRevision;
-  followsStore = other192.followsStore;
-  siteGateways = other192.siteGateways;
-  siteGatewaysAgeMicroseconds = other192.siteGatewaysAgeMicroseconds;
-  storeEra = other192.storeEra;
-  leaving = other192.leaving;
-  peerDomains = other192.peerDomains;
-  peersDigest = other192.peersDigest;
-  knownPeersDigest = other192.knownPeersDigest;
-  relaysStore = other192.relaysStore;
-  requestTraits = other192.requestTraits;
-  rateLimits = other192.rateLimits;
-  __isset = other192.__isset;
+GatewayWord::GatewayWord(const GatewayWord& other196) {
+  daemon = other196.daemon;
+  address = other196.address;
+  port = other196.port;
+  configurationVersion = other196.configurationVersion;
+  work = other196.work;
+  peers = other196.peers;
+  wantsEndpoints = other196.wantsEndpoints;
+  configurationKey = other196.configurationKey;
+  configurationDocument = other196.configurationDocument;
+  endpoints = other196.endpoints;
+  avoided = other196.avoided;
+  failureDomain = other196.failureDomain;
+  sum = other196.sum;
+  endpointsRevision = other196.endpointsRevision;
+  knownRevision = other196.knownRevision;
+  followsStore = other196.followsStore;
+  siteGateways = other196.siteGateways;
+  siteGatewaysAgeMicroseconds = other196.siteGatewaysAgeMicroseconds;
+  storeEra = other196.storeEra;
+  leaving = other196.leaving;
+  peerDomains = other196.peerDomains;
+  peersDigest = other196.peersDigest;
+  knownPeersDigest = other196.knownPeersDigest;
+  relaysStore = other196.relaysStore;
+  requestTraits = other196.requestTraits;
+  rateLimits = other196.rateLimits;
+  handoverAddress = other196.handoverAddress;
+  unreachableServices = other196.unreachableServices;
+  __isset = other196.__isset;
+}
+GatewayWord::GatewayWord(GatewayWord&& other197) noexcept {
+  daemon = std::move(other197.daemon);
+  address = std::move(other197.address);
+  port = other197.port;
+  configurationVersion = other197.configurationVersion;
+  work = std::move(other197.work);
+  peers = std::move(other197.peers);
+  wantsEndpoints = other197.wantsEndpoints;
+  configurationKey = std::move(other197.configurationKey);
+  configurationDocument = std::move(other197.configurationDocument);
+  endpoints = std::move(other197.endpoints);
+  avoided = std::move(other197.avoided);
+  failureDomain = std::move(other197.failureDomain);
+  sum = other197.sum;
+  endpointsRevision = other197.endpointsRevision;
+  knownRevision = other197.knownRevision;
+  followsStore = other197.followsStore;
+  siteGateways = other197.siteGateways;
+  siteGatewaysAgeMicroseconds = other197.siteGatewaysAgeMicroseconds;
+  storeEra = other197.storeEra;
+  leaving = std::move(other197.leaving);
+  peerDomains = std::move(other197.peerDomains);
+  peersDigest = other197.peersDigest;
+  knownPeersDigest = other197.knownPeersDigest;
+  relaysStore = other197.relaysStore;
+  requestTraits = std::move(other197.requestTraits);
+  rateLimits = std::move(other197.rateLimits);
+  handoverAddress = std::move(other197.handoverAddress);
+  unreachableServices = std::move(other197.unreachableServices);
+  __isset = other197.__isset;
+}
+GatewayWord& GatewayWord::operator=(const GatewayWord& other198) {
+  daemon = other198.daemon;
+  address = other198.address;
+  port = other198.port;
+  configurationVersion = other198.configurationVersion;
+  work = other198.work;
+  peers = other198.peers;
+  wantsEndpoints = other198.wantsEndpoints;
+  configurationKey = other198.configurationKey;
+  configurationDocument = other198.configurationDocument;
+  endpoints = other198.endpoints;
+  avoided = other198.avoided;
+  failureDomain = other198.failureDomain;
+  sum = other198.sum;
+  endpointsRevision = other198.endpointsRevision;
+  knownRevision = other198.knownRevision;
+  followsStore = other198.followsStore;
+  siteGateways = other198.siteGateways;
+  siteGatewaysAgeMicroseconds = other198.siteGatewaysAgeMicroseconds;
+  storeEra = other198.storeEra;
+  leaving = other198.leaving;
+  peerDomains = other198.peerDomains;
+  peersDigest = other198.peersDigest;
+  knownPeersDigest = other198.knownPeersDigest;
+  relaysStore = other198.relaysStore;
+  requestTraits = other198.requestTraits;
+  rateLimits = other198.rateLimits;
+  handoverAddress = other198.handoverAddress;
+  unreachableServices = other198.unreachableServices;
+  __isset = other198.__isset;
   return *this;
 }
-GatewayWord& GatewayWord::operator=(GatewayWord&& other193) noexcept {
-  daemon = std::move(other193.daemon);
-  address = std::move(other193.address);
-  port = other193.port;
-  configurationVersion = other193.configurationVersion;
-  work = std::move(other193.work);
-  peers = std::move(other193.peers);
-  wantsEndpoints = other193.wantsEndpoints;
-  configurationKey = std::move(other193.configurationKey);
-  configurationDocument = std::move(other193.configurationDocument);
-  endpoints = std::move(other193.endpoints);
-  avoided = std::move(other193.avoided);
-  failureDomain = std::move(other193.failureDomain);
-  sum = other193.sum;
-  endpointsRevision = other193.endpointsRevision;
-  knownRevision = other193.knownRevision;
-  followsStore = other193.followsStore;
-  siteGateways = other193.siteGateways;
-  siteGatewaysAgeMicroseconds = other193.siteGatewaysAgeMicroseconds;
-  storeEra = other193.storeEra;
-  leaving = std::move(other193.leaving);
-  peerDomains = std::move(other193.peerDomains);
-  peersDigest = other193.peersDigest;
-  knownPeersDigest = other193.knownPeersDigest;
-  relaysStore = other193.relaysStore;
-  requestTraits = std::move(other193.requestTraits);
-  rateLimits = std::move(other193.rateLimits);
-  __isset = other193.__isset;
+GatewayWord& GatewayWord::operator=(GatewayWord&& other199) noexcept {
+  daemon = std::move(other199.daemon);
+  address = std::move(other199.address);
+  port = other199.port;
+  configurationVersion = other199.configurationVersion;
+  work = std::move(other199.work);
+  peers = std::move(other199.peers);
+  wantsEndpoints = other199.wantsEndpoints;
+  configurationKey = std::move(other199.configurationKey);
+  configurationDocument = std::move(other199.configurationDocument);
+  endpoints = std::move(other199.endpoints);
+  avoided = std::move(other199.avoided);
+  failureDomain = std::move(other199.failureDomain);
+  sum = other199.sum;
+  endpointsRevision = other199.endpointsRevision;
+  knownRevision = other199.knownRevision;
+  followsStore = other199.followsStore;
+  siteGateways = other199.siteGateways;
+  siteGatewaysAgeMicroseconds = other199.siteGatewaysAgeMicroseconds;
+  storeEra = other199.storeEra;
+  leaving = std::move(other199.leaving);
+  peerDomains = std::move(other199.peerDomains);
+  peersDigest = other199.peersDigest;
+  knownPeersDigest = other199.knownPeersDigest;
+  relaysStore = other199.relaysStore;
+  requestTraits = std::move(other199.requestTraits);
+  rateLimits = std::move(other199.rateLimits);
+  handoverAddress = std::move(other199.handoverAddress);
+  unreachableServices = std::move(other199.unreachableServices);
+  __isset = other199.__isset;
   return *this;
 }
 void GatewayWord::printTo(std::ostream& out) const {
@@ -5741,6 +5807,8 @@
   out << ", " << "relaysStore="; (__isset.relaysStore ? (out << to_string(relaysStore)) : (out << "<null>"));
   out << ", " << "requestTraits="; (__isset.requestTraits ? (out << to_string(requestTraits)) : (out << "<null>"));
   out << ", " << "rateLimits="; (__isset.rateLimits ? (out << to_string(rateLimits)) : (out << "<null>"));
+  out << ", " << "handoverAddress="; (__isset.handoverAddress ? (out << to_string(handoverAddress)) : (out << "<null>"));
+  out << ", " << "unreachableServices="; (__isset.unreachableServices ? (out << to_string(unreachableServices)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -1775,7 +1775,7 @@
 std::ostream& operator<<(std::ostream& out, const RequestTraitEvidence& obj);
 
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false), requestTraits(false), rateLimits(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false), requestTraits(false), rateLimits(false), handoverAddress(false), unreachableServices(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1795,6 +1795,8 @@
   bool relaysStore :1;
   bool requestTraits :1;
   bool rateLimits :1;
+  bool handoverAddress :1;
+  bool unreachableServices :1;
 } _GatewayWord__isset;
 
 /**
@@ -1825,7 +1827,8 @@
                 storeEra(0),
                 peersDigest(0),
                 knownPeersDigest(0),
-                relaysStore(0) {
+                relaysStore(0),
+                handoverAddress() {
   }
 
   virtual ~GatewayWord() noexcept;
@@ -1861,6 +1864,14 @@
   bool relaysStore;
   std::vector<RequestTraitEvidence>  requestTraits;
   std::vector<RateLimit>  rateLimits;
+  /**
+   * Where the sender takes requests that other gateways can't serve themselves.
+   */
+  std::string handoverAddress;
+  /**
+   * Services whose endpoints the sender doesn't reach.
+   */
+  std::vector<std::string>  unreachableServices;
 
   _GatewayWord__isset __isset;
 
@@ -1916,6 +1927,10 @@
 
   void __set_rateLimits(const std::vector<RateLimit> & val);
 
+  void __set_handoverAddress(const std::string& val);
+
+  void __set_unreachableServices(const std::vector<std::string> & val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -2008,6 +2023,14 @@
       return false;
     else if (__isset.rateLimits && !(rateLimits == rhs.rateLimits))
       return false;
+    if (__isset.handoverAddress != rhs.__isset.handoverAddress)
+      return false;
+    else if (__isset.handoverAddress && !(handoverAddress == rhs.handoverAddress))
+      return false;
+    if (__isset.unreachableServices != rhs.__isset.unreachableServices)
+      return false;
+    else if (__isset.unreachableServices && !(unreachableServices == rhs.unreachableServices))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -259,4 +259,8 @@
   24: optional bool relaysStore
   25: optional list<RequestTraitEvidence> requestTraits
   26: optional list<RateLimit> rateLimits
+  /** Where the sender takes requests that other gateways can't serve themselves. */
+  27: optional string handoverAddress
+  /** Services whose endpoints the sender doesn't reach. */
+  28: optional list<string> unreachableServices
 }
--- a/packages/Peer/tests/GossipMessage.cpp
+++ b/packages/Peer/tests/GossipMessage.cpp
@@ -15,6 +15,8 @@
     gossip.rateLimits = { { { EndpointId("e2"), 1700000000003 }, 17.8, 120ms }, { { EndpointId("e3"), 1700000000004 }, {}, 2s } };
     gossip.avoided = { { EndpointId("e2"), 400ms } };
     gossip.storeEra = 3;
+    gossip.handover = SocketAddress { "10.0.0.1", 7341 };
+    gossip.unreachableServices = { ServiceId("s1"), ServiceId("s2") };
     gossip.leaving = { { EndpointId("e3"), 1700000000001 } };
     gossip.requestTraits = { { RequestTraitId("p1"), { { { EndpointId("e4"), 1700000000002 }, 250ms, 90ms } }, 900ms, true }, { RequestTraitId("p2"), {}, {}, false } };
     gossip.peers = { { { "10.0.0.2", 8229 }, FailureDomainId("b") } };
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
@@ -24,6 +24,7 @@
     double maximumOutputTokens = 0;
     std::optional<double> expectedOutputTokens; ///< estimate given by the caller
     std::optional<std::uint64_t> lastEventId; ///< last event that the caller has, when it resumes a stream
+    std::optional<std::uint32_t> endpointsUsed; ///< endpoints that may have run the request before another gateway handed it over; set only by gateways
 
     bool operator==(const CallerRequest&) const = default;
 };
@@ -47,6 +48,15 @@
     auto operator<=>(const ForwardMetadata&) const = default;
 };
 
+/** \brief Metadata of a request that is handed over to another gateway. */
+struct HandoverMetadata {
+    Duration timeLeft {}; ///< until the request's deadline
+    std::uint32_t endpointsUsed = 0; ///< endpoints that may have run the request
+    std::optional<std::uint64_t> lastEventId; ///< event after which a resumed stream continues
+
+    auto operator<=>(const HandoverMetadata&) const = default;
+};
+
 /** \brief Status and metadata of an endpoint's response. */
 struct EndpointReply {
     unsigned status = 0;
@@ -69,6 +79,8 @@
     virtual Result<CallerRequest> decodeRequest(HttpRequest) const = 0;
     /** \returns the request to send to the first stage */
     virtual HttpRequest encodeForward(const CallerRequest&, const ForwardMetadata&) const = 0;
+    /** \returns the request to hand over to another gateway, which reads it with decodeRequest() */
+    virtual HttpRequest encodeHandover(const CallerRequest&, const HandoverMetadata&) const = 0;
     /** \returns the status and metadata from the head of an endpoint's response */
     virtual EndpointReply decodeReply(unsigned status, const std::vector<HttpHeader>&) const = 0;
     /** \returns the response to a request that the gateway refuses or fails */
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -16,6 +16,9 @@
 
 using internal::sleepFor;
 
+// Response to a gateway that hands over a request which this one can't serve either.
+constexpr unsigned misdirectedStatus = 421;
+
 // Retry-After of refusals sent before a configuration is known or while it offers no service; a read of the store takes about
 // this long.
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(500);
@@ -29,9 +32,10 @@
 
 }
 
-CallerListener::CallerListener(GatewayContext& context)
+CallerListener::CallerListener(GatewayContext& context, const SocketAddress& address, RequestSource source)
     : context(context)
-    , acceptor(context.io, tcpEndpoint(context.settings.callers))
+    , source(source)
+    , acceptor(context.io, tcpEndpoint(address))
 {
 }
 
@@ -104,6 +108,11 @@
         co_await connection->respond(response, false);
         co_return false;
     }
+    // Only another gateway may say that it has handed the request over.
+    if (this->source == RequestSource::Callers)
+        decoded->endpointsUsed.reset();
+    else
+        decoded->endpointsUsed = decoded->endpointsUsed.value_or(0);
     // A daemon short of CPU time reads requests whose callers have already disconnected; processing those would delay other requests.
     if (connection->checkDisconnected()) {
         logLine(WriteLog::Level::Info, "request-abandoned", { { "request", decoded->id.str() }, { "target", decoded->http.target } });
@@ -151,8 +160,20 @@
         co_await this->refuse(connection, refusal, request);
         co_return;
     }
-    this->context.retryBudget(*service).firstAttempt();
-    ForwardTask task(this->context, connection, std::move(request), *route, *service, account, received);
+    Route permitted = *route;
+    if (request.endpointsUsed) {
+        logLine(WriteLog::Level::Info, "request-taken-over", { { "request", request.id.str() }, { "endpointsUsed", std::to_string(*request.endpointsUsed) }, { "state", std::string(name(this->context.reachability(*service).state())) } });
+        if (this->context.reachability(*service).state() == Reachability::CutOff || *request.endpointsUsed >= route->attempts) {
+            const HttpResponse response = emptyResponse(misdirectedStatus);
+            co_await connection->respond(response, connection->keepAlive() && !this->context.stopping);
+            co_return;
+        }
+        permitted.attempts -= *request.endpointsUsed;
+    } else {
+        // The gateway that got the request from its caller has earned the retries for it.
+        this->context.retryBudget(*service).firstAttempt();
+    }
+    ForwardTask task(this->context, connection, std::move(request), permitted, *service, account, received);
     connection->watchDisconnect([&task] {
         if (task.upstream)
             task.upstream->close();
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
@@ -12,11 +12,17 @@
 
 namespace filbertspoke {
 
-/** \brief Accepts connections from callers, reads their requests and forwards each request along its route. */
+/** \brief Who sends the requests that a CallerListener reads. */
+enum class RequestSource {
+    Callers,
+    Gateways, ///< which hand over requests that they can't serve themselves
+};
+
+/** \brief Accepts connections from callers or other gateways, reads their requests and forwards each request along its route. */
 class CallerListener {
 public:
-    /** \throws boost::system::system_error when the address for callers can't be bound */
-    explicit CallerListener(GatewayContext&);
+    /** \throws boost::system::system_error when the address can't be bound */
+    CallerListener(GatewayContext&, const SocketAddress&, RequestSource);
 
     /** \brief Starts to accept connections. */
     void start();
@@ -32,6 +38,7 @@
     boost::asio::awaitable<void> rejectUnread(std::shared_ptr<CallerConnection>, CallerReadFailure);
 
     GatewayContext& context;
+    RequestSource source;
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<CallerConnection>> connections;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
@@ -20,10 +20,11 @@
 
 }
 
-EngineFailureDetector::EngineFailureDetector(asio::io_context& context, std::shared_ptr<const EngineCodec> codec, RequestListener onRequest)
+EngineFailureDetector::EngineFailureDetector(asio::io_context& context, std::shared_ptr<const EngineCodec> codec, RequestListener onRequest, ResponseListener onResponse)
     : context(context)
     , codec(std::move(codec))
     , onRequest(std::move(onRequest))
+    , onResponse(std::move(onResponse))
 {
 }
 
@@ -43,6 +44,7 @@
     state.receivedAt = bootNow();
     state.missedReports = report ? 0 : state.missedReports + 1;
     state.stalled = report ? report->stalled : std::vector<StalledRequest> {};
+    this->onResponse(first.endpoint, response != nullptr);
 }
 
 asio::awaitable<std::optional<EndpointId>> EngineFailureDetector::findFailedEngine(ForwardMetadata metadata, RequestId request)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -75,8 +75,12 @@
     const UpstreamPointer connection = context.pool.create(address);
     const std::error_code refused = co_await connection->connect(crashCheckTimeout);
     connection->close();
-    if (refused)
-        context.noteCrash(traits, run, sentAt, brokenAt);
+    if (!refused) {
+        context.noteConnected(run.endpoint);
+        co_return;
+    }
+    context.noteUnreachable(run.endpoint);
+    context.noteCrash(traits, run, sentAt, brokenAt);
 }
 
 /** \brief State of the coroutine that monitors one attempt; shared because it may outlive the attempt. */
@@ -92,7 +96,7 @@
     // The task may be destroyed during a wait: it must not be accessed before monitor->finished is checked.
     while (!monitor->finished) {
         const auto historyAfter = task.historyAfterStall(endpoint);
-        if (historyAfter && task.upstream && pickEndpoint(task, *historyAfter) && task.chargeRetryBudget()) {
+        if (historyAfter && task.upstream && (pickEndpoint(task, *historyAfter) || task.canHandOver(*historyAfter)) && task.chargeRetryBudget()) {
             monitor->aborted = true;
             task.upstream->close();
             co_return;
@@ -143,6 +147,18 @@
     co_return AttemptResult {};
 }
 
+asio::awaitable<AttemptResult> attemptHandover(ForwardTask& task, const SocketAddress target)
+{
+    AttemptResult result;
+    UpstreamPointer connection = co_await task.sendHandover(target, std::nullopt, result);
+    if (!connection)
+        co_return result;
+    const Result<EndpointReply> reply = co_await task.readHandoverReply(connection);
+    if (!reply)
+        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+    co_return co_await task.relayHandoverResponse(connection, target, *reply);
+}
+
 asio::awaitable<AttemptResult> attemptCall(ForwardTask& task, const RegisteredEndpoint endpoint)
 {
     ForwardMetadata metadata;
@@ -166,6 +182,16 @@
     while (!task.caller->disconnected()) {
         if ((refusalTime = task.context.refusalTime(task.traits())))
             break;
+        if (const auto target = task.handoverTarget()) {
+            if (!task.chargeRetryBudget())
+                break;
+            const AttemptResult result = co_await attemptHandover(task, *target);
+            if (!result.failure)
+                co_return;
+            if (task.caller->disconnected() || !task.noteHandoverFailure(*target, result))
+                break;
+            continue;
+        }
         const EndpointRecord* picked = pickEndpoint(task, task.history);
         if (!picked && co_await awaitRateLimit(task, latestStart))
             continue;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -92,7 +92,8 @@
     std::optional<ForwardMetadata> metadataFor(const LayerChain&) const;
     asio::awaitable<AttemptResult> runMonitoredAttempt(const ForwardMetadata&, const LayerChain&);
     asio::awaitable<AttemptResult> attempt(const ForwardMetadata&, const LayerChain&);
-    asio::awaitable<AttemptResult> relayBody(const UpstreamPointer&, const LayerChain&);
+    asio::awaitable<AttemptResult> relayBody(const UpstreamPointer&, std::optional<Duration> expectedPerEvent);
+    asio::awaitable<AttemptResult> attemptHandover(SocketAddress target);
     asio::awaitable<std::optional<AttemptResult>> forwardEvents(std::vector<StreamEvent>);
     asio::awaitable<void> monitorAttempt(std::shared_ptr<AttemptMonitor>, ForwardMetadata);
     Duration stallDuration() const { return bootNow() - std::max(this->lastProgress, this->attemptStartedAt); }
@@ -107,6 +108,7 @@
     ForwardTask& task;
     std::optional<std::uint64_t> lastEventId; ///< last event that the caller received
     bool headSent = false;
+    bool responded = false; ///< the caller has a whole response that is no stream
     bool firstEventSent = false;
     bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
     std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
@@ -130,7 +132,7 @@
     const TimePoint limit = std::min(this->task.deadline, latestStart);
     std::uint64_t seen = this->task.context.capacityChanges - 1;
     bool rateLimited = false;
-    while (!this->task.caller->disconnected()) {
+    while (!this->task.caller->disconnected() && !this->task.handoverTarget()) {
         const std::optional<Duration> delay = this->task.rateLimitDelay();
         const bool delayed = delay != Duration::zero();
         // Planning again can only succeed after capacity was released, a report of other daemons' work arrived or a first stage accepts
@@ -215,7 +217,7 @@
 bool StreamForwarder::abandonStalledChain(const EndpointId& first)
 {
     const auto historyAfter = this->task.historyAfterStall(first);
-    if (!historyAfter || !this->task.upstream || !planStream(this->task, *historyAfter) || !this->task.chargeRetryBudget())
+    if (!historyAfter || !this->task.upstream || !(this->task.canHandOver(*historyAfter) || planStream(this->task, *historyAfter)) || !this->task.chargeRetryBudget())
         return false;
     this->abandonedStalledChain = true;
     this->task.upstream->close();
@@ -268,7 +270,7 @@
     return result;
 }
 
-asio::awaitable<AttemptResult> StreamForwarder::relayBody(const UpstreamPointer& connection, const LayerChain& chain)
+asio::awaitable<AttemptResult> StreamForwarder::relayBody(const UpstreamPointer& connection, std::optional<Duration> expectedPerEvent)
 {
     EventStreamParser events;
     Result<BodyProgress> ended = BodyProgress::More;
@@ -295,7 +297,7 @@
     if (events.midEvent())
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "ended-within-event" };
     if (this->eventsInAttempt > 1)
-        logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", std::to_string(chain.perEvent.count()) } });
+        logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", expectedPerEvent ? std::to_string(expectedPerEvent->count()) : "" } });
     co_return AttemptResult {};
 }
 
@@ -324,7 +326,7 @@
         this->headSent = true;
         co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
     }
-    result = co_await this->relayBody(connection, chain);
+    result = co_await this->relayBody(connection, chain.perEvent);
     // Closing the connection makes the engines stop at once, so that no work continues in parallel with the next attempt.
     if (result.failure)
         connection->close();
@@ -333,8 +335,49 @@
     co_return result;
 }
 
+asio::awaitable<AttemptResult> StreamForwarder::attemptHandover(SocketAddress target)
+{
+    this->engines.clear();
+    this->failedEngine.reset();
+    this->abandonedStalledChain = false;
+    this->eventsInAttempt = 0;
+    this->attemptStartedAt = bootNow();
+    AttemptResult result;
+    const UpstreamPointer connection = co_await this->task.sendHandover(target, this->lastEventId, result);
+    if (!connection)
+        co_return result;
+    const Result<EndpointReply> reply = co_await this->task.readHandoverReply(connection);
+    if (this->task.caller->disconnected())
+        co_return AttemptResult {};
+    if (!reply) {
+        connection->close();
+        co_return this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
+    }
+    const bool stream = reply->sealed && reply->status < 300;
+    if (!stream && !this->headSent) {
+        result = co_await this->task.relayHandoverResponse(connection, target, *reply);
+        this->responded = !result.failure;
+        co_return result;
+    }
+    if (!stream)
+        co_return AttemptResult { AttemptEnd::NotExecuted, EndpointFault::Failed, {}, "refused-there" };
+    if (!this->headSent) {
+        this->headSent = true;
+        co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
+    }
+    result = co_await this->relayBody(connection, std::nullopt);
+    result.events = this->eventsInAttempt;
+    if (result.failure)
+        connection->close();
+    else
+        this->task.context.pool.giveBack(target, connection);
+    co_return result;
+}
+
 asio::awaitable<void> StreamForwarder::finish(bool complete)
 {
+    if (this->responded)
+        co_return;
     this->task.caller->stopWatching();
     if (complete) {
         co_await this->task.caller->endStream();
@@ -390,7 +433,18 @@
     while (retry && !this->task.caller->disconnected()) {
         if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
             break;
+        if (const auto target = this->task.handoverTarget()) {
+            if (!this->task.chargeRetryBudget())
+                break;
+            const AttemptResult result = co_await this->attemptHandover(*target);
+            complete = !result.failure;
+            retry = result.failure && !this->task.caller->disconnected() && this->task.noteHandoverFailure(*target, result);
+            continue;
+        }
         const std::optional<LayerChain> chain = co_await this->awaitChain();
+        // This daemon was found to be cut off meanwhile.
+        if (!chain && this->task.handoverTarget())
+            continue;
         const auto metadata = chain ? this->metadataFor(*chain) : std::nullopt;
         if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
             break;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -63,6 +63,7 @@
     , fingerprint(fingerprintOf(this->request, this->account))
     , received(received)
     , deadline(deadlineOf(this->request, this->route, received))
+    , handoverDraw(context.randomFraction())
     , history(this->route)
 {
 }
@@ -96,6 +97,8 @@
     // A pushback excludes the endpoint for exactly the time that it named; that is no sign of a defect.
     if (!result.pushedBack || blamed != first)
         this->context.registry.noteFault(blamed, result.fault, bootNow());
+    if (blamed == first && (result.fault == EndpointFault::Unreachable || result.fault == EndpointFault::Silent))
+        this->context.noteUnreachable(first);
     if (result.fault == EndpointFault::Unreachable)
         this->context.streams.notifySuspected(blamed);
     this->history.noteFailure({ *result.failure, first, blamed, result.fault });
@@ -214,8 +217,13 @@
 
 asio::awaitable<UpstreamPointer> ForwardTask::sendRequest(const ForwardMetadata& metadata, AttemptResult& result)
 {
-    const SocketAddress& address = metadata.stages.front().address;
+    const ForwardStage& first = metadata.stages.front();
     const HttpRequest message = this->context.codecs.caller->encodeForward(this->request, metadata);
+    co_return co_await this->sendMessage(first.address, first.endpoint, message, result);
+}
+
+asio::awaitable<UpstreamPointer> ForwardTask::sendMessage(const SocketAddress& address, const EndpointId& endpoint, const HttpRequest& message, AttemptResult& result)
+{
     this->history.noteAttempt();
     UpstreamPointer connection = this->context.pool.takeIdle(address);
     if (!connection) {
@@ -226,6 +234,7 @@
             result = { AttemptEnd::NotSent, EndpointFault::Unreachable, {}, "connect" };
             co_return nullptr;
         }
+        this->context.noteConnected(endpoint);
     }
     this->upstream = connection;
     if (this->caller->checkDisconnected()) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,6 +60,22 @@
     /** \brief Logs and counts the outcome of the request. */
     void logOutcome(const std::string& outcome, unsigned status) const;
 
+    /** \returns the gateway to which to hand the request over, or nothing if this one serves it itself as far as it can */
+    std::optional<SocketAddress> handoverTarget() const;
+    /** \returns whether the request can be handed over once an attempt with this history has ended */
+    bool canHandOver(const AttemptHistory&) const;
+    /** \brief Hands the request over to another gateway.
+     * \returns the connection, or nullptr when nothing was sent; the attempt's result then holds the failure */
+    boost::asio::awaitable<UpstreamPointer> sendHandover(const SocketAddress& target, std::optional<std::uint64_t> lastEventId, AttemptResult&);
+    /** \brief Reads the head of the response of the gateway to which the request was handed over. */
+    boost::asio::awaitable<Result<EndpointReply>> readHandoverReply(const UpstreamPointer&);
+    /** \brief Sends the whole response of the other gateway to the caller, unless it has to be given up.
+     * \returns the failure of the attempt, if any */
+    boost::asio::awaitable<AttemptResult> relayHandoverResponse(const UpstreamPointer&, const SocketAddress& target, const EndpointReply&);
+    /** \brief Records a failed handover.
+     * \returns whether another attempt is permitted */
+    bool noteHandoverFailure(const SocketAddress& target, const AttemptResult&);
+
     /** \brief Sends the request to the first stage, on a pooled connection if there is one, unless the caller has disconnected.
      * chargeRetryBudget() must have returned true before.
      * \returns the connection, or nullptr when nothing was sent; the attempt's result then holds the failure */
@@ -103,11 +120,17 @@
     const RequestTraitId fingerprint; ///< the same for all requests of the account with the same method, host, target and body
     const TimePoint received;
     const TimePoint deadline;
+    const double handoverDraw; ///< random number that decides whether the request is handed over while only a part of them is
     UpstreamPointer upstream; ///< connection of the attempt in progress
     AttemptHistory history;
+    std::set<SocketAddress> triedGateways; ///< to which the request was handed over without success
     bool retryCharged = false; ///< whether the retry budget was charged for a send that has not happened yet
 
 private:
+    /** \brief Sends a message on a pooled connection if there is one, unless the caller has disconnected.
+     * \param endpoint at the address, or another name for a receiver that is no endpoint
+     * \returns the connection, or nullptr when nothing was sent */
+    boost::asio::awaitable<UpstreamPointer> sendMessage(const SocketAddress&, const EndpointId& endpoint, const HttpRequest&, AttemptResult&);
     /** \returns the number of layers of the service's model; 0 for plain services */
     std::uint32_t modelLayers() const;
     /** \returns the endpoints to which the request may be sent, whatever their rate limits */
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -18,7 +18,8 @@
     , roster(this->settings.peers.value_or(this->settings.callers), this->settings.failureDomain)
     , storeReading(std::uniform_real_distribution<double>(0, 1)(this->random), bootNow())
     , waiters(io)
-    , failureDetector(io, this->codecs.engine, [this](const EndpointId& engine) { this->rateLimits.noteSent(engine, bootNow()); })
+    , failureDetector(
+          io, this->codecs.engine, [this](const EndpointId& engine) { this->rateLimits.noteSent(engine, bootNow()); }, [this](const EndpointId& engine, bool responded) { responded ? this->noteConnected(engine) : this->noteUnreachable(engine); })
     , pool(io)
 {
 }
@@ -121,6 +122,63 @@
     return this->requestQuarantine.refusalTime(traits, now);
 }
 
+void GatewayContext::noteConnected(const EndpointId& endpoint)
+{
+    const EndpointRecord* record = this->registry.find(endpoint);
+    if (record && this->reachability(record->endpoint.service).noteConnected())
+        this->noteReachabilityChange(record->endpoint.service);
+}
+
+void GatewayContext::noteUnreachable(const EndpointId& endpoint)
+{
+    const EndpointRecord* record = this->registry.find(endpoint);
+    if (!record)
+        return;
+    const ServiceId service = record->endpoint.service;
+    const auto endpoints = std::count_if(this->registry.records().begin(), this->registry.records().end(), [&service](const auto& entry) { return entry.second.endpoint.service == service; });
+    if (this->reachability(service).noteUnreachable(endpoint, static_cast<std::size_t>(endpoints), bootNow()))
+        this->noteReachabilityChange(service);
+}
+
+void GatewayContext::noteReachabilityChange(const ServiceId& service)
+{
+    const Reachability state = this->reachability(service).state();
+    logLine(state == Reachability::Reachable ? WriteLog::Level::Info : WriteLog::Level::Warning, "reachability-changed", { { "service", service.str() }, { "state", std::string(name(state)) }, { "peers", std::to_string(this->roster.reachable().size()) } });
+    this->metrics.count({ "reachability_changes_total", std::string(name(state)) });
+    // The faults that were observed meanwhile are those of this daemon's paths.
+    if (state != Reachability::Suspect)
+        this->registry.forgetFaults(service);
+    ++this->capacityChanges;
+    this->waiters.wakeAll();
+}
+
+std::vector<ServiceId> GatewayContext::observedServices() const
+{
+    std::vector<ServiceId> services;
+    for (const auto& [service, reachability] : this->reachabilities)
+        services.push_back(service);
+    return services;
+}
+
+std::vector<ServiceId> GatewayContext::unreachableServices() const
+{
+    std::vector<ServiceId> services;
+    for (const auto& [service, reachability] : this->reachabilities) {
+        if (reachability.state() == Reachability::CutOff)
+            services.push_back(service);
+    }
+    return services;
+}
+
+bool GatewayContext::isCutOffFromEngines() const
+{
+    const std::vector<ServiceId> services = this->unreachableServices();
+    return std::any_of(services.begin(), services.end(), [this](const ServiceId& service) {
+        const ForwardedService* forwarded = this->table ? this->table->findService(service) : nullptr;
+        return forwarded && forwarded->engine;
+    });
+}
+
 void GatewayContext::noteSignals(const EndpointId& endpoint, const EndpointSignals& signals)
 {
     if (signals.leaving && this->registry.noteLeaving(endpoint)) {
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -76,6 +76,19 @@
     /** \brief Divides the request rates that endpoints accept anew. */
     void updateRateLimits(TimePoint now);
 
+    /** \returns this daemon's belief of its paths to the endpoints of the service */
+    EndpointReachability& reachability(const ServiceId& service) { return this->reachabilities[service]; }
+    /** \brief Records that the endpoint accepted a new connection. */
+    void noteConnected(const EndpointId&);
+    /** \brief Records that the endpoint accepted no connection, or gave no response in time. */
+    void noteUnreachable(const EndpointId&);
+    /** \returns the services from whose endpoints this daemon is cut off */
+    std::vector<ServiceId> unreachableServices() const;
+    /** \returns the services to whose endpoints this daemon has sent requests */
+    std::vector<ServiceId> observedServices() const;
+    /** \returns whether this daemon is cut off from engines, so that it can't give orders to them */
+    bool isCutOffFromEngines() const;
+
     boost::asio::io_context& io;
     GatewaySettings settings; ///< replaced as a whole when the settings file is reloaded
     const GatewayCodecs codecs;
@@ -92,6 +105,7 @@
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
     PeerTable roster; ///< the other gateways of the site
+    HandoverTargets handoverTargets;
     StoreReaderPolicy storeReading;
     CapacityWaiters waiters; ///< generations that wait for free capacity
     StreamRegistry streams;
@@ -103,7 +117,10 @@
     unsigned requestsInProgress = 0; ///< requests of callers without a complete response
 
 private:
+    void noteReachabilityChange(const ServiceId&);
+
     std::map<ServiceId, SharedRetryBudget> budgets;
+    std::map<ServiceId, EndpointReachability> reachabilities;
 };
 
 /** \brief Writes a structured log line. */
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -43,13 +43,16 @@
         : context(this->io, settings, codecs)
         , follower(this->context)
         , placement(this->context)
-        , callers(this->context)
+        , prober(this->context)
+        , callers(this->context, settings.callers, RequestSource::Callers)
         , readiness(this->io, httpAddress(settings.readiness), [this](const HttpRequest& request) { return this->handleOperatorRequest(request); })
         , settingsWatcher(this->context, std::move(file.path), std::move(file.text))
         , signals(this->io, SIGTERM, SIGINT)
     {
         if (settings.peers)
             this->peers.emplace(this->context);
+        if (settings.handover)
+            this->handovers.emplace(this->context, *settings.handover, RequestSource::Gateways);
         if (settings.metrics)
             this->metricsServer.emplace(this->io, httpAddress(*settings.metrics), [this](const HttpRequest& request) { return this->handleOperatorRequest(request); });
     }
@@ -66,6 +69,9 @@
         if (this->peers)
             this->peers->start();
         this->callers.start();
+        this->prober.start();
+        if (this->handovers)
+            this->handovers->start();
         this->settingsWatcher.start();
         asio::co_spawn(this->io, this->runHousekeeping(), asio::detached);
         asio::co_spawn(this->io, this->awaitStop(), asio::detached);
@@ -113,6 +119,8 @@
             if (listening && bootNow() - signalledAt >= balancerRemovalTime) {
                 listening = false;
                 this->callers.stopListening();
+                if (this->handovers)
+                    this->handovers->stopListening();
             }
             if (!listening && this->context.requestsInProgress == 0)
                 break;
@@ -125,7 +133,9 @@
     GatewayContext context;
     StoreFollower follower;
     PlacementController placement;
+    ReachabilityProber prober;
     CallerListener callers;
+    std::optional<CallerListener> handovers;
     std::optional<PeerExchange> peers;
     HttpServer readiness;
     std::optional<HttpServer> metricsServer;
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -154,10 +154,14 @@
     message.requestTraits = this->context.requestQuarantine.evidence(bootNow());
     const auto entry = this->peerStates.find(receiver);
     message.knownRevision = entry == this->peerStates.end() ? 0 : entry->second.endpointsRevision;
+    message.handover = this->context.settings.handover;
+    message.unreachableServices = this->context.unreachableServices();
     const TimePoint now = bootNow();
     for (const auto& [id, record] : this->context.registry.records()) {
         const auto remaining = EndpointRegistry::ownAvoidance(record, now);
-        if (remaining && record.lastFault == EndpointFault::Unreachable)
+        // A daemon that may be cut off itself knows nothing of the endpoints.
+        const bool reachable = this->context.reachability(record.endpoint.service).state() == Reachability::Reachable;
+        if (remaining && reachable && record.lastFault == EndpointFault::Unreachable)
             message.avoided.push_back({ id, *remaining });
     }
     this->addPeers(message, receiver);
@@ -212,6 +216,8 @@
     const bool outdated = this->context.noteStoreEra(message.storeEra, message.daemon.str()) == EraRelation::Outdated;
     if (this->isOwnHub(message.address))
         this->context.storeReading.noteHub(hubSource(message, outdated), now);
+    if (message.handover)
+        this->context.handoverTargets.note(message.address, { *message.handover, message.failureDomain, { message.unreachableServices.begin(), message.unreachableServices.end() } });
     for (const AvoidedEndpoint& avoided : message.avoided) {
         this->context.registry.noteRemoteAvoidance(avoided.endpoint, avoided.remaining, now);
         this->context.streams.notifySuspected(avoided.endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/PlacementController.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PlacementController.cpp
@@ -57,9 +57,11 @@
     HttpConnection store(this->context.io, httpAddress(this->context.settings.store), {});
     while (!this->stopped) {
         this->followEra();
-        if (this->context.roster.isHub())
+        // The lease of a daemon that does not reach the engines expires, so that another one takes it.
+        const bool reachesEngines = !this->context.isCutOffFromEngines();
+        if (reachesEngines && this->context.roster.isHub())
             co_await this->claimLease(store);
-        if (this->holdsLease()) {
+        if (reachesEngines && this->holdsLease()) {
             this->probeSuspectedEngines();
             co_await this->assignLayers();
         }
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/ReachabilityProber.h
@@ -0,0 +1,31 @@
+#ifndef FILBERTSPOKE_REACHABILITY_PROBER_H
+#define FILBERTSPOKE_REACHABILITY_PROBER_H
+
+#include "GatewayContext.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace filbertspoke {
+
+/** \brief Tries connections to endpoints of services from which this daemon seems to be cut off. */
+class ReachabilityProber {
+public:
+    explicit ReachabilityProber(GatewayContext& context)
+        : context(context)
+    {
+    }
+
+    /** \brief Starts to probe when it is due. */
+    void start();
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> probe(EndpointId, SocketAddress);
+    void startProbes(const ServiceId&, std::size_t count);
+
+    GatewayContext& context;
+};
+
+}
+
+#endif
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -176,6 +176,7 @@
 {
     gateway.retryRatio = this->retryRatio;
     gateway.stopTimeout = this->stopTimeout;
+    gateway.handover = this->free(host);
     const std::string file = this->folder + "/" + gateway.name + ".yaml";
     std::ofstream(file) << settingsText(gateway);
     return Process("filbertspoked", { "gateway", "--settings", file });
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,7 @@
     unsigned retryReserve = 10;
     double retryRatio = 0.2;
     std::chrono::milliseconds stopTimeout { 8000 };
+    std::optional<HttpAddress> handover; ///< where it takes requests from other gateways
 
     bool operator==(const GatewayText&) const = default;
 };
