Forget the faults of endpoints only where the gateway was cut off

Change: faults are forgotten when a gateway is found to be cut off, and when that ends. Evidence: Gateway.EndpointRegistry.forgottenFaultsEndTheAvoidanceOfEndpointsAndOfTheirDomain covers the registry's part; the condition itself has no test.

--- a/packages/Gateway/tests/EndpointRegistry.cpp
+++ b/packages/Gateway/tests/EndpointRegistry.cpp
@@ -184,6 +184,24 @@
     BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
 }
 
+// A daemon that was cut off itself uses the endpoints again at once.
+BOOST_FIXTURE_TEST_CASE(forgottenFaultsEndTheAvoidanceOfEndpointsAndOfTheirDomain, Fixture)
+{
+    Ids all;
+    for (const char* id : { "e1", "e2", "e3", "e4", "e5" }) {
+        this->registry.update(endpoint(id));
+        all.emplace_back(id);
+    }
+    for (const char* id : { "e1", "e2", "e3", "e4" })
+        this->markUnreachable(id);
+    BOOST_TEST(this->registry.isAvoided(*this->registry.find(EndpointId("e5")), this->now));
+    this->registry.forgetFaults(ServiceId("other"));
+    BOOST_TEST(this->registry.isAvoided(*this->registry.find(EndpointId("e1")), this->now));
+    this->registry.forgetFaults(service);
+    BOOST_TEST((this->candidates() == all));
+    BOOST_TEST(!this->registry.isAvoided(*this->registry.find(EndpointId("e5")), this->now));
+}
+
 BOOST_FIXTURE_TEST_CASE(domainWithSeveralUnreachableEndpointsIsAvoided, Fixture)
 {
     for (const char* id : { "e1", "e2", "e3", "e4" })
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -125,8 +125,12 @@
 void GatewayContext::noteConnected(const EndpointId& endpoint)
 {
     const EndpointRecord* record = this->registry.find(endpoint);
-    if (record && this->reachability(record->endpoint.service).noteConnected())
-        this->noteReachabilityChange(record->endpoint.service);
+    if (!record)
+        return;
+    const ServiceId service = record->endpoint.service;
+    const Reachability before = this->reachability(service).state();
+    if (this->reachability(service).noteConnected())
+        this->noteReachabilityChange(service, before);
 }
 
 void GatewayContext::noteUnreachable(const EndpointId& endpoint)
@@ -136,17 +140,18 @@
         return;
     const ServiceId service = record->endpoint.service;
     const auto endpoints = std::count_if(this->registry.records().begin(), this->registry.records().end(), [&service](const auto& entry) { return entry.second.endpoint.service == service; });
+    const Reachability before = this->reachability(service).state();
     if (this->reachability(service).noteUnreachable(endpoint, static_cast<std::size_t>(endpoints), bootNow()))
-        this->noteReachabilityChange(service);
+        this->noteReachabilityChange(service, before);
 }
 
-void GatewayContext::noteReachabilityChange(const ServiceId& service)
+void GatewayContext::noteReachabilityChange(const ServiceId& service, Reachability before)
 {
     const Reachability state = this->reachability(service).state();
     logLine(state == Reachability::Reachable ? WriteLog::Level::Info : WriteLog::Level::Warning, "reachability-changed", { { "service", service.str() }, { "state", std::string(name(state)) }, { "peers", std::to_string(this->roster.reachable().size()) } });
     this->metrics.count({ "reachability_changes_total", std::string(name(state)) });
-    // The faults that were observed meanwhile are those of this daemon's paths.
-    if (state != Reachability::Suspect)
+    // The faults that were observed meanwhile are those of this daemon's paths. Those behind a mere suspicion are the endpoints' own.
+    if (before == Reachability::CutOff || state == Reachability::CutOff)
         this->registry.forgetFaults(service);
     ++this->capacityChanges;
     this->waiters.wakeAll();
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -117,7 +117,7 @@
     unsigned requestsInProgress = 0; ///< requests of callers without a complete response
 
 private:
-    void noteReachabilityChange(const ServiceId&);
+    void noteReachabilityChange(const ServiceId&, Reachability before);
 
     std::map<ServiceId, SharedRetryBudget> budgets;
     std::map<ServiceId, EndpointReachability> reachabilities;
