Judge the response to a request that was handed over before it is passed on

Cause, found by reading the change: a 401 or 404 of the other gateway, which may still have an older configuration, went to the caller as final; and a failure of the other gateway after a stream had begun counted as not run, so that its run did not count against the route's attempts. Change: handoverFailure, without input or output, decides by status, seal, what ran here and whether a stream has begun; calls and streams use it. The settings test now checks the address for handovers too.

--- a/packages/Configuration/tests/GatewaySettings.cpp
+++ b/packages/Configuration/tests/GatewaySettings.cpp
@@ -47,6 +47,7 @@
     BOOST_TEST((settings.daemon == DaemonId("front-1")));
     BOOST_TEST((settings.callers == SocketAddress { "10.1.0.40", 8227 }));
     BOOST_TEST((settings.peers == SocketAddress { "10.1.0.40", 8229 }));
+    BOOST_TEST((settings.handover == SocketAddress { "10.1.0.40", 7341 }));
     BOOST_TEST(settings.seeds.size() == 2U);
     BOOST_TEST((settings.heartbeatInterval == Duration(1200ms)));
     BOOST_TEST((settings.retryBudget == RetryBudgetSettings { 0.2, 25 }));
@@ -57,6 +58,7 @@
 {
     const auto parsed = parseGatewaySettings("daemon: d\nfailureDomain: f\ncallers: 10.0.0.1:1\nreadiness: 10.0.0.1:2\nstore: 10.0.0.2:3\n");
     BOOST_REQUIRE(std::holds_alternative<GatewaySettings>(parsed));
+    BOOST_TEST(!std::get<GatewaySettings>(parsed).handover.has_value());
     BOOST_TEST(!std::get<GatewaySettings>(parsed).peers.has_value());
 }
 
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/HandoverResponse.cpp
@@ -0,0 +1,27 @@
+#include <filbertspoke/Gateway>
+
+namespace filbertspoke {
+
+namespace {
+
+constexpr unsigned firstRedirection = 300;
+constexpr unsigned firstClientError = 400;
+constexpr unsigned firstServerError = 500;
+constexpr unsigned tooManyRequests = 429;
+constexpr unsigned unavailable = 503;
+
+}
+
+std::optional<AttemptEnd> handoverFailure(unsigned status, bool sealed, bool ranHere, bool streaming)
+{
+    const bool stream = sealed && status < firstRedirection;
+    const bool promisesNotRun = !sealed && (status == unavailable || status == tooManyRequests);
+    const bool differs = !sealed && status >= firstClientError && status < firstServerError && !promisesNotRun;
+    if (differs || (promisesNotRun && (ranHere || streaming)))
+        return AttemptEnd::NotExecuted;
+    if (streaming && !stream)
+        return sealed ? AttemptEnd::ReportedFailure : AttemptEnd::Lost;
+    return std::nullopt;
+}
+
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -156,6 +156,10 @@
     const Result<EndpointReply> reply = co_await task.readHandoverReply(connection);
     if (!reply)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+    if (auto failure = task.handoverFailureOf(*reply, false)) {
+        connection->close();
+        co_return *failure;
+    }
     co_return co_await task.relayHandoverResponse(connection, target, *reply);
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -41,6 +41,8 @@
 // Interval of checks for another chain while a stream is stalled beyond its limit; planning a chain takes one or two milliseconds
 // of CPU time on a slow host.
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(250);
+// Responses from this status on are no streams.
+constexpr unsigned firstRedirection = 300;
 // All engines of a chain are reported as healthy to the registry once every this many events of the stream.
 constexpr std::uint32_t eventsPerHealthReport = 16;
 // A stream without events for at least this time attributes the stall to an engine of its chain that is reported as suspect.
@@ -353,14 +355,15 @@
         connection->close();
         co_return this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
     }
-    const bool stream = reply->sealed && reply->status < 300;
-    if (!stream && !this->headSent) {
+    if (auto failure = this->task.handoverFailureOf(*reply, this->headSent)) {
+        connection->close();
+        co_return *failure;
+    }
+    if (!reply->sealed || reply->status >= firstRedirection) {
         result = co_await this->task.relayHandoverResponse(connection, target, *reply);
         this->responded = !result.failure;
         co_return result;
     }
-    if (!stream)
-        co_return AttemptResult { AttemptEnd::NotExecuted, EndpointFault::Failed, {}, "refused-there" };
     if (!this->headSent) {
         this->headSent = true;
         co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -69,7 +69,10 @@
     boost::asio::awaitable<UpstreamPointer> sendHandover(const SocketAddress& target, std::optional<std::uint64_t> lastEventId, AttemptResult&);
     /** \brief Reads the head of the response of the gateway to which the request was handed over. */
     boost::asio::awaitable<Result<EndpointReply>> readHandoverReply(const UpstreamPointer&);
-    /** \brief Sends the whole response of the other gateway to the caller, unless it has to be given up.
+    /** \returns the failure that the other gateway's response means, or nothing when it goes to the caller
+     * \param streaming whether the caller has already got a part of the response */
+    std::optional<AttemptResult> handoverFailureOf(const EndpointReply&, bool streaming) const;
+    /** \brief Sends the whole response of the other gateway to the caller.
      * \returns the failure of the attempt, if any */
     boost::asio::awaitable<AttemptResult> relayHandoverResponse(const UpstreamPointer&, const SocketAddress& target, const EndpointReply&);
     /** \brief Records a failed handover.
--- a/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
@@ -12,8 +12,6 @@
 
 // A request is handed over this often; a gateway that does not take it answers at once.
 constexpr std::size_t maximumHandovers = 2;
-// Response of a gateway that does not reach the service's endpoints either, without an endpoint's seal.
-constexpr unsigned misdirectedStatus = 421;
 // Largest response to a call that is handed over, like that of an endpoint.
 constexpr std::size_t maximumResponseBytes = 1024 * 1024;
 
@@ -58,6 +56,15 @@
     co_return reply;
 }
 
+std::optional<AttemptResult> ForwardTask::handoverFailureOf(const EndpointReply& reply, bool streaming) const
+{
+    const bool ranHere = !certainlyNotRun(this->history.state(this->timeLeft()));
+    const auto end = handoverFailure(reply.status, reply.sealed, ranHere, streaming);
+    if (!end)
+        return std::nullopt;
+    return AttemptResult { *end, EndpointFault::Failed, {}, "status-" + std::to_string(reply.status) + "-there" };
+}
+
 asio::awaitable<AttemptResult> ForwardTask::relayHandoverResponse(const UpstreamPointer& connection, const SocketAddress& target, const EndpointReply& reply)
 {
     HttpResponse response;
@@ -72,14 +79,8 @@
     if (!progress)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-broken-off" };
     this->context.pool.giveBack(target, connection);
-    if (reply.status == misdirectedStatus && !reply.sealed)
-        co_return AttemptResult { AttemptEnd::NotExecuted, EndpointFault::Unreachable, {}, "not-reachable-there" };
-    // The other gateway's refusal says that the request has not run there. If it may have run here, that is not the whole truth.
-    const bool refused = !reply.sealed && (reply.status == 429 || reply.status == 503);
-    if (refused && !certainlyNotRun(this->history.state(this->timeLeft())))
-        co_return AttemptResult { AttemptEnd::NotExecuted, EndpointFault::Failed, {}, "refused-there" };
     this->caller->stopWatching();
-    this->logOutcome(refused ? "refused-elsewhere" : "answered-elsewhere", reply.status);
+    this->logOutcome(reply.sealed ? "answered-elsewhere" : "refused-elsewhere", reply.status);
     co_await this->caller->respond(response, this->keepAlive());
     co_return AttemptResult {};
 }
