--- a/packages/Daemon/tests/RequestQuarantine.cpp
+++ b/packages/Daemon/tests/RequestQuarantine.cpp
@@ -59,20 +59,26 @@
         return caller->received().find(ending) != std::string::npos;
     }
 
+    /** \brief Sends the crashing request. The endpoints that crash restart after its answer. */
+    void sendCrashingRequest(const std::string& method)
+    {
+        const auto caller = this->call(method, this->crashingTarget);
+        this->await([&] { return caller->closed() || caller->received().starts_with("HTTP/1.1 5"); });
+        this->lastAnswer = caller->received();
+        for (const std::string& id : this->crashed) {
+            this->replicas.at(id)->setListening(true);
+            this->restartEndpoint(id);
+        }
+        this->crashed.clear();
+    }
+
     /** \brief Sends the crashing request several times. In between the crashed endpoints restart, and other requests are served. Crashes beyond
      * the third one count only after the adjustment time. */
     void repeatCrashingRequest(const std::string& method, const std::string& soundTarget, const std::string& ending)
     {
         bool adjusted = false;
         for (int request = 0; request < callersRequests; ++request) {
-            const auto caller = this->call(method, this->crashingTarget);
-            this->await([&] { return caller->closed() || caller->received().starts_with("HTTP/1.1 5"); });
-            this->lastAnswer = caller->received();
-            for (const std::string& id : this->crashed) {
-                this->replicas.at(id)->setListening(true);
-                this->restartEndpoint(id);
-            }
-            this->crashed.clear();
+            this->sendCrashingRequest(method);
             const auto restarted = Clock::now();
             if (!adjusted && this->crashes >= crashLimit) {
                 adjusted = true;
@@ -88,21 +94,13 @@
         }
     }
 
-    /** \brief Kills the gateway and starts it again, then sends the crashing request several times. The crashed endpoints restart. */
+    /** \brief Kills the gateway and starts it again, then sends the crashing request several times. */
     void repeatAfterLossOfAllGateways(const std::string& method)
     {
         this->gateway->kill();
         this->start();
-        for (int request = 0; request < callersRequests; ++request) {
-            const auto caller = this->call(method, this->crashingTarget);
-            this->await([&] { return caller->closed() || caller->received().starts_with("HTTP/1.1 5"); });
-            this->lastAnswer = caller->received();
-            for (const std::string& id : this->crashed) {
-                this->replicas.at(id)->setListening(true);
-                this->restartEndpoint(id);
-            }
-            this->crashed.clear();
-        }
+        for (int request = 0; request < callersRequests; ++request)
+            this->sendCrashingRequest(method);
     }
 
     std::string crashingTarget;
--- a/packages/Gateway/filbertspoke/src/Gateway/HandoverResponse.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/HandoverResponse.cpp
@@ -12,14 +12,18 @@
 
 }
 
+bool beginsStream(unsigned status, bool sealed)
+{
+    return sealed && status < firstRedirection;
+}
+
 std::optional<AttemptEnd> handoverFailure(unsigned status, bool sealed, bool ranHere, bool streaming)
 {
-    const bool stream = sealed && status < firstRedirection;
     const bool promisesNotRun = !sealed && (status == unavailable || status == tooManyRequests);
     const bool differs = !sealed && status >= firstClientError && status < firstServerError && !promisesNotRun;
     if (differs || (promisesNotRun && (ranHere || streaming)))
         return AttemptEnd::NotExecuted;
-    if (streaming && !stream)
+    if (streaming && !beginsStream(status, sealed))
         return sealed ? AttemptEnd::ReportedFailure : AttemptEnd::Lost;
     return std::nullopt;
 }
--- /dev/null
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -0,0 +1,65 @@
+#ifndef FILBERTSPOKE_INTERNAL_STREAM_FORWARDER_H
+#define FILBERTSPOKE_INTERNAL_STREAM_FORWARDER_H
+
+#include "../ForwardTask.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace filbertspoke::internal {
+
+/** \brief State of the coroutine that monitors one attempt. */
+struct AttemptMonitor;
+
+/** \brief Forwards one stream, over all chains that serve it in turn, and over other gateways while this one reaches no engines. */
+class StreamForwarder {
+public:
+    explicit StreamForwarder(ForwardTask& task)
+        : task(task)
+        , lastEventId(task.request.lastEventId)
+    {
+    }
+
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<std::optional<LayerChain>> awaitChain();
+    std::optional<ForwardMetadata> metadataFor(const LayerChain&) const;
+    boost::asio::awaitable<AttemptResult> runMonitoredAttempt(const ForwardMetadata&, const LayerChain&);
+    boost::asio::awaitable<AttemptResult> attempt(const ForwardMetadata&, const LayerChain&);
+    boost::asio::awaitable<AttemptResult> relayBody(const UpstreamPointer&, std::optional<Duration> expectedPerEvent);
+    boost::asio::awaitable<AttemptResult> attemptHandover(SocketAddress target);
+    boost::asio::awaitable<std::optional<AttemptResult>> forwardEvents(std::vector<StreamEvent>);
+    boost::asio::awaitable<void> monitorAttempt(std::shared_ptr<AttemptMonitor>, ForwardMetadata);
+    Duration stallDuration() const { return bootNow() - std::max(this->lastProgress, this->attemptStartedAt); }
+    Duration stallLimit() const;
+    bool abandonStalledChain(const EndpointId& first);
+    AttemptResult readFailure(const std::error_code&, const std::string& timeoutReason, const std::string& brokenReason) const;
+    std::uint64_t subscribeToSuspicions(const LayerChain&);
+    boost::asio::awaitable<void> finish(bool complete);
+    void reportChainHealthy();
+    void logChain(const LayerChain&) const;
+
+    ForwardTask& task;
+    std::optional<std::uint64_t> lastEventId; ///< last event that the caller received
+    bool headSent = false;
+    bool responded = false; ///< the caller has a whole response that is no stream
+    bool firstEventSent = false;
+    bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
+    std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
+    EndpointFault failedEngineFault = EndpointFault::Failed; ///< how failedEngine failed
+    std::optional<Duration> refusalTime; ///< for which the request is refused because it may crash endpoints
+    std::vector<EndpointId> engines; ///< engines of the chain in use
+    std::uint32_t eventsInAttempt = 0;
+    TimePoint attemptStartedAt = bootNow();
+    TimePoint lastProgress = bootNow(); ///< time of the last event, or of the request's arrival
+};
+
+}
+
+#endif
