--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -81,6 +81,7 @@
         co_await this->task.respondFailure(this->refusalTime ? ErrorCode::RequestQuarantined : ErrorCode::NoPipeline, this->refusalTime);
         co_return;
     }
+    this->logBreakOff();
     // The caller must be able to detect that the stream is incomplete.
     this->task.logOutcome("broken-off", 0);
     this->task.caller->close();
@@ -91,6 +92,20 @@
     this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
 }
 
+void StreamForwarder::logBreakOff() const
+{
+    const TimePoint now = bootNow();
+    std::size_t avoided = 0;
+    std::size_t engines = 0;
+    for (const auto& [id, record] : this->task.context.registry.records()) {
+        if (record.endpoint.service != this->task.service || !EndpointRegistry::takesWork(record, now))
+            continue;
+        ++engines;
+        avoided += this->task.context.registry.isAvoided(record, now) ? 1 : 0;
+    }
+    this->task.logDecision("stream-broken-off", { { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "pausedMs", milliseconds(now - this->lastProgress) }, { "timeLeftMs", milliseconds(this->task.timeLeft()) }, { "engines", std::to_string(engines) }, { "avoided", std::to_string(avoided) }, { "retriesSaved", std::to_string(this->task.context.retryBudget(this->task.service).saved()) } });
+}
+
 asio::awaitable<void> StreamForwarder::run()
 {
     bool complete = false;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -100,13 +100,13 @@
     if (blamed == first && (result.fault == EndpointFault::Unreachable || result.fault == EndpointFault::Silent))
         this->context.noteUnreachable(first);
     if (result.fault == EndpointFault::Unreachable)
-        this->context.streams.notifySuspected(blamed);
+        this->context.streams.notifySuspected(blamed, "request " + this->request.id.str() + ": " + result.reason);
     this->history.noteFailure({ *result.failure, first, blamed, result.fault });
     const bool retry = this->canRetry(this->history, *result.failure);
     const AttemptState state = this->history.state(this->timeLeft());
     const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "evidence", result.evidence }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
     this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -220,7 +220,7 @@
         this->context.handoverTargets.note(message.address, { *message.handover, message.failureDomain, { message.unreachableServices.begin(), message.unreachableServices.end() } });
     for (const AvoidedEndpoint& avoided : message.avoided) {
         this->context.registry.noteRemoteAvoidance(avoided.endpoint, avoided.remaining, now);
-        this->context.streams.notifySuspected(avoided.endpoint);
+        this->context.streams.notifySuspected(avoided.endpoint, "gateway " + message.daemon.str());
     }
     for (const EndpointRun& run : message.leaving)
         this->context.registry.noteRemoteLeaving(run);
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -114,7 +114,7 @@
     this->engines.clear();
     for (const LayerStage& stage : chain.stages)
         this->engines.push_back(stage.endpoint);
-    return this->task.context.streams.add(this->engines, [this](const EndpointId& engine) {
+    return this->task.context.streams.add(this->engines, [this](const EndpointId& engine, const std::string& evidence) {
         if (bootNow() - this->lastProgress < suspectedStallTimeout || !this->task.upstream)
             return;
         // A suspected engine may still be alive: without a permitted retry, the stream stays on its chain.
@@ -122,6 +122,7 @@
             return;
         this->failedEngine = engine;
         this->failedEngineFault = EndpointFault::Failed;
+        this->failedEngineEvidence = evidence;
         this->task.upstream->close();
     });
 }
@@ -168,6 +169,7 @@
             continue;
         this->failedEngine = failed;
         this->failedEngineFault = EndpointFault::Unreachable;
+        this->failedEngineEvidence = "report of " + firstEngine.str();
         this->task.upstream->close();
         co_return;
     }
@@ -306,8 +308,10 @@
     monitor->finished = true;
     this->task.context.streams.remove(subscription);
     this->task.upstream = nullptr;
-    if (result.failure && this->failedEngine)
+    if (result.failure && this->failedEngine) {
         result = { result.failure, this->failedEngineFault, this->failedEngine, "engine-lost" };
+        result.evidence = this->failedEngineEvidence;
+    }
     result.events = this->eventsInAttempt;
     const bool firstEngineLost = result.connectionBroken || (result.failure && this->failedEngine == firstEngine);
     if (firstEngineLost && result.events == 0 && !this->task.caller->disconnected())
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamRegistry.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamRegistry.cpp
@@ -16,11 +16,11 @@
     this->entries.erase(id);
 }
 
-void StreamRegistry::notifySuspected(const EndpointId& engine)
+void StreamRegistry::notifySuspected(const EndpointId& engine, const std::string& evidence)
 {
     for (const auto& [id, entry] : this->entries) {
         if (std::find(entry.engines.begin(), entry.engines.end(), engine) != entry.engines.end())
-            entry.listener(engine);
+            entry.listener(engine, evidence);
     }
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -44,6 +44,7 @@
     boost::asio::awaitable<void> finish(bool complete);
     void reportChainHealthy();
     void logChain(const LayerChain&) const;
+    void logBreakOff() const;
 
     ForwardTask& task;
     std::optional<std::uint64_t> lastEventId; ///< last event that the caller received
@@ -53,6 +54,7 @@
     bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
     std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
     EndpointFault failedEngineFault = EndpointFault::Failed; ///< how failedEngine failed
+    std::string failedEngineEvidence; ///< for the log: why failedEngine counts as failed
     std::optional<Duration> refusalTime; ///< for which the request is refused because it may crash endpoints
     std::vector<EndpointId> engines; ///< engines of the chain in use
     std::uint32_t eventsInAttempt = 0;
