A refusal of a request by an engine is no loss of the engine

What callers saw: streams ended without their last event, LOST beside changes of the configuration.

Cause: an engine that is short of memory, gives up layers or leaves refuses a request, and the answer names it. The gateway took it for unreachable: it avoided the engine for 0.8 to 4 s, told all other gateways to do so, and each gateway cut every stream through it that paused for 150 ms. The cut streams gave up their memory to waiting ones and found no chain within the callers' patience of 1.9 s. Ruled out by the log: orders that unload layers under streams, engines that were really silent, the retry budget, the number of sends, deadlines.

Change: EndpointFault::Refused. Such an engine gets no new work from this gateway for half a second; no other gateway hears of it, no stream is cut, no failure domain counts as unreachable, and no evidence of a partition arises. A stream may use the engine again afterwards. Waiting generations plan again every 200 ms, since nothing tells them that the pause is over.

--- a/packages/Daemon/tests/StageRefusal.cpp
+++ b/packages/Daemon/tests/StageRefusal.cpp
@@ -56,7 +56,7 @@
         this->setFirstEngines(slowStream);
         this->stream = this->call("POST", "/chat/slow");
         BOOST_TEST_REQUIRE(this->await([this] { return this->stream->received().find("id: 1\n") != std::string::npos; }));
-        const std::string refusing = this->lastStageOfStream();
+        const std::string refusing = lastStage(this->replicas.at(this->firstEngineOfStream())->requests().front());
         this->setFirstEngines([refusing](const HttpRequest& request) { return request.target == "/chat/slow" ? slowStream(request) : refusalNaming(refusing); });
     }
 
@@ -66,14 +66,8 @@
             this->replicas.at(id)->setAnswer([answer](const HttpRequest& request) { return request.target.starts_with("/filbertspoke/") ? emptyReport() : answer(request); });
     }
 
-    std::string lastStageOfStream() const
-    {
-        for (const char* id : { "engine-a1", "engine-b1" }) {
-            if (!this->replicas.at(id)->requests().empty())
-                return lastStage(this->replicas.at(id)->requests().front());
-        }
-        return {};
-    }
+    /** \returns the first engine of the stream's chain */
+    std::string firstEngineOfStream() const { return this->replicas.at("engine-a1")->requests().empty() ? "engine-b1" : "engine-a1"; }
 
     /** \returns how often the stream was sent to an engine */
     std::ptrdiff_t sendsOfStream() const
--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptHistory.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptHistory.cpp
@@ -28,6 +28,12 @@
     return this->attemptsExhausted() && this->usedEndpoints.contains(endpoint) && fault->second == EndpointFault::Broken;
 }
 
+bool AttemptHistory::wasRefusedBy(const EndpointId& endpoint) const
+{
+    const auto fault = this->faults.find(endpoint);
+    return fault != this->faults.end() && fault->second == EndpointFault::Refused;
+}
+
 bool AttemptHistory::mayReuseEndpoint() const
 {
     const bool resumableStream = this->kind == RouteKind::Stream && this->resumable;
--- a/packages/Gateway/filbertspoke/src/Gateway/AttemptHistory.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/AttemptHistory.h
@@ -48,6 +48,8 @@
      * An endpoint with a fault is excluded. When the route's attempts are exhausted, an endpoint that may have run the request
      * and whose last fault was a broken connection is allowed again. */
     bool mayUse(const EndpointId&) const;
+    /** \returns whether the endpoint's last fault was a refusal, which holds for a moment only */
+    bool wasRefusedBy(const EndpointId&) const;
     /** \returns the endpoints that may have run the request */
     const std::set<EndpointId>& used() const { return this->usedEndpoints; }
     /** \returns the number of attempts that have begun */
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -16,6 +16,9 @@
 constexpr double faultRateSmoothing = 0.1;
 // Fault rate from which on an endpoint is avoided although it responds in between.
 constexpr double faultRateThreshold = 0.25;
+// Time for which an endpoint gets no new work after a refusal. Its registry entry shows the layers that it gives up about a second later; its
+// memory becomes free with each generation that ends.
+constexpr Duration refusalPause = std::chrono::milliseconds(500);
 // A failure domain counts as unreachable when this many of its endpoints were unreachable within the window and none has responded
 // since.
 constexpr std::size_t unreachableDomainThreshold = 3;
@@ -237,6 +240,10 @@
     if (entry == this->byId.end())
         return;
     EndpointRecord& record = entry->second;
+    if (fault == EndpointFault::Refused) {
+        record.refusedAt = now;
+        return;
+    }
     const bool alreadyAvoided = record.avoidedUntil && now < *record.avoidedUntil;
     record.faultRate += faultRateSmoothing * (1 - record.faultRate);
     record.lastFault = fault;
@@ -262,6 +269,8 @@
     EndpointRecord& record = entry->second;
     record.faultRate -= faultRateSmoothing * record.faultRate;
     this->unreachable.erase(record.endpoint.failureDomain);
+    if (record.refusedAt && begun >= *record.refusedAt)
+        record.refusedAt.reset();
     if (record.unreachableAt && begun < *record.unreachableAt)
         return;
     record.consecutiveFaults = 0;
@@ -313,6 +322,11 @@
     return ownAvoidance(record, now) || (record.remoteAvoidedUntil && now < *record.remoteAvoidedUntil);
 }
 
+bool EndpointRegistry::isRefusing(const EndpointRecord& record, TimePoint now)
+{
+    return record.refusedAt && now - *record.refusedAt < refusalPause;
+}
+
 std::optional<Duration> EndpointRegistry::ownAvoidance(const EndpointRecord& record, TimePoint now)
 {
     if (!record.avoidedUntil || *record.avoidedUntil <= now)
@@ -357,7 +371,7 @@
     for (const auto& [id, record] : this->byId) {
         if (record.endpoint.service != service || !takesWork(record, now) || isPushedBack(record, now))
             continue;
-        (this->isAvoided(record, now) ? avoided : healthy).push_back(&record);
+        (this->isAvoided(record, now) || isRefusing(record, now) ? avoided : healthy).push_back(&record);
     }
     return healthy.empty() ? avoided : healthy;
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -15,7 +15,8 @@
 
 /** \brief Kinds of failures of an exchange with an endpoint. */
 enum class EndpointFault {
-    Unreachable, ///< the connection failed, or another stage of a chain reported that the endpoint takes no new work
+    Unreachable, ///< the connection failed, or the endpoint's address belongs to another one now
+    Refused, ///< a well-formed response reports that the endpoint does not take the request: it is short of memory, lacks the layers or leaves
     Silent, ///< the connection succeeded, but no response came in time
     Broken, ///< the connection closed early, or the response was malformed
     Failed, ///< a well-formed response that reports a failure
@@ -29,6 +30,7 @@
     std::optional<TimePoint> remoteAvoidedUntil; ///< avoided until then because of reports of other daemons
     std::optional<EndpointFault> lastFault; ///< since the last success
     std::optional<TimePoint> unreachableAt; ///< last seen or reported unreachable, since new work last succeeded
+    std::optional<TimePoint> refusedAt; ///< time of the last refusal, since new work last succeeded
     std::optional<TimePoint> pushbackUntil; ///< the endpoint refuses the requests of this daemon until then
     bool leavingReported = false; ///< its leaving is known from its answers or from other daemons, but not from its entry yet
     std::uint32_t consecutiveFaults = 0;
@@ -92,7 +94,8 @@
      * \param layers of the service's model; 0 for plain services */
     std::optional<Duration> pushbackRemaining(const ServiceId&, std::uint32_t layers, TimePoint now) const;
 
-    /** \brief Records a fault; the endpoint is avoided for a while when it is unreachable or silent, or after several faults. */
+    /** \brief Records a fault; the endpoint is avoided for a while when it is unreachable or silent, or after several faults. A refusal is no
+     * sign of a defect: it only keeps new work away for a moment. */
     void noteFault(const EndpointId&, EndpointFault, TimePoint now);
     /** \brief Records a successful exchange, which ends the avoidance of the endpoint.
      * \param begun when the exchange began; an exchange that began before the endpoint was last unreachable does not end the
@@ -111,11 +114,13 @@
     std::optional<EndpointId> findByAddress(const SocketAddress&) const;
     /** \returns whether the endpoint itself is avoided, because of observed faults or of reports of other daemons */
     static bool isSuspected(const EndpointRecord&, TimePoint now);
+    /** \returns whether the endpoint has just refused new work, so that it gets none for a moment */
+    static bool isRefusing(const EndpointRecord&, TimePoint now);
     /** \returns the remaining time for which faults observed by this daemon exclude the endpoint, or nothing */
     static std::optional<Duration> ownAvoidance(const EndpointRecord&, TimePoint now);
     /** \returns whether the endpoint is not draining, and is registered or may be written again; does not consider avoidance */
     static bool takesWork(const EndpointRecord&, TimePoint now);
-    /** \returns the service's endpoints that take new work and don't push back; avoided ones only when there are no others */
+    /** \returns the service's endpoints that take new work and don't push back; avoided and refusing ones only when there are no others */
     std::vector<const EndpointRecord*> candidates(const ServiceId&, TimePoint now) const;
 
     /** \returns a number that changes whenever an entry changes in more than its heartbeat */
--- a/packages/Gateway/tests/AttemptHistory.cpp
+++ b/packages/Gateway/tests/AttemptHistory.cpp
@@ -32,7 +32,7 @@
 }
 
 constexpr std::array everyEnd { AttemptEnd::NotSent, AttemptEnd::NotExecuted, AttemptEnd::Lost, AttemptEnd::ReportedFailure };
-constexpr std::array everyFault { EndpointFault::Unreachable, EndpointFault::Silent, EndpointFault::Broken, EndpointFault::Failed };
+constexpr std::array everyFault { EndpointFault::Unreachable, EndpointFault::Refused, EndpointFault::Silent, EndpointFault::Broken, EndpointFault::Failed };
 const std::array<EndpointId, 4> endpoints { a, b, EndpointId("c"), EndpointId("d") };
 
 /** \brief Explores every possible sequence of attempts after \a history, and fails when the request may have run on more endpoints than
--- a/packages/Gateway/tests/EndpointRegistry.cpp
+++ b/packages/Gateway/tests/EndpointRegistry.cpp
@@ -144,6 +144,52 @@
     BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
 }
 
+// Guards against chains that were not found because all engines of a failure domain were avoided after three of them had refused requests
+// for want of memory.
+BOOST_FIXTURE_TEST_CASE(endpointsThatRefuseWorkDoNotMakeTheirDomainUnreachable, Fixture)
+{
+    for (const char* id : { "e1", "e2", "e3", "e4" })
+        this->registry.update(endpoint(id));
+    for (const char* id : { "e1", "e2", "e3" })
+        this->registry.noteFault(EndpointId(id), EndpointFault::Refused, this->now);
+    BOOST_TEST((this->candidates() == Ids { "e4" }));
+    BOOST_TEST(!this->registry.isAvoided(*this->registry.find(EndpointId("e4")), this->now));
+    this->now += 501ms;
+    BOOST_TEST((this->candidates() == Ids { "e1", "e2", "e3", "e4" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(refusalsInSuccessionDoNotLengthenThePause, Fixture)
+{
+    for (const char* id : { "e1", "e2" })
+        this->registry.update(endpoint(id));
+    for (int refusal = 0; refusal < 10; ++refusal) {
+        this->registry.noteFault(EndpointId("e1"), EndpointFault::Refused, this->now);
+        BOOST_TEST((this->candidates() == Ids { "e2" }));
+        this->now += 501ms;
+        BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
+    }
+}
+
+// Other daemons learn nothing of a refusal, which says little about their requests.
+BOOST_FIXTURE_TEST_CASE(refusalIsNoAvoidanceOfTheEndpoint, Fixture)
+{
+    this->registry.update(endpoint("e1"));
+    this->registry.noteFault(EndpointId("e1"), EndpointFault::Refused, this->now);
+    BOOST_TEST(!EndpointRegistry::ownAvoidance(*this->registry.find(EndpointId("e1")), this->now).has_value());
+    BOOST_TEST(!EndpointRegistry::isSuspected(*this->registry.find(EndpointId("e1")), this->now));
+}
+
+BOOST_FIXTURE_TEST_CASE(workFromBeforeARefusalDoesNotEndIt, Fixture)
+{
+    for (const char* id : { "e1", "e2" })
+        this->registry.update(endpoint(id));
+    this->registry.noteFault(EndpointId("e1"), EndpointFault::Refused, this->now);
+    this->registry.noteSuccess(EndpointId("e1"), this->now - 1s);
+    BOOST_TEST((this->candidates() == Ids { "e2" }));
+    this->registry.noteSuccess(EndpointId("e1"), this->now);
+    BOOST_TEST((this->candidates() == Ids { "e1", "e2" }));
+}
+
 BOOST_FIXTURE_TEST_CASE(avoidedEndpointsAreUsedWhenThereAreNoOthers, Fixture)
 {
     this->registry.update(endpoint("e1"));
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -16,8 +16,10 @@
 
 // Fraction of the route's target latency for which a generation may wait for free capacity; the rest is left for the prefill.
 constexpr double queueingFraction = 0.6;
-// Waiting generations plan again at least this often, because this daemon is not notified when other daemons' work ends.
+// Waiting generations look for changes of capacity this often, because this daemon is not notified when other daemons' work ends.
 constexpr Duration capacityPollInterval = std::chrono::milliseconds(40);
+// Waiting generations plan again at least this often, because nothing notifies them when an engine is no longer avoided.
+constexpr Duration planningInterval = std::chrono::milliseconds(200);
 // Callers abandon a stream without events after two seconds; a started stream is resumed on another chain until shortly before that.
 constexpr Duration callerStallLimit = std::chrono::milliseconds(1900);
 
@@ -28,14 +30,16 @@
     const TimePoint latestStart = this->headSent ? this->lastProgress + callerStallLimit : bootNow() + scaled(this->task.route.targetLatency, queueingFraction);
     const TimePoint limit = std::min(this->task.deadline, latestStart);
     std::uint64_t seen = this->task.context.capacityChanges - 1;
+    TimePoint plannedAt;
     bool rateLimited = false;
     while (!this->task.caller->disconnected() && !this->task.handoverTarget()) {
         const std::optional<Duration> delay = this->task.rateLimitDelay();
         const bool delayed = delay != Duration::zero();
-        // Planning again can only succeed after capacity was released, a report of other daemons' work arrived or a first stage accepts
-        // requests again.
-        if (!delayed && (rateLimited || seen != this->task.context.capacityChanges)) {
+        // Planning again can only succeed after capacity was released, a report of other daemons' work arrived, a first stage accepts requests
+        // again, or an engine has been avoided for long enough.
+        if (!delayed && (rateLimited || seen != this->task.context.capacityChanges || bootNow() - plannedAt >= planningInterval)) {
             seen = this->task.context.capacityChanges;
+            plannedAt = bootNow();
             if (auto chain = planStream(this->task, this->task.history))
                 co_return chain;
         }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -16,6 +16,8 @@
 // third of their time.
 constexpr double minRetryAfterFraction = 0.1;
 constexpr double maxRetryAfterFraction = 0.25;
+// Status of an endpoint that is not the one named in the request.
+constexpr unsigned misdirectedStatus = 421;
 // Responses to other requests that are dropped before the connection is abandoned.
 constexpr int maximumMismatchedReplies = 2;
 // Time limit for reading and discarding the body of another request's response.
@@ -278,8 +280,11 @@
     std::optional<EndpointId> blamed;
     if (reply.faultAt)
         blamed = this->context.registry.findByAddress(*reply.faultAt);
-    if (reply.notExecuted)
-        return AttemptResult { AttemptEnd::NotExecuted, blamed || reply.status == 421 ? EndpointFault::Unreachable : EndpointFault::Failed, blamed, "not-executed-" + std::to_string(reply.status), reply.signals.pushback.has_value() };
+    if (reply.notExecuted) {
+        const EndpointFault fault = blamed ? EndpointFault::Refused : reply.status == misdirectedStatus ? EndpointFault::Unreachable
+                                                                                                        : EndpointFault::Failed;
+        return AttemptResult { AttemptEnd::NotExecuted, fault, blamed, "not-executed-" + std::to_string(reply.status), reply.signals.pushback.has_value() };
+    }
     if (!reply.sealed || !reply.id)
         return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, blamed, "not-authentic" };
     if (reply.status >= 500)
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
@@ -61,7 +61,9 @@
     std::vector<StageCandidate> candidates;
     const TimePoint now = bootNow();
     for (const EndpointRecord* record : task.context.registry.candidates(task.service, now)) {
-        if (!record->endpoint.layers.empty() && history.mayUse(record->endpoint.id))
+        const EndpointId& id = record->endpoint.id;
+        const bool permitted = history.mayUse(id) || (history.wasRefusedBy(id) && !EndpointRegistry::isRefusing(*record, now));
+        if (!record->endpoint.layers.empty() && permitted)
             candidates.push_back(stageCandidate(task.context.loads, task.context.rateLimits, *record, engine, now));
     }
     ChainRequest request;
