A stream leaves a chain with a suspected engine only for another chain

What callers saw: a single failed connection to an engine ended streams through it that paused for 150 ms, also where no other chain could serve the rest. The pause was also counted from the last event, so that a stream that had just been resumed was cut again at the next suspicion.

Change: the stream moves only if a chain or another gateway can take it now, as it does already when it is stalled for longer; the pause counts from the start of the attempt.

--- a/packages/Daemon/tests/StageRefusal.cpp
+++ b/packages/Daemon/tests/StageRefusal.cpp
@@ -19,6 +19,7 @@
 const std::string endOfHead = "\r\n\r\n";
 // Longer than the pause from which on a stream attributes its stall to a suspected engine, shorter than the one after which it is resumed.
 constexpr Duration pauseBetweenEvents = 350ms;
+constexpr auto suspectedStall = 200ms;
 constexpr Duration refusalDelay = 40ms;
 constexpr int lastEvent = 4;
 
@@ -91,3 +92,18 @@
     BOOST_TEST(this->stream->received().find(endOfStream) != std::string::npos);
     BOOST_TEST(this->sendsOfStream() == 1);
 }
+
+// Guards against streams that were cut although no other chain could serve the rest.
+BOOST_FIXTURE_TEST_CASE(streamStaysAtASuspectedEngineWhileThereIsNoOtherChain, Fixture)
+{
+    const std::string own = this->firstEngineOfStream();
+    this->putEndpoint(own == "engine-a1" ? "engine-b1" : "engine-a1", "draining");
+    const auto suspected = std::chrono::steady_clock::now() + suspectedStall;
+    BOOST_TEST_REQUIRE(this->await([&] { return std::chrono::steady_clock::now() >= suspected; }));
+    // A new connection to the first engine fails, which makes it suspected; the stream's connection lives on.
+    this->replicas.at(own)->setListening(false);
+    this->answer(*this->call("POST", "/chat/refused"), endOfHead);
+    this->answer(*this->stream, endOfStream);
+    BOOST_TEST(this->stream->received().find(endOfStream) != std::string::npos);
+    BOOST_TEST(this->sendsOfStream() == 1);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -95,7 +95,7 @@
     co_await sleepFor(context.io, stallTimeout);
     // The task may be destroyed during a wait: it must not be accessed before monitor->finished is checked.
     while (!monitor->finished) {
-        const auto historyAfter = task.historyAfterStall(endpoint);
+        const auto historyAfter = task.historyAfterStall(endpoint, endpoint);
         if (historyAfter && task.upstream && (pickEndpoint(task, *historyAfter) || task.canHandOver(*historyAfter)) && task.chargeRetryBudget()) {
             monitor->aborted = true;
             task.upstream->close();
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -76,10 +76,10 @@
     return affordable && mayRetry(attempts.state(this->timeLeft()), end);
 }
 
-std::optional<AttemptHistory> ForwardTask::historyAfterStall(const EndpointId& first) const
+std::optional<AttemptHistory> ForwardTask::historyAfterStall(const EndpointId& first, const EndpointId& blamed) const
 {
     AttemptHistory historyAfter = this->history;
-    historyAfter.noteFailure({ AttemptEnd::Lost, first, first, EndpointFault::Silent });
+    historyAfter.noteFailure({ AttemptEnd::Lost, first, blamed, EndpointFault::Silent });
     return this->canRetry(historyAfter, AttemptEnd::Lost) ? std::optional(std::move(historyAfter)) : std::nullopt;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -39,9 +39,9 @@
     /** \returns whether the retry policy and the shared retry budget permit another attempt after one with this end
      * \param history including that attempt */
     bool canRetry(const AttemptHistory& history, AttemptEnd) const;
-    /** \returns the attempt history as it will be if the stalled attempt at \a first is aborted now, or nothing when no
+    /** \returns the attempt history as it will be if the stalled attempt at \a first is aborted now because of \a blamed, or nothing when no
      * retry is permitted after it, so that the attempt must not be aborted */
-    std::optional<AttemptHistory> historyAfterStall(const EndpointId& first) const;
+    std::optional<AttemptHistory> historyAfterStall(const EndpointId& first, const EndpointId& blamed) const;
     /** \brief Charges the retry budget if the next send is a retry. Repeated calls before that send charge it only once.
      * \returns whether the request may be sent */
     bool chargeRetryBudget();
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -115,10 +115,8 @@
     for (const LayerStage& stage : chain.stages)
         this->engines.push_back(stage.endpoint);
     return this->task.context.streams.add(this->engines, [this](const EndpointId& engine, const std::string& evidence) {
-        if (bootNow() - this->lastProgress < suspectedStallTimeout || !this->task.upstream)
-            return;
-        // A suspected engine may still be alive: without a permitted retry, the stream stays on its chain.
-        if (!this->task.historyAfterStall(this->engines.front()) || !this->task.chargeRetryBudget())
+        // A suspected engine may still be alive: the stream stays on its chain until another one can serve it.
+        if (this->stallDuration() < suspectedStallTimeout || !this->prepareMove(this->engines.front(), engine))
             return;
         this->failedEngine = engine;
         this->failedEngineFault = EndpointFault::Failed;
@@ -127,10 +125,15 @@
     });
 }
 
+bool StreamForwarder::prepareMove(const EndpointId& first, const EndpointId& blamed)
+{
+    const auto historyAfter = this->task.historyAfterStall(first, blamed);
+    return historyAfter && this->task.upstream && (this->task.canHandOver(*historyAfter) || planStream(this->task, *historyAfter)) && this->task.chargeRetryBudget();
+}
+
 bool StreamForwarder::abandonStalledChain(const EndpointId& first)
 {
-    const auto historyAfter = this->task.historyAfterStall(first);
-    if (!historyAfter || !this->task.upstream || !(this->task.canHandOver(*historyAfter) || planStream(this->task, *historyAfter)) || !this->task.chargeRetryBudget())
+    if (!this->prepareMove(first, first))
         return false;
     this->abandonedStalledChain = true;
     this->task.upstream->close();
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -38,6 +38,9 @@
     boost::asio::awaitable<void> monitorAttempt(std::shared_ptr<AttemptMonitor>, ForwardMetadata);
     Duration stallDuration() const { return bootNow() - std::max(this->lastProgress, this->attemptStartedAt); }
     Duration stallLimit() const;
+    /** \brief Charges the retry budget if another chain or gateway could serve the rest of the stream now.
+     * \returns whether the attempt at \a first may be aborted because of \a blamed */
+    bool prepareMove(const EndpointId& first, const EndpointId& blamed);
     bool abandonStalledChain(const EndpointId& first);
     AttemptResult readFailure(const std::error_code&, const std::string& timeoutReason, const std::string& brokenReason) const;
     std::uint64_t subscribeToSuspicions(const LayerChain&);
