--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -16,8 +16,10 @@
 
 // Fraction of the route's target latency for which a generation may wait for free capacity; the rest is left for the prefill.
 constexpr double queueingFraction = 0.6;
-// Waiting generations plan again at least this often, because this daemon is not notified when other daemons' work ends.
+// Waiting generations look for changes of capacity this often, because this daemon is not notified when other daemons' work ends.
 constexpr Duration capacityPollInterval = std::chrono::milliseconds(40);
+// Waiting generations plan again at least this often, because nothing notifies them when an engine is no longer avoided.
+constexpr Duration planningInterval = std::chrono::milliseconds(200);
 // Callers abandon a stream without events after two seconds; a started stream is resumed on another chain until shortly before that.
 constexpr Duration callerStallLimit = std::chrono::milliseconds(1900);
 
@@ -28,14 +30,16 @@
     const TimePoint latestStart = this->headSent ? this->lastProgress + callerStallLimit : bootNow() + scaled(this->task.route.targetLatency, queueingFraction);
     const TimePoint limit = std::min(this->task.deadline, latestStart);
     std::uint64_t seen = this->task.context.capacityChanges - 1;
+    TimePoint plannedAt;
     bool rateLimited = false;
     while (!this->task.caller->disconnected() && !this->task.handoverTarget()) {
         const std::optional<Duration> delay = this->task.rateLimitDelay();
         const bool delayed = delay != Duration::zero();
-        // Planning again can only succeed after capacity was released, a report of other daemons' work arrived or a first stage accepts
-        // requests again.
-        if (!delayed && (rateLimited || seen != this->task.context.capacityChanges)) {
+        // Planning again can only succeed after capacity was released, a report of other daemons' work arrived, a first stage accepts requests
+        // again, or an engine has been avoided for long enough.
+        if (!delayed && (rateLimited || seen != this->task.context.capacityChanges || bootNow() - plannedAt >= planningInterval)) {
             seen = this->task.context.capacityChanges;
+            plannedAt = bootNow();
             if (auto chain = planStream(this->task, this->task.history))
                 co_return chain;
         }
@@ -81,6 +85,7 @@
         co_await this->task.respondFailure(this->refusalTime ? ErrorCode::RequestQuarantined : ErrorCode::NoPipeline, this->refusalTime);
         co_return;
     }
+    this->logBreakOff();
     // The caller must be able to detect that the stream is incomplete.
     this->task.logOutcome("broken-off", 0);
     this->task.caller->close();
@@ -91,6 +96,20 @@
     this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
 }
 
+void StreamForwarder::logBreakOff() const
+{
+    const TimePoint now = bootNow();
+    std::size_t avoided = 0;
+    std::size_t engines = 0;
+    for (const auto& [id, record] : this->task.context.registry.records()) {
+        if (record.endpoint.service != this->task.service || !EndpointRegistry::takesWork(record, now))
+            continue;
+        ++engines;
+        avoided += this->task.context.registry.isAvoided(record, now) ? 1 : 0;
+    }
+    this->task.logDecision("stream-broken-off", { { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "pausedMs", milliseconds(now - this->lastProgress) }, { "timeLeftMs", milliseconds(this->task.timeLeft()) }, { "engines", std::to_string(engines) }, { "avoided", std::to_string(avoided) }, { "retriesSaved", std::to_string(this->task.context.retryBudget(this->task.service).saved()) } });
+}
+
 asio::awaitable<void> StreamForwarder::run()
 {
     bool complete = false;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -16,6 +16,8 @@
 // third of their time.
 constexpr double minRetryAfterFraction = 0.1;
 constexpr double maxRetryAfterFraction = 0.25;
+// Status of an endpoint that is not the one named in the request.
+constexpr unsigned misdirectedStatus = 421;
 // Responses to other requests that are dropped before the connection is abandoned.
 constexpr int maximumMismatchedReplies = 2;
 // Time limit for reading and discarding the body of another request's response.
@@ -74,10 +76,10 @@
     return affordable && mayRetry(attempts.state(this->timeLeft()), end);
 }
 
-std::optional<AttemptHistory> ForwardTask::historyAfterStall(const EndpointId& first) const
+std::optional<AttemptHistory> ForwardTask::historyAfterStall(const EndpointId& first, const EndpointId& blamed) const
 {
     AttemptHistory historyAfter = this->history;
-    historyAfter.noteFailure({ AttemptEnd::Lost, first, first, EndpointFault::Silent });
+    historyAfter.noteFailure({ AttemptEnd::Lost, first, blamed, EndpointFault::Silent });
     return this->canRetry(historyAfter, AttemptEnd::Lost) ? std::optional(std::move(historyAfter)) : std::nullopt;
 }
 
@@ -100,13 +102,13 @@
     if (blamed == first && (result.fault == EndpointFault::Unreachable || result.fault == EndpointFault::Silent))
         this->context.noteUnreachable(first);
     if (result.fault == EndpointFault::Unreachable)
-        this->context.streams.notifySuspected(blamed);
+        this->context.streams.notifySuspected(blamed, "request " + this->request.id.str() + ": " + result.reason);
     this->history.noteFailure({ *result.failure, first, blamed, result.fault });
     const bool retry = this->canRetry(this->history, *result.failure);
     const AttemptState state = this->history.state(this->timeLeft());
     const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "evidence", result.evidence }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
     this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
@@ -278,8 +280,11 @@
     std::optional<EndpointId> blamed;
     if (reply.faultAt)
         blamed = this->context.registry.findByAddress(*reply.faultAt);
-    if (reply.notExecuted)
-        return AttemptResult { AttemptEnd::NotExecuted, blamed || reply.status == 421 ? EndpointFault::Unreachable : EndpointFault::Failed, blamed, "not-executed-" + std::to_string(reply.status), reply.signals.pushback.has_value() };
+    if (reply.notExecuted) {
+        const EndpointFault fault = blamed ? EndpointFault::Refused : reply.status == misdirectedStatus ? EndpointFault::Unreachable
+                                                                                                        : EndpointFault::Failed;
+        return AttemptResult { AttemptEnd::NotExecuted, fault, blamed, "not-executed-" + std::to_string(reply.status), reply.signals.pushback.has_value() };
+    }
     if (!reply.sealed || !reply.id)
         return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, blamed, "not-authentic" };
     if (reply.status >= 500)
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -38,12 +38,16 @@
     boost::asio::awaitable<void> monitorAttempt(std::shared_ptr<AttemptMonitor>, ForwardMetadata);
     Duration stallDuration() const { return bootNow() - std::max(this->lastProgress, this->attemptStartedAt); }
     Duration stallLimit() const;
+    /** \brief Charges the retry budget if another chain or gateway could serve the rest of the stream now.
+     * \returns whether the attempt at \a first may be aborted because of \a blamed */
+    bool prepareMove(const EndpointId& first, const EndpointId& blamed);
     bool abandonStalledChain(const EndpointId& first);
     AttemptResult readFailure(const std::error_code&, const std::string& timeoutReason, const std::string& brokenReason) const;
     std::uint64_t subscribeToSuspicions(const LayerChain&);
     boost::asio::awaitable<void> finish(bool complete);
     void reportChainHealthy();
     void logChain(const LayerChain&) const;
+    void logBreakOff() const;
 
     ForwardTask& task;
     std::optional<std::uint64_t> lastEventId; ///< last event that the caller received
@@ -53,6 +57,7 @@
     bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
     std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
     EndpointFault failedEngineFault = EndpointFault::Failed; ///< how failedEngine failed
+    std::string failedEngineEvidence; ///< for the log: why failedEngine counts as failed
     std::optional<Duration> refusalTime; ///< for which the request is refused because it may crash endpoints
     std::vector<EndpointId> engines; ///< engines of the chain in use
     std::uint32_t eventsInAttempt = 0;
