Tests of partitioned gateways: a retry for each stream that a gateway's end breaks, a finer look at a caller's leaving

Twelve streams that break at once need more retries than the budget of a fifth of the requests holds; the budget's refusals are right (10 of 12 went on). With a retry for each request all twelve must go on. Requests that were not served are reported with the gateways' log.

--- a/testing/filbertspoke/src/PlatformTesting/PartitionScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/PartitionScene.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -17,7 +18,7 @@
 const std::string endOfStream = "0\r\n\r\n";
 const std::string servedBody = "served";
 const std::vector<std::string> paths { "/chat/x", "/book/x", "/stock/x" };
-constexpr int eventsOfAStream = 6;
+constexpr unsigned retryReserve = 200;
 constexpr std::chrono::milliseconds callInterval { 25 };
 constexpr std::chrono::milliseconds callLimit { 4000 };
 
@@ -47,7 +48,7 @@
     return received.empty() ? CallEnd::Unread : CallEnd::BrokenOff;
 }
 
-PartitionScene::PartitionScene(const std::vector<std::string>& failureDomains)
+PartitionScene::PartitionScene(const std::vector<std::string>& failureDomains, double retryRatio)
     : folder("/tmp/filbertspoke-partition-" + std::to_string(getpid()))
 {
     std::filesystem::create_directories(this->folder);
@@ -60,8 +61,7 @@
         if (!this->domains.contains(domain))
             this->addDomain(domain);
         const auto index = static_cast<std::uint32_t>(firstGatewayAddress + this->gateways.size());
-        GatewayText text { "gateway-" + std::to_string(this->gateways.size()), domain, port(index), port(index), port(index), this->domains.at(domain).store->address(), {} };
-        text.handover = port(index);
+        GatewayText text { "gateway-" + std::to_string(this->gateways.size()), domain, port(index), port(index), port(index), this->domains.at(domain).store->address(), {}, retryReserve, retryRatio, GatewayText().stopTimeout, port(index) };
         seeds.push_back(text.peers);
         this->gateways.push_back({ std::move(text), nullptr });
     }
@@ -115,7 +115,7 @@
         return script;
     }
     script.pieces.push_back(streamHead(request));
-    for (int event = forwarded.lastEvent + 1; event <= eventsOfAStream; ++event)
+    for (int event = forwarded.lastEvent + 1; event <= this->eventsOfAStream; ++event)
         script.pieces.push_back(eventChunk(event));
     script.pieces.push_back(lastChunk());
     script.pause = this->eventPause;
@@ -131,7 +131,7 @@
 PlacedCall PartitionScene::call(std::size_t gateway, const std::string& path)
 {
     PlacedCall call { gateway, path, "request-" + std::to_string(++this->calls), Clock::now(), nullptr };
-    const std::string text = callText({ path.starts_with("/stock/") ? "GET" : "POST", path, call.id, callLimit });
+    const std::string text = callText({ path.starts_with("/stock/") ? "GET" : "POST", path, call.id, callLimit, "key-1", {} });
     call.caller = std::make_unique<RawCaller>(this->context, this->gateways.at(gateway).text.callers, text);
     return call;
 }
@@ -183,7 +183,25 @@
 
 void PartitionScene::kill(std::size_t gateway)
 {
-    this->gateways.at(gateway).process.reset();
+    const auto process = std::move(this->gateways.at(gateway).process);
+    if (!process)
+        return;
+    process->kill();
+    while (const auto line = process->readLine())
+        this->log += *line + '\n';
+}
+
+std::string PartitionScene::logOf(const std::string& id)
+{
+    for (std::size_t gateway = 0; gateway < this->gateways.size(); ++gateway)
+        this->kill(gateway);
+    std::istringstream lines(this->log);
+    std::string about;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.find('"' + id + '"') != std::string::npos)
+            about += line + '\n';
+    }
+    return about;
 }
 
 ServedCount servedAt(const std::vector<PlacedCall>& calls, const std::vector<std::size_t>& gateways, std::chrono::steady_clock::time_point since)
--- a/testing/filbertspoke/src/PlatformTesting/PartitionScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/PartitionScene.h
@@ -57,8 +57,9 @@
  */
 class PartitionScene {
 public:
-    /** \brief Starts a gateway in each of the failure domains, of which one may occur several times, and waits until all are ready. */
-    explicit PartitionScene(const std::vector<std::string>& failureDomains);
+    /** \brief Starts a gateway in each of the failure domains, of which one may occur several times, and waits until all are ready.
+     * \param retryRatio retries that a gateway saves up for with each request */
+    explicit PartitionScene(const std::vector<std::string>& failureDomains, double retryRatio = 0.2);
     ~PartitionScene();
 
     /** \brief Sets the links between the gateways of the failure domain and all endpoints. */
@@ -78,7 +79,12 @@
 
     bool await(const std::function<bool()>& condition) { return runUntil(this->context, condition); }
 
+    /** \brief Ends all gateways.
+     * \returns what they wrote on the request */
+    std::string logOf(const std::string& id);
+
     std::chrono::milliseconds eventPause { 5 }; ///< between the events of a generation
+    int eventsOfAStream = 6;
 
     struct Gateway {
         GatewayText text;
@@ -100,6 +106,7 @@
     std::map<std::string, std::unique_ptr<ReplicaStandIn>> endpoints;
     std::map<std::string, Domain> domains;
     std::size_t calls = 0;
+    std::string log; ///< of the gateways that were ended
     std::string folder;
 };
 
