A failing test: bookings are lost while open connections to endpoints hang

What callers see: a gateway is partitioned from all endpoints, and connections to them that are open hang.

A call that must not be repeated is waited for until its deadline, and nothing tells meanwhile that its endpoint is unreachable.

--- a/packages/Daemon/tests/EndpointPartition.cpp
+++ b/packages/Daemon/tests/EndpointPartition.cpp
@@ -103,6 +103,16 @@
     }
 
     void check(LinkState state) { this->checkPartition(state, { 0 }, { 1 }); }
+
+    /** \brief Lets the gateway open many connections to endpoints of the plain service, which stay open. */
+    void openConnections(std::size_t gateway)
+    {
+        constexpr std::size_t connections = 30;
+        std::vector<PlacedCall> calls;
+        for (std::size_t connection = 0; connection < connections; ++connection)
+            calls.push_back(this->call(gateway, "/book/x"));
+        this->awaitEnds(calls);
+    }
 };
 
 struct WholeDomain : Scene {
@@ -174,6 +184,19 @@
     this->check(LinkState::Unanswered);
 }
 
+// Guards against a gateway that waits for the deadlines of requests that must not be repeated before it finds out that its connections hang.
+BOOST_FIXTURE_TEST_CASE(bookingsAreServedWhileOpenConnectionsHang, SingleGateway)
+{
+    this->openConnections(0);
+    const auto begin = Clock::now();
+    this->setLinks("zone-a", LinkState::Hanging);
+    const std::vector<PlacedCall> calls = this->callAll(partitionTime, 100ms, { "/book/x" });
+    this->awaitEnds(calls);
+    this->checkShare(calls, { 0 }, { 1 }, begin + adjustmentTime);
+    this->checkEach(calls);
+    this->reportUnserved(calls, { 0 });
+}
+
 // The gateway that took the requests ends: its streams go on elsewhere, and bookings that may have run are not sent again.
 BOOST_FIXTURE_TEST_CASE(requestsSurviveTheEndOfTheGatewayThatTookThem, TwoHelpers)
 {
--- a/testing/filbertspoke/src/PlatformTesting/PartitionScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/PartitionScene.cpp
@@ -17,9 +17,7 @@
 
 const std::string endOfStream = "0\r\n\r\n";
 const std::string servedBody = "served";
-const std::vector<std::string> paths { "/chat/x", "/book/x", "/stock/x" };
 constexpr unsigned retryReserve = 200;
-constexpr std::chrono::milliseconds callInterval { 25 };
 constexpr std::chrono::milliseconds callLimit { 4000 };
 
 struct EndpointPlan {
@@ -136,7 +134,7 @@
     return call;
 }
 
-std::vector<PlacedCall> PartitionScene::callAll(std::chrono::milliseconds duration)
+std::vector<PlacedCall> PartitionScene::callAll(std::chrono::milliseconds duration, std::chrono::milliseconds interval, const std::vector<std::string>& paths)
 {
     std::vector<PlacedCall> calls;
     const auto until = Clock::now() + duration;
@@ -146,7 +144,7 @@
         const auto now = Clock::now();
         if (now >= until || now < next)
             return now >= until;
-        next += callInterval;
+        next += interval;
         for (std::size_t gateway = 0; gateway < this->gateways.size(); ++gateway) {
             if (this->gateways[gateway].process)
                 calls.push_back(this->call(gateway, paths[round % paths.size()]));
--- a/testing/filbertspoke/src/PlatformTesting/PartitionScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/PartitionScene.h
@@ -66,8 +66,8 @@
     void setLinks(const std::string& failureDomain, LinkState);
     /** \brief Sends a request: a generation ("/chat/"), a booking ("/book/") or a look-up ("/stock/"). */
     PlacedCall call(std::size_t gateway, const std::string& path);
-    /** \brief Sends requests of all kinds at all gateways that run, in short intervals, for the time. */
-    std::vector<PlacedCall> callAll(std::chrono::milliseconds);
+    /** \brief Sends requests at all gateways that run, each time one at each, for the paths in turn. */
+    std::vector<PlacedCall> callAll(std::chrono::milliseconds duration, std::chrono::milliseconds interval = std::chrono::milliseconds(25), const std::vector<std::string>& paths = { "/chat/x", "/book/x", "/stock/x" });
     /** \brief Waits until each of the requests has an answer or its connection is closed. */
     void awaitEnds(const std::vector<PlacedCall>&);
     /** \returns how often, and how many endpoints, the request reached */
