Probe an endpoint at which a call is silent, whatever the call's kind

What callers saw: bookings at a gateway whose open connections to endpoints hang got 502 at their deadlines, one after the other for each open connection, although another gateway reached the endpoints.

Cause: only new connections are evidence of a gateway's own reachability. A call that must not be repeated, or whose retry the budget does not pay for, is waited for on its open connection until the deadline, and nothing asks meanwhile whether its endpoint is reachable. Ruled out: the hand-over itself, which serves generations and look-ups in the same cut (Daemon.EndpointPartition.firstTriesAreServedWhileConnectionsToEndpointsHang passed before).

Change: after the time at which an idempotent call would be retried elsewhere, the endpoint is asked by a new connection, at most once in 0.3 s. The call goes on.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointReachability.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointReachability.cpp
@@ -66,6 +66,12 @@
     return this->current == Reachability::Suspect ? probesWhenSuspect : 1;
 }
 
+bool EndpointReachability::takeSilenceProbe(const EndpointId& endpoint, TimePoint now)
+{
+    std::erase_if(this->silenceProbes, [now](const auto& probe) { return now - probe.second >= probeInterval; });
+    return this->silenceProbes.emplace(endpoint, now).second;
+}
+
 double EndpointReachability::ownShare() const
 {
     if (this->current == Reachability::Reachable)
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointReachability.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointReachability.h
@@ -24,8 +24,8 @@
  * Load pattern: a daemon is partitioned from all endpoints for some seconds, while callers, the store and the other daemons still reach it. It would go
  * on taking requests that it can't serve, spend retries on them and tell other daemons that sound endpoints are unreachable.
  *
- * Only new connections count as evidence that endpoints are reachable: during some partitions, old ones live on while new ones are refused. When
- * several endpoints fail, others are probed, so that the loss of a few endpoints is told from a partition. After a partition, the daemon sends a share
+ * Only new connections count as evidence that endpoints are reachable: during some partitions, old ones live on while new ones are refused. An endpoint
+ * that is silent is probed, since a request that must not be repeated would otherwise tell nothing until its deadline. When several endpoints fail, others are probed, so that the loss of a few endpoints is told from a partition. After a partition, the daemon sends a share
  * of the requests itself that grows with each connection which an endpoint accepts.
  *
  * Does no input or output.
@@ -43,6 +43,8 @@
     Reachability state() const { return this->current; }
     /** \returns the number of endpoints to which a connection is to be tried now; they count as being tried */
     std::size_t takeProbes(TimePoint now);
+    /** \returns whether a connection to the endpoint, at which a request is without a response, is to be tried now; it counts as being tried */
+    bool takeSilenceProbe(const EndpointId&, TimePoint now);
     /** \returns whether the last failures include the endpoint, so that another one tells more */
     bool hasFailed(const EndpointId& endpoint) const { return this->failures.contains(endpoint); }
     /** \returns the share of the requests that this daemon sends to endpoints itself, from 0 to 1 */
@@ -53,6 +55,7 @@
     std::map<EndpointId, TimePoint> failures; ///< since an endpoint last accepted a connection
     unsigned confirmations = 0; ///< connections accepted in a row while cut off
     TimePoint probedAt;
+    std::map<EndpointId, TimePoint> silenceProbes; ///< when a connection was last tried because of a silence
 };
 
 }
--- a/packages/Gateway/tests/EndpointReachability.cpp
+++ b/packages/Gateway/tests/EndpointReachability.cpp
@@ -99,3 +99,12 @@
     BOOST_TEST(this->is(Reachability::Reachable));
     BOOST_TEST(this->reachability.ownShare() == 1);
 }
+
+// Load pattern: many requests wait at one slow endpoint.
+BOOST_FIXTURE_TEST_CASE(silentEndpointIsProbedOnceInAnInterval, Fixture)
+{
+    BOOST_TEST(this->reachability.takeSilenceProbe(endpoint(1), this->now));
+    BOOST_TEST(this->reachability.takeSilenceProbe(endpoint(2), this->now));
+    BOOST_TEST(!this->reachability.takeSilenceProbe(endpoint(1), this->now + 299ms));
+    BOOST_TEST(this->reachability.takeSilenceProbe(endpoint(1), this->now + 300ms));
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -17,14 +17,12 @@
 
 using internal::sleepFor;
 
-// An idempotent call without a response is retried at another endpoint after this multiple of its route's target latency, but
-// not before minStallTimeout.
+// The endpoint of a call without a response is probed, and an idempotent call retried at another one, after this multiple of its route's target latency,
+// but not before minStallTimeout.
 constexpr int stallLatencyFactor = 2;
 constexpr Duration minStallTimeout = std::chrono::milliseconds(150);
 // Responses are buffered completely. Plain services send a few kilobytes; a host has memory for a hundred responses of this size.
 constexpr std::size_t maximumResponseBytes = 1024 * 1024;
-// A replica that is alive accepts a connection within a few milliseconds.
-constexpr Duration crashCheckTimeout = std::chrono::milliseconds(250);
 // Interval of checks for another endpoint while a call is stalled.
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(50);
 
@@ -72,15 +70,8 @@
 asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<RequestTraitId> traits, SocketAddress address, EndpointRun run, TimePoint sentAt)
 {
     const TimePoint brokenAt = bootNow();
-    const UpstreamPointer connection = context.pool.create(address);
-    const std::error_code refused = co_await connection->connect(crashCheckTimeout);
-    connection->close();
-    if (!refused) {
-        context.noteConnected(run.endpoint);
-        co_return;
-    }
-    context.noteUnreachable(run.endpoint);
-    context.noteCrash(traits, run, sentAt, brokenAt);
+    if (!co_await probeEndpoint(context, run.endpoint, address))
+        context.noteCrash(traits, run, sentAt, brokenAt);
 }
 
 /** \brief State of the coroutine that monitors one attempt; shared because it may outlive the attempt. */
@@ -89,13 +80,16 @@
     bool aborted = false; ///< the attempt was aborted because it had no response
 };
 
-/** \brief Aborts an attempt that has no response after \a stallTimeout, as soon as a retry at another endpoint is possible. */
-asio::awaitable<void> monitorStall(GatewayContext& context, ForwardTask& task, std::shared_ptr<StallMonitor> monitor, EndpointId endpoint, Duration stallTimeout)
+/** \brief Finds out whether an endpoint without a response after \a stallTimeout is reachable, and aborts the attempt as soon as a retry at another one is possible. */
+asio::awaitable<void> monitorStall(GatewayContext& context, ForwardTask& task, std::shared_ptr<StallMonitor> monitor, RegisteredEndpoint endpoint, Duration stallTimeout)
 {
     co_await sleepFor(context.io, stallTimeout);
+    // A call that can't be retried is waited for, and would tell nothing until its deadline.
+    if (!monitor->finished && context.reachability(endpoint.service).takeSilenceProbe(endpoint.id, bootNow()))
+        asio::co_spawn(context.io, probeEndpoint(context, endpoint.id, endpoint.address), asio::detached);
     // The task may be destroyed during a wait: it must not be accessed before monitor->finished is checked.
-    while (!monitor->finished) {
-        const auto historyAfter = task.historyAfterStall(endpoint);
+    while (!monitor->finished && task.route.kind == RouteKind::Idempotent) {
+        const auto historyAfter = task.historyAfterStall(endpoint.id);
         if (historyAfter && task.upstream && (pickEndpoint(task, *historyAfter) || task.canHandOver(*historyAfter)) && task.chargeRetryBudget()) {
             monitor->aborted = true;
             task.upstream->close();
@@ -108,8 +102,7 @@
 asio::awaitable<AttemptResult> readResponse(ForwardTask& task, UpstreamPointer connection, const RegisteredEndpoint endpoint)
 {
     const auto monitor = std::make_shared<StallMonitor>();
-    if (task.route.kind == RouteKind::Idempotent)
-        asio::co_spawn(task.context.io, monitorStall(task.context, task, monitor, endpoint.id, std::max<Duration>(minStallTimeout, task.route.targetLatency * stallLatencyFactor)), asio::detached);
+    asio::co_spawn(task.context.io, monitorStall(task.context, task, monitor, endpoint, std::max<Duration>(minStallTimeout, task.route.targetLatency * stallLatencyFactor)), asio::detached);
     const Result<EndpointReply> reply = co_await task.readReply(connection, endpoint.id, task.timeLeft());
     monitor->finished = true;
     if (!reply) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ReachabilityProber.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ReachabilityProber.cpp
@@ -22,6 +22,18 @@
 
 }
 
+asio::awaitable<bool> probeEndpoint(GatewayContext& context, EndpointId endpoint, SocketAddress address)
+{
+    const UpstreamPointer connection = context.pool.create(address);
+    const std::error_code error = co_await connection->connect(probeTimeout);
+    connection->close();
+    if (error)
+        context.noteUnreachable(endpoint);
+    else
+        context.noteConnected(endpoint);
+    co_return !error;
+}
+
 void ReachabilityProber::start()
 {
     asio::co_spawn(this->context.io, this->run(), asio::detached);
@@ -50,18 +62,7 @@
     std::stable_partition(records.begin(), records.end(), [&](const EndpointRecord* record) { return !this->context.reachability(service).hasFailed(record->endpoint.id); });
     records.resize(std::min(records.size(), count));
     for (const EndpointRecord* record : records)
-        asio::co_spawn(this->context.io, this->probe(record->endpoint.id, record->endpoint.address), asio::detached);
-}
-
-asio::awaitable<void> ReachabilityProber::probe(EndpointId endpoint, SocketAddress address)
-{
-    const UpstreamPointer connection = this->context.pool.create(address);
-    const std::error_code error = co_await connection->connect(probeTimeout);
-    connection->close();
-    if (error)
-        this->context.noteUnreachable(endpoint);
-    else
-        this->context.noteConnected(endpoint);
+        asio::co_spawn(this->context.io, probeEndpoint(this->context, record->endpoint.id, record->endpoint.address), asio::detached);
 }
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ReachabilityProber.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ReachabilityProber.h
@@ -7,6 +7,10 @@
 
 namespace filbertspoke {
 
+/** \brief Tries a new connection to the endpoint, and records whether it is accepted.
+ * \returns whether it is */
+boost::asio::awaitable<bool> probeEndpoint(GatewayContext&, EndpointId, SocketAddress);
+
 /** \brief Tries connections to endpoints of services from which this daemon seems to be cut off. */
 class ReachabilityProber {
 public:
@@ -20,7 +24,6 @@
 
 private:
     boost::asio::awaitable<void> run();
-    boost::asio::awaitable<void> probe(EndpointId, SocketAddress);
     void startProbes(const ServiceId&, std::size_t count);
 
     GatewayContext& context;
