--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -106,7 +106,7 @@
     const AttemptState state = this->history.state(this->timeLeft());
     const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "service", this->service.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
     this->context.metrics.count({ "attempts_failed_total", result.reason });
     this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
@@ -197,7 +197,7 @@
 
 void ForwardTask::logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const
 {
-    fields.insert(fields.begin(), { "request", this->request.id.str() });
+    fields.insert(fields.begin(), { { "request", this->request.id.str() }, { "service", this->service.str() } });
     fields.emplace_back("configuration", this->context.table ? std::to_string(this->context.table->version()) : "none");
     fields.emplace_back("endpointsRevision", std::to_string(this->context.registry.revision()));
     fields.emplace_back("othersWorkAgeMs", this->context.lastLoadReportAt ? milliseconds(bootNow() - *this->context.lastLoadReportAt) : "none");
@@ -211,7 +211,7 @@
 
 void ForwardTask::logOutcome(const std::string& outcome, unsigned status) const
 {
-    logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->history.attemptCount()) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
+    logLine(WriteLog::Level::Info, "request-ended", { { "request", this->request.id.str() }, { "route", this->route.name }, { "service", this->service.str() }, { "fingerprint", this->fingerprint.str() }, { "outcome", outcome }, { "status", std::to_string(status) }, { "tookMs", milliseconds(bootNow() - this->received) }, { "sends", std::to_string(this->history.attemptCount()) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
     this->context.metrics.count({ "requests_total", outcome });
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -1,5 +1,7 @@
 #include <filbertspoke/Proxy>
 
+#include "internal/PlacementLog.h"
+
 #include <algorithm>
 #include <functional>
 #include <random>
@@ -58,6 +60,7 @@
     if (!*decoded || (this->table && (*decoded)->version() <= this->table->version()))
         return;
     logLine(WriteLog::Level::Info, "configuration-in-force", { { "version", std::to_string((*decoded)->version()) }, { "before", this->table ? std::to_string(this->table->version()) : "none" }, { "source", source } });
+    internal::logEngineProfiles(this->table.get(), **decoded);
     this->table = std::make_shared<const ForwardingTable>(std::move(**decoded));
     this->document = document;
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -1,6 +1,7 @@
 #include <filbertspoke/Proxy>
 
 #include "internal/Awaiting.h"
+#include "internal/PlacementLog.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,6 +14,8 @@
 
 namespace {
 
+using internal::differsBeyondHeartbeat;
+using internal::logEndpoint;
 using internal::sleepFor;
 
 // Time for which the store holds a long poll of the configuration without changes. It is short enough to detect a dead connection
@@ -225,8 +228,13 @@
     }
     std::vector<RegisteredEndpoint> endpoints;
     for (const StoreRecord& record : records) {
-        if (auto endpoint = record.value ? this->readEndpoint(record) : std::nullopt)
-            endpoints.push_back(std::move(*endpoint));
+        auto endpoint = record.value ? this->readEndpoint(record) : std::nullopt;
+        if (!endpoint)
+            continue;
+        const EndpointRecord* known = this->context.registry.find(endpoint->id);
+        if (!known || differsBeyondHeartbeat(known->endpoint, *endpoint))
+            logEndpoint(*endpoint);
+        endpoints.push_back(std::move(*endpoint));
     }
     this->context.applyEndpoints(endpoints, "store");
     logLine(WriteLog::Level::Info, "endpoints-read", { { "endpoints", std::to_string(endpoints.size()) } });
@@ -247,7 +255,7 @@
             GatewayContext::logRemoval(id, this->context.registry.remove(id, now), "store", viewAge);
         } else if (const auto endpoint = this->readEndpoint(record)) {
             if (this->context.registry.update(*endpoint))
-                logLine(WriteLog::Level::Info, "endpoint-changed", { { "endpoint", record.key }, { "service", endpoint->service.str() }, { "domain", endpoint->failureDomain.str() }, { "draining", endpoint->draining ? "yes" : "no" }, { "firstLayer", std::to_string(endpoint->layers.first()) }, { "lastLayer", std::to_string(endpoint->layers.last()) } });
+                logEndpoint(*endpoint);
         }
     }
     this->context.registry.expire(now);
