--- a/packages/Report/filbertspoke/src/Report/LayerFlow.cpp
+++ b/packages/Report/filbertspoke/src/Report/LayerFlow.cpp
@@ -16,6 +16,7 @@
 bool carries(const std::vector<LayerHolder>& holders, std::uint32_t layers, double generations)
 {
     std::vector<double> room;
+    room.reserve(holders.size());
     for (const LayerHolder& holder : holders)
         room.push_back(holder.room);
     for (std::uint32_t layer = 0; layer < layers; ++layer) {
--- a/packages/Report/filbertspoke/src/Report/PlacementState.cpp
+++ b/packages/Report/filbertspoke/src/Report/PlacementState.cpp
@@ -154,6 +154,7 @@
 std::vector<std::string> PlacementState::services() const
 {
     std::vector<std::string> names;
+    names.reserve(this->profiles.size());
     for (const auto& [name, profile] : this->profiles)
         names.push_back(name);
     return names;
--- a/packages/Report/filbertspoke/src/Report/ReportFormat.cpp
+++ b/packages/Report/filbertspoke/src/Report/ReportFormat.cpp
@@ -108,6 +108,7 @@
 std::string toText(const Table& table)
 {
     std::vector<std::size_t> widths;
+    widths.reserve(table.columns.size());
     for (const std::string& column : table.columns)
         widths.push_back(column.size());
     for (const auto& row : table.rows) {
--- a/packages/Report/tests/LossOfEngines.cpp
+++ b/packages/Report/tests/LossOfEngines.cpp
@@ -141,6 +141,7 @@
     void place()
     {
         std::vector<PlaceableEngine> known;
+        known.reserve(this->engines.size());
         for (const SimulatedEngine& engine : this->engines)
             known.push_back(engine.engine);
         for (const LayerAssignment& assignment : placeLayers(this->profile, known)) {
--- a/packages/Report/tests/Placement.cpp
+++ b/packages/Report/tests/Placement.cpp
@@ -81,8 +81,7 @@
 
 BOOST_AUTO_TEST_CASE(whatSlowerGatewaysReportAgainChangesNothing)
 {
-    std::vector<std::string> lines = with(twoCopies, { engineText("2.1", "a1", "a", 0, 3, 1000, 7), engineText("2.2", "a1", "a", 0, 5, 1000, 1, "g2"), engineText("2.3", "a1", "a", 0, 3, 1000, 7, "g2"),
-                                                            logText("3.1", "g1", "endpoint-removed", { { "endpoint", "a1" } }), engineText("3.2", "a1", "a", 0, 3, 1000, 7, "g2"), logText("3.3", "g2", "endpoint-removed", { { "endpoint", "a1" } }) });
+    std::vector<std::string> lines = with(twoCopies, { engineText("2.1", "a1", "a", 0, 3, 1000, 7), engineText("2.2", "a1", "a", 0, 5, 1000, 1, "g2"), engineText("2.3", "a1", "a", 0, 3, 1000, 7, "g2"), logText("3.1", "g1", "endpoint-removed", { { "endpoint", "a1" } }), engineText("3.2", "a1", "a", 0, 3, 1000, 7, "g2"), logText("3.3", "g2", "endpoint-removed", { { "endpoint", "a1" } }) });
     const Report report = fold(lines);
     BOOST_TEST(rowAt(report, 2).counts.enginesLost == 0);
     BOOST_TEST(rowAt(report, 3).counts.enginesLost == 1);
--- a/packages/Report/tests/Seconds.cpp
+++ b/packages/Report/tests/Seconds.cpp
@@ -145,8 +145,10 @@
     RequestTrace trace("r1");
     for (const std::string& line : { ended("3.0", "g1", "r1", "answered", "200"), about("1.0", "g1", "chain-chosen", "r1"), about("2.0", "g2", "request-taken-over", "r1"), about("2.0", "g2", "request-taken-over", "r12"), std::string("r1 of no log") })
         trace.add(line);
+    const std::vector<LogLine> lines = trace.inOrder();
     std::vector<std::string> events;
-    for (const LogLine& line : trace.inOrder())
+    events.reserve(lines.size());
+    for (const LogLine& line : lines)
         events.push_back(line.event);
     BOOST_TEST(events == (std::vector<std::string> { "chain-chosen", "request-taken-over", "request-ended" }), boost::test_tools::per_element());
     BOOST_TEST(formatTrace(trace.inOrder(), CsvFormat {}).find("2.000,g1,request-ended") != std::string::npos);
