Set the time-outs of every TCP connection in one place

Cause: TCP_USER_TIMEOUT was set on three kinds of connection (callers and endpoints of the gateway, Thrift frames that are sent), keep-alive on none. A connection to a host that is gone stayed open where nothing was sent: servers for peers, readiness, metrics and operators have no idle limit, so that each lost peer kept a descriptor. Ruled out: limits of exchanges (they end requests, not accepted connections). Change: the package Socket has the values by kind of connection and sets them; all connections that a daemon opens or accepts use it.

--- a/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
@@ -3,6 +3,8 @@
 #include "CallerServerState.h"
 #include "ResponseBody.h"
 
+#include <filbertspoke/Socket>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -50,6 +52,7 @@
 {
     boost::system::error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    setSocketTimeouts(this->socket.native_handle(), socketTimeoutsFor(ConnectionKind::Caller));
 }
 
 void CallerSession::start()
--- a/packages/Endpoint/filbertspoke/src/Endpoint/EndpointPool.h
+++ b/packages/Endpoint/filbertspoke/src/Endpoint/EndpointPool.h
@@ -24,7 +24,7 @@
     std::size_t stepConnections = 4; ///< connections to one engine, each with at most one frame in flight
     std::size_t stepsPerFrame = 64; ///< maximum number of steps in one frame
     std::size_t idleCallConnections = 4; ///< idle connections kept open to one replica
-    HttpLimits limits; ///< of every connection
+    HttpLimits limits { .socketTimeouts = socketTimeoutsFor(ConnectionKind::Endpoint) }; ///< of every connection
 
     bool operator==(const EndpointSettings&) const = default;
 };
--- a/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -122,6 +122,7 @@
             self->connected = true;
             beast::error_code ignored;
             channel->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            setSocketTimeouts(channel->stream.socket().native_handle(), self->limits.socketTimeouts);
             self->write();
         });
 }
--- a/packages/Http/filbertspoke/src/Http/HttpConnection.h
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.h
@@ -4,6 +4,7 @@
 #include "HttpMessage.h"
 
 #include <filbertspoke/Core>
+#include <filbertspoke/Socket>
 
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +34,7 @@
     Duration idleTimeout = std::chrono::seconds(4); ///< an unused connection is closed after this
     std::size_t responseBytes = 64 * 1024 * 1024; ///< a response with a larger body fails the exchange
     Duration transferAllowance = Duration::zero(); ///< how far a response whose data keeps arriving may exceed its timeout; 0 for a fixed timeout
+    SocketTimeouts socketTimeouts = socketTimeoutsFor(ConnectionKind::Store);
 
     bool operator==(const HttpLimits&) const = default;
 };
--- a/packages/Http/filbertspoke/src/Http/HttpServer.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpServer.cpp
@@ -56,9 +56,10 @@
 
 class HttpServer::State : public std::enable_shared_from_this<State> {
 public:
-    State(asio::io_context& context, const tcp::endpoint& endpoint, Handler handler)
+    State(asio::io_context& context, const tcp::endpoint& endpoint, Handler handler, ConnectionKind kind)
         : acceptor(context, endpoint)
         , handler(std::move(handler))
+        , socketTimeouts(socketTimeoutsFor(kind))
     {
     }
 
@@ -70,6 +71,7 @@
 
 private:
     Handler handler;
+    SocketTimeouts socketTimeouts;
     std::set<std::shared_ptr<tcp::socket>> sockets;
 };
 
@@ -82,6 +84,7 @@
             continue;
         auto socket = std::make_shared<tcp::socket>(std::move(accepted));
         socket->set_option(tcp::no_delay(true), error);
+        setSocketTimeouts(socket->native_handle(), this->socketTimeouts);
         this->sockets.insert(socket);
         asio::co_spawn(this->acceptor.get_executor(), this->serve(socket), asio::detached);
     }
@@ -121,8 +124,8 @@
         socket->close(ignored);
 }
 
-HttpServer::HttpServer(asio::io_context& context, const HttpAddress& address, Handler handler)
-    : state(std::make_shared<State>(context, tcp::endpoint(asio::ip::make_address(address.address), address.port), std::move(handler)))
+HttpServer::HttpServer(asio::io_context& context, const HttpAddress& address, Handler handler, ConnectionKind kind)
+    : state(std::make_shared<State>(context, tcp::endpoint(asio::ip::make_address(address.address), address.port), std::move(handler), kind))
 {
     asio::co_spawn(context, this->state->listen(), asio::detached);
 }
--- a/packages/Http/filbertspoke/src/Http/HttpServer.h
+++ b/packages/Http/filbertspoke/src/Http/HttpServer.h
@@ -23,9 +23,10 @@
     using Handler = std::function<boost::asio::awaitable<std::optional<HttpResponse>>(HttpRequest)>;
 
     /** \brief Starts listening; with port 0, on any free port.
+     * \param kind of the accepted connections; a server has no other limit on idle ones
      * \throws boost::system::system_error when the address can't be bound
      */
-    HttpServer(boost::asio::io_context&, const HttpAddress&, Handler);
+    HttpServer(boost::asio::io_context&, const HttpAddress&, Handler, ConnectionKind kind = ConnectionKind::Operator);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- a/packages/Peer/filbertspoke/src/Peer/PeerLink.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/PeerLink.cpp
@@ -129,6 +129,7 @@
 {
     if (this->incoming.size() >= this->settings.maximumInboundConnections)
         return;
+    setSocketTimeouts(socket.native_handle(), this->settings.socketTimeouts);
     auto self = this->shared_from_this();
     auto connection = std::make_shared<internal::PeerInbound>(
         std::move(socket), this->settings, this->counts,
--- a/packages/Peer/filbertspoke/src/Peer/PeerLinkSettings.h
+++ b/packages/Peer/filbertspoke/src/Peer/PeerLinkSettings.h
@@ -2,6 +2,7 @@
 #define FILBERTSPOKE_PEER_LINK_SETTINGS_H
 
 #include <filbertspoke/Core>
+#include <filbertspoke/Socket>
 
 #include <chrono>
 #include <cstddef>
@@ -17,9 +18,10 @@
     std::uint16_t port = 0; ///< for TCP and UDP; 0 lets the system choose
 
     Duration connectTimeout = std::chrono::seconds(1);
-    Duration writeTimeout = std::chrono::seconds(2); ///< until the peer's TCP stack has acknowledged the bytes
+    Duration writeTimeout = std::chrono::seconds(2); ///< until the socket has taken the bytes
     Duration readTimeout = std::chrono::seconds(5); ///< from the first byte of a frame to its last
     Duration idleTimeout = std::chrono::seconds(60); ///< after which an outgoing connection without frames is closed
+    SocketTimeouts socketTimeouts = socketTimeoutsFor(ConnectionKind::PeerFrames); ///< of connections in both directions
     std::size_t maximumInboundConnections = 4096;
     std::size_t maximumQueuedBytes = std::size_t(16) * 1024 * 1024; ///< per peer; frames beyond it are dropped
 };
--- a/packages/Peer/filbertspoke/src/Peer/internal/PeerOutbound.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/internal/PeerOutbound.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
-#include <netinet/tcp.h>
-
 #include <utility>
 
 namespace filbertspoke::internal {
@@ -15,17 +13,6 @@
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-namespace {
-
-using TcpUserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
-int milliseconds(Duration duration)
-{
-    return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-}
-
 PeerOutbound::PeerOutbound(boost::asio::io_context& context, const PeerLinkSettings& settings,
     PeerLinkCounters& counters, ListedDaemon peer, FailureHandler handleFailure)
     : settings(settings)
@@ -88,7 +75,7 @@
     if (!error)
         this->socket.set_option(tcp::no_delay(true), error);
     if (!error)
-        this->socket.set_option(TcpUserTimeout(milliseconds(this->settings.writeTimeout)), error);
+        error = setSocketTimeouts(this->socket.native_handle(), this->settings.socketTimeouts);
     const auto own = error ? boost::asio::ip::address() : boost::asio::ip::make_address(this->settings.address, error);
     if (!error && own.is_v4() == remote.address().is_v4())
         this->socket.bind(tcp::endpoint(own, 0), error);
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -11,9 +11,6 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <array>
 #include <cstdio>
 
@@ -28,8 +25,6 @@
 
 // A write that does not finish within this time marks the caller as disconnected.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
-// The kernel closes the connection when sent data stays unacknowledged for this long.
-constexpr unsigned callerUserTimeoutMs = 5000;
 
 CallerReadFailure readFailure(const beast::error_code& error, bool headerRead)
 {
@@ -73,13 +68,14 @@
     std::uint64_t watchEpoch = 0; ///< incremented by watchDisconnect() and stopWatching(), so that outdated handlers do nothing
 };
 
-CallerConnection::CallerConnection(tcp::socket socket)
+CallerConnection::CallerConnection(tcp::socket socket, ConnectionKind kind)
     : state(std::make_unique<State>(std::move(socket)))
 {
     beast::error_code ignored;
     auto& inner = this->state->stream.socket();
     inner.set_option(tcp::no_delay(true), ignored);
-    ::setsockopt(inner.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &callerUserTimeoutMs, sizeof callerUserTimeoutMs);
+    if (const std::error_code refused = setSocketTimeouts(inner.native_handle(), socketTimeoutsFor(kind)))
+        logLine(WriteLog::Level::Warning, "socket-option-refused", { { "option", "timeouts" }, { "reason", refused.message() } });
 }
 
 CallerConnection::~CallerConnection() = default;
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
@@ -4,6 +4,7 @@
 #include <filbertspoke/Core>
 #include <filbertspoke/Gateway>
 #include <filbertspoke/Http>
+#include <filbertspoke/Socket>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,7 +27,8 @@
 /** \brief Server side of an HTTP/1.1 connection from a caller. */
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-    explicit CallerConnection(boost::asio::ip::tcp::socket);
+    /** \param kind Caller, or Handover for a connection from another gateway */
+    CallerConnection(boost::asio::ip::tcp::socket, ConnectionKind kind);
     ~CallerConnection();
 
     /** \brief Reads the next request, including its body.
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -56,6 +56,7 @@
 
 asio::awaitable<void> CallerListener::listen()
 {
+    const ConnectionKind kind = this->source == RequestSource::Callers ? ConnectionKind::Caller : ConnectionKind::Handover;
     while (this->acceptor.is_open()) {
         auto [error, socket] = co_await this->acceptor.async_accept(asTuple);
         if (error && this->acceptor.is_open()) {
@@ -63,7 +64,7 @@
             co_await sleepFor(this->context.io, acceptRetryDelay);
         }
         if (!error)
-            asio::co_spawn(this->context.io, this->serve(std::make_shared<CallerConnection>(std::move(socket))), asio::detached);
+            asio::co_spawn(this->context.io, this->serve(std::make_shared<CallerConnection>(std::move(socket), kind)), asio::detached);
     }
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/HttpExchange.cpp
@@ -27,6 +27,7 @@
     limits.connectTimeout = timeout;
     limits.idleTimeout = timeout;
     limits.responseBytes = maximumResponseBytes;
+    limits.socketTimeouts = socketTimeoutsFor(ConnectionKind::EngineReport);
     return limits;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -57,7 +57,7 @@
 PeerExchange::PeerExchange(GatewayContext& context)
     : context(context)
     , revisionOffset(context.random() >> revisionOffsetShift)
-    , server(context.io, httpAddress(*context.settings.peers), [this](HttpRequest request) { return this->handleRequest(std::move(request)); })
+    , server(context.io, httpAddress(*context.settings.peers), [this](HttpRequest request) { return this->handleRequest(std::move(request)); }, ConnectionKind::Peer)
 {
 }
 
@@ -277,7 +277,7 @@
 {
     auto& connection = this->connections[address];
     if (!connection)
-        connection = std::make_unique<HttpConnection>(this->context.io, httpAddress(address), HttpLimits { peerTimeout, connectionIdleTime, maximumMessageBytes, transferAllowance });
+        connection = std::make_unique<HttpConnection>(this->context.io, httpAddress(address), HttpLimits { peerTimeout, connectionIdleTime, maximumMessageBytes, transferAllowance, socketTimeoutsFor(ConnectionKind::Peer) });
     if (connection->busy())
         co_return;
     this->context.roster.noteExchangeStart(address, bootNow());
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -10,9 +10,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <array>
 #include <charconv>
 
@@ -31,8 +28,6 @@
 constexpr std::size_t maximumBufferBytes = 2 * maximumHeaderBytes;
 // A larger rest of a body is not worth reading only to reuse the connection.
 constexpr std::size_t maximumSkippedBytes = 64 * 1024;
-// The kernel closes the connection when sent data stays unacknowledged for this long, so that an unreachable host is detected.
-constexpr unsigned endpointUserTimeoutMs = 2000;
 
 std::string requestText(const HttpRequest& request)
 {
@@ -91,7 +86,8 @@
     if (connectError)
         co_return connectError;
     state->stream.socket().set_option(tcp::no_delay(true), error);
-    ::setsockopt(state->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &endpointUserTimeoutMs, sizeof endpointUserTimeoutMs);
+    if (const std::error_code refused = setSocketTimeouts(state->stream.socket().native_handle(), socketTimeoutsFor(ConnectionKind::Endpoint)))
+        logLine(WriteLog::Level::Warning, "socket-option-refused", { { "option", "timeouts" }, { "endpoint", formatSocketAddress(state->address) }, { "reason", refused.message() } });
     // With a zero linger time, closing the connection or ending the process discards unsent bytes, so that a request queued
     // behind a broken link is not delivered once the link recovers.
     state->stream.socket().set_option(asio::socket_base::linger(true, 0), error);
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -177,6 +177,7 @@
     gateway.retryRatio = this->retryRatio;
     gateway.stopTimeout = this->stopTimeout;
     gateway.handover = this->free(host);
+    this->started.insert_or_assign(gateway.name, gateway);
     const std::string file = this->folder + "/" + gateway.name + ".yaml";
     std::ofstream(file) << settingsText(gateway);
     return Process("filbertspoked", { "gateway", "--settings", file });
