--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -86,6 +86,11 @@
     asio::co_spawn(context, this->state->run(text), asio::detached);
 }
 
+RawCaller::~RawCaller()
+{
+    this->leave();
+}
+
 const std::string& RawCaller::received() const
 {
     return this->state->received;
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -20,6 +20,11 @@
 class RawCaller {
 public:
     RawCaller(boost::asio::io_context&, const HttpAddress&, const std::string& text);
+    /** \brief Closes the connection. Descriptors that stay open would make the system enlarge the descriptor table, which can hold a program
+     * with several threads up for seconds. */
+    ~RawCaller();
+    RawCaller(const RawCaller&) = delete;
+    RawCaller& operator=(const RawCaller&) = delete;
 
     /** \returns all bytes that arrived */
     const std::string& received() const;
