Tests: don't pass a test's sockets on to the programs that it starts

Cause: Process starts programs with all descriptors of the test, since Asio's sockets are not closed at exec. A listener or connection that the test closes stays open as long as a program holds its copy: a relay of the soak that closed its listener could not bind it again ("Address already in use" in strace), and connections that a relay closes reach no end at the gateways started since they were opened. Change: posix_spawn closes everything above standard error in the program.

--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -117,6 +117,8 @@
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_adddup2(&files, ends[1], STDOUT_FILENO);
+    // Sockets of the test have to end when the test closes them, also while the program runs.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     const int error = ::posix_spawn(&this->pid, path.c_str(), &files, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&files);
     ::close(ends[1]);
