Soak: gateways that are cut off from all endpoints

Cause: the soak broke single links; a gateway without any path to endpoints was tested by scenes only. From 3 s after a cut the gateways must serve two thirds of what the others serve (RECOVER), counted at the callers. Marks of endpoints are not charged to a gateway that is cut off at the time. RelayStandIn has the three modes.

--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -57,7 +57,8 @@
 PeerExchange::PeerExchange(GatewayContext& context)
     : context(context)
     , revisionOffset(context.random() >> revisionOffsetShift)
-    , server(context.io, httpAddress(*context.settings.peers), [this](HttpRequest request) { return this->handleRequest(std::move(request)); }, ConnectionKind::Peer)
+    , server(
+          context.io, httpAddress(*context.settings.peers), [this](HttpRequest request) { return this->handleRequest(std::move(request)); }, ConnectionKind::Peer)
 {
 }
 
--- a/packages/Soak/filbertspoke/src/Soak/SoakRecord.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRecord.cpp
@@ -24,6 +24,11 @@
 // Requests that may reach an endpoint between this time after its pushback and the pushback's end.
 constexpr std::chrono::milliseconds pushbackGrace { 500 };
 constexpr std::ptrdiff_t allowedDuringPushback = 2;
+// Requirement: from this time after a cut on, gateways that are cut off from all endpoints serve two thirds of what the others serve.
+constexpr std::chrono::seconds cutOffAdjustment { 3 };
+constexpr double leastCutOffShare = 2.0 / 3;
+constexpr double allowedCutOffFailures = 10;
+constexpr double allowedCutOffFailureShare = 1.0 / 50;
 
 std::string describe(const CallRecord& call)
 {
@@ -197,12 +202,44 @@
         found.push_back(std::to_string(count) + " requests reached " + signal.endpoint + " while it pushed back, the refused one " + describe(*refused->second));
 }
 
+void SoakRecord::checkCutOff(const CutOffRecord& cut, std::vector<std::string>& found) const
+{
+    double cutCalls = 0;
+    double cutServed = 0;
+    double otherCalls = 0;
+    double otherServed = 0;
+    for (const CallRecord& call : this->calls) {
+        if (call.sentAt < cut.from + cutOffAdjustment || call.endedAt > cut.to || call.status == statusNotFound)
+            continue;
+        const double served = call.status == statusOk && call.whole ? 1 : 0;
+        if (!cut.gateways.contains(call.gateway)) {
+            ++otherCalls;
+            otherServed += served;
+        } else if (call.undisturbed) {
+            ++cutCalls;
+            cutServed += served;
+        }
+    }
+    const bool few = cutCalls - cutServed < allowedCutOffFailures + allowedCutOffFailureShare * cutCalls;
+    if (!few && cutServed * otherCalls < leastCutOffShare * otherServed * cutCalls)
+        found.push_back(std::to_string(cutServed) + " of " + std::to_string(cutCalls) + " requests were served at gateways that are cut off from all endpoints, " + std::to_string(otherServed) + " of " + std::to_string(otherCalls) + " at the others");
+}
+
+bool SoakRecord::isCutOff(const CallRecord& call) const
+{
+    return std::any_of(this->cutOffs.begin(), this->cutOffs.end(), [&](const CutOffRecord& cut) { return cut.gateways.contains(call.gateway) && call.sentAt < cut.to && call.endedAt > cut.from; });
+}
+
 void SoakRecord::checkSignals(std::vector<std::string>& found) const
 {
     std::map<std::string, const CallRecord*> callsById;
     for (const CallRecord& call : this->calls)
         callsById.emplace(call.id, &call);
     for (const SignalRecord& signal : this->endpointSignals) {
+        // A gateway that is cut off hands its requests over, so another one got what the endpoint said.
+        const auto call = callsById.find(signal.id);
+        if (call != callsById.end() && this->isCutOff(*call->second))
+            continue;
         if (signal.leaving)
             this->checkLeaving(signal, callsById, found);
         if (signal.pushback.count() > 0)
@@ -222,6 +259,8 @@
     this->checkConfigurations(found);
     this->checkHeldCalls(found);
     this->checkSignals(found);
+    for (const CutOffRecord& cut : this->cutOffs)
+        this->checkCutOff(cut, found);
     for (const bool generations : { false, true })
         this->checkRetries(generations, found);
     return found;
--- a/packages/Soak/filbertspoke/src/Soak/SoakRecord.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRecord.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,15 @@
     bool operator==(const LinkFault&) const = default;
 };
 
+/** \brief A time during which gateways are cut off from all endpoints. */
+struct CutOffRecord {
+    std::set<std::size_t> gateways;
+    Clock::time_point from;
+    Clock::time_point to;
+
+    bool operator==(const CutOffRecord&) const = default;
+};
+
 /** \brief One request as it ran at an endpoint. */
 struct RunRecord {
     std::string id;
@@ -97,6 +107,7 @@
     void note(SignalRecord signal) { this->endpointSignals.push_back(std::move(signal)); }
     void note(ArrivalRecord arrival) { this->arrivals[arrival.endpoint].push_back(std::move(arrival)); }
     void note(LinkFault fault) { this->linkFaults.push_back(std::move(fault)); }
+    void note(CutOffRecord cutOff) { this->cutOffs.push_back(std::move(cutOff)); }
     /** \brief Notes a breach that was seen as it happened. */
     void breach(std::string what) { this->breaches.push_back(std::move(what)); }
 
@@ -114,6 +125,8 @@
     void checkConfigurations(std::vector<std::string>& found) const;
     void checkHeldCalls(std::vector<std::string>& found) const;
     void checkRetries(bool generations, std::vector<std::string>& found) const;
+    void checkCutOff(const CutOffRecord&, std::vector<std::string>& found) const;
+    bool isCutOff(const CallRecord&) const;
     void checkSignals(std::vector<std::string>& found) const;
     void checkLeaving(const SignalRecord&, const std::map<std::string, const CallRecord*>& callsById, std::vector<std::string>& found) const;
     void checkPushback(const SignalRecord&, const std::map<std::string, const CallRecord*>& callsById, std::vector<std::string>& found) const;
@@ -123,6 +136,7 @@
     std::vector<SignalRecord> endpointSignals;
     std::map<std::string, std::vector<ArrivalRecord>> arrivals; ///< by endpoint
     std::vector<LinkFault> linkFaults;
+    std::vector<CutOffRecord> cutOffs;
     std::vector<std::string> breaches;
 };
 
--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
@@ -37,6 +37,7 @@
 const std::string leavingReplica = "app-3";
 // Separates the generator of the faults that were added later from those of the callers.
 constexpr std::uint64_t signalSeedOffset = 1000;
+constexpr std::uint64_t cutOffSeedOffset = 2000;
 constexpr int shortestSignalPauseMs = 500;
 constexpr int longestSignalPauseMs = 2000;
 // Longer than the time after which a leaving endpoint must not get requests.
@@ -48,13 +49,20 @@
 // Endpoints whose service or layers another endpoint serves meanwhile.
 const std::vector<std::string> spareEndpoints { "app-1", "app-2", "engine-b1", "engine-c1" };
 
+boost::json::object forwardOrder()
+{
+    return { { "mode", "forward" }, { "delayMs", 0 } };
+}
+
 }
 
-SoakRun::SoakRun(std::uint64_t seed, std::chrono::seconds length)
+SoakRun::SoakRun(std::uint64_t seed, std::chrono::seconds length, SoakPaths paths)
     : random(seed)
     , signalRandom(seed + signalSeedOffset)
+    , cutOffRandom(seed + cutOffSeedOffset)
+    , paths(paths)
     , length(length)
-    , site(this->context, this->record, seed + 1)
+    , site(this->context, this->record, paths, seed + 1)
 {
     for (int index = 0; index < callerCount; ++index)
         this->callers.push_back(std::make_unique<SoakCaller>(this->context, this->site, this->record, "caller-" + std::to_string(index), seed + 2 + static_cast<std::uint64_t>(index)));
@@ -67,6 +75,8 @@
     asio::co_spawn(this->context, this->watchProcesses(), asio::detached);
     asio::co_spawn(this->context, this->inject(), asio::detached);
     asio::co_spawn(this->context, this->injectSignals(), asio::detached);
+    if (this->paths == SoakPaths::ByDomain)
+        asio::co_spawn(this->context, this->injectCutOffs(), asio::detached);
     while (!this->over)
         this->context.run_one_for(pollPause);
     SoakOutcome outcome { this->record.count(), this->record.answered(), this->faults, this->record.violations(), {} };
@@ -121,10 +131,10 @@
 
 SoakRun::Task SoakRun::restartStore(std::chrono::milliseconds away, std::chrono::milliseconds rewritten)
 {
-    this->site.store.setAway(true);
+    this->site.setStoreAway(true);
     co_await this->sleep(away);
     this->site.restartStore(static_cast<std::size_t>(this->drawSignal(1, mostLostRecords)));
-    this->site.store.setAway(false);
+    this->site.setStoreAway(false);
     co_await this->sleep(rewritten);
     this->site.writeAgain();
 }
@@ -161,7 +171,7 @@
     const auto lasting = std::chrono::milliseconds(this->draw(shortestFaultMs, longestFaultMs));
     SoakGateway& gateway = this->site.gateways[static_cast<std::size_t>(this->draw(0, static_cast<int>(this->site.gateways.size()) - 1))];
     const std::string& mode = modes[static_cast<std::size_t>(this->draw(0, static_cast<int>(modes.size()) - 1))];
-    const auto endpoint = std::next(this->site.endpointLinks.begin(), this->draw(0, static_cast<int>(this->site.endpointLinks.size()) - 1));
+    const std::string& endpoint = this->site.endpointNames[static_cast<std::size_t>(this->draw(0, static_cast<int>(this->site.endpointNames.size()) - 1))];
     const std::string& name = gateway.text.name;
     const std::string time = " for " + std::to_string(lasting.count()) + " ms";
     const auto start = [this](std::string what, Task fault) { asio::co_spawn(this->context, this->runFault(std::move(what), std::move(fault)), asio::detached); };
@@ -176,10 +186,10 @@
         return start("hangup " + name, this->hangUp(gateway));
     case 4:
     case 5:
-        return start("store link of " + name + ": " + mode + time, this->breakLink(*gateway.storeLink, mode, lasting));
+        return start("store link of " + name + ": " + mode + time, this->breakStoreLink(*gateway.storeLink, mode, lasting));
     case 6:
     case 7:
-        return start("link of " + endpoint->first + ": " + mode + time, this->breakEndpointLink(endpoint->first, mode, lasting));
+        return start("link of " + endpoint + ": " + mode + time, this->breakEndpointLink(endpoint, mode, lasting));
     case 8:
         return start("store away" + time, this->loseStore(lasting));
     case 9:
@@ -236,28 +246,34 @@
     gateway.handled = false;
 }
 
-SoakRun::Task SoakRun::breakLink(RelayStandIn& link, std::string mode, std::chrono::milliseconds duration)
+boost::json::object SoakRun::linkOrder(const std::string& mode)
 {
     if (mode == "delay")
-        link.control({ { "delayMs", this->draw(1, longestDelayMs) } });
-    else
-        link.control({ { "mode", mode } });
+        return { { "delayMs", this->draw(1, longestDelayMs) } };
+    return { { "mode", mode } };
+}
+
+SoakRun::Task SoakRun::breakStoreLink(RelayStandIn& link, std::string mode, std::chrono::milliseconds duration)
+{
+    link.control(this->linkOrder(mode));
     co_await this->sleep(duration);
-    link.control({ { "mode", "forward" }, { "delayMs", 0 } });
+    link.control(forwardOrder());
 }
 
 SoakRun::Task SoakRun::breakEndpointLink(std::string endpoint, std::string mode, std::chrono::milliseconds duration)
 {
     // Noted before the fault, since a run may end during it.
     this->record.note(LinkFault { endpoint, Clock::now(), Clock::now() + duration });
-    co_await this->breakLink(*this->site.endpointLinks.at(endpoint), std::move(mode), duration);
+    this->site.controlLinks(endpoint, this->linkOrder(mode));
+    co_await this->sleep(duration);
+    this->site.controlLinks(endpoint, forwardOrder());
 }
 
 SoakRun::Task SoakRun::loseStore(std::chrono::milliseconds duration)
 {
-    this->site.store.setAway(true);
+    this->site.setStoreAway(true);
     co_await this->sleep(duration);
-    this->site.store.setAway(false);
+    this->site.setStoreAway(false);
 }
 
 SoakRun::Task SoakRun::troubleEndpoints(std::chrono::milliseconds duration)
--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.h
@@ -33,8 +33,9 @@
  * the site has to serve everything again. */
 class SoakRun {
 public:
-    /** \param seed decides which faults come when and where */
-    SoakRun(std::uint64_t seed, std::chrono::seconds length);
+    /** \param seed decides which faults come when and where
+     * \param paths ByDomain adds cuts between all gateways of a domain and all endpoints */
+    SoakRun(std::uint64_t seed, std::chrono::seconds length, SoakPaths paths = SoakPaths::Shared);
 
     SoakOutcome run();
 
@@ -45,6 +46,9 @@
     /** \brief Injects restarts of the store from a copy, and what endpoints say about themselves. It draws from a generator of its own, so
      * that the other faults of a seed stay the same. */
     Task injectSignals();
+    /** \brief Cuts the gateways of one domain after the other off from all endpoints, with a generator of its own. */
+    Task injectCutOffs();
+    Task cutOff(std::string domain, std::string mode, std::chrono::milliseconds);
     Task watchProcesses();
     Task finish();
     /** \brief Carries a fault out, and counts it as in progress meanwhile. */
@@ -58,7 +62,9 @@
     Task pauseGateway(SoakGateway&, std::chrono::milliseconds);
     Task killGateway(SoakGateway&, std::chrono::milliseconds);
     Task stopGateway(SoakGateway&);
-    Task breakLink(RelayStandIn&, std::string mode, std::chrono::milliseconds);
+    /** \returns the order that begins the fault */
+    boost::json::object linkOrder(const std::string& mode);
+    Task breakStoreLink(RelayStandIn&, std::string mode, std::chrono::milliseconds);
     Task breakEndpointLink(std::string endpoint, std::string mode, std::chrono::milliseconds);
     Task loseStore(std::chrono::milliseconds);
     Task troubleEndpoints(std::chrono::milliseconds);
@@ -77,6 +83,8 @@
     boost::asio::io_context context;
     std::mt19937_64 random;
     std::mt19937_64 signalRandom;
+    std::mt19937_64 cutOffRandom;
+    SoakPaths paths;
     std::chrono::seconds length;
     SoakRecord record;
     SoakSite site;
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -48,18 +48,29 @@
 
 }
 
-SoakSite::SoakSite(boost::asio::io_context& context, SoakRecord& record, std::uint64_t seed)
-    : store(context, anyPort(1))
-    , context(context)
+SoakSite::View::View(boost::asio::io_context& context, std::string domain)
+    : domain(std::move(domain))
+    , store(context, anyPort(1))
+{
+}
+
+SoakSite::SoakSite(boost::asio::io_context& context, SoakRecord& record, SoakPaths paths, std::uint64_t seed)
+    : context(context)
     , record(record)
     , random(seed)
     , folder((std::filesystem::temp_directory_path() / ("filbertspoke-soak-" + std::to_string(::getpid()))).string())
 {
     std::filesystem::create_directories(this->folder);
+    const bool shared = paths == SoakPaths::Shared;
+    const std::vector<std::string> domains = shared ? std::vector<std::string> { "zone-a", "zone-b", "zone-a", "zone-b" } : std::vector<std::string> { "zone-a", "zone-b", "zone-a", "zone-c" };
+    for (const std::string& domain : shared ? std::set<std::string> { "" } : std::set<std::string>(domains.begin(), domains.end()))
+        this->views.push_back(std::make_unique<View>(context, domain));
     for (const EndpointPlan& plan : endpointPlans) {
         auto& endpoint = this->endpoints[plan.id];
         endpoint = std::make_unique<ReplicaStandIn>(context, ownLoopbackAddress(1), [this, id = plan.id](const HttpRequest& request) { return this->answer(id, request); });
-        this->endpointLinks[plan.id] = std::make_unique<RelayStandIn>(context, anyPort(2), endpoint->address(), anyPort(2));
+        this->endpointNames.push_back(plan.id);
+        for (const auto& view : this->views)
+            view->links[plan.id] = std::make_unique<RelayStandIn>(context, anyPort(2), endpoint->address(), anyPort(2));
         this->putEndpoint(plan.id, "ready");
     }
     this->changeConfiguration();
@@ -67,8 +78,10 @@
     for (std::size_t index = 0; index < gatewayCount; ++index) {
         const auto address = static_cast<std::uint32_t>(firstGatewayAddress + index);
         SoakGateway gateway;
-        gateway.storeLink = std::make_unique<RelayStandIn>(context, anyPort(2), this->store.address(), anyPort(2));
-        gateway.text = { "gateway-" + std::to_string(index), index % 2 == 0 ? "zone-a" : "zone-b", reservedPort(address), reservedPort(address), reservedPort(address), gateway.storeLink->address(), {}, retryReserve };
+        gateway.storeLink = std::make_unique<RelayStandIn>(context, anyPort(2), this->viewOf(domains[index]).store.address(), anyPort(2));
+        gateway.text = { "gateway-" + std::to_string(index), domains[index], reservedPort(address), reservedPort(address), reservedPort(address), gateway.storeLink->address(), {}, retryReserve };
+        if (!shared)
+            gateway.text.handover = reservedPort(address);
         seeds.push_back(gateway.text.peers);
         this->gateways.push_back(std::move(gateway));
     }
@@ -117,7 +130,8 @@
     const RouteText lookUp = routes.back();
     for (int added = 1; added <= this->version; ++added)
         routes.push_back({ "probe-" + std::to_string(added), "/probe-" + std::to_string(added) + "/", lookUp.kind, lookUp.service, lookUp.attempts });
-    this->store.putConfiguration(configurationText(this->version, routes));
+    for (const auto& view : this->views)
+        view->store.putConfiguration(configurationText(this->version, routes));
 }
 
 void SoakSite::drainLastReplica()
@@ -130,9 +144,42 @@
 {
     this->states[id] = state;
     const auto plan = std::find_if(endpointPlans.begin(), endpointPlans.end(), [&](const EndpointPlan& candidate) { return candidate.id == id; });
-    EndpointText entry { id, this->endpointLinks.at(id)->address(), plan->domain, state, plan->layers, ++this->heartbeat };
-    entry.startedAtMs += this->starts[id];
-    this->store.putEndpoint(id, endpointText(entry));
+    ++this->heartbeat;
+    for (const auto& view : this->views) {
+        EndpointText entry { id, view->links.at(id)->address(), plan->domain, state, plan->layers, this->heartbeat };
+        entry.startedAtMs += this->starts[id];
+        view->store.putEndpoint(id, endpointText(entry));
+    }
+}
+
+SoakSite::View& SoakSite::viewOf(const std::string& domain)
+{
+    const auto view = std::find_if(this->views.begin(), this->views.end(), [&](const auto& candidate) { return candidate->domain.empty() || candidate->domain == domain; });
+    return **view;
+}
+
+void SoakSite::restartStore(std::size_t lost)
+{
+    for (const auto& view : this->views)
+        view->store.restartFromCopy(lost);
+}
+
+void SoakSite::setStoreAway(bool value)
+{
+    for (const auto& view : this->views)
+        view->store.setAway(value);
+}
+
+void SoakSite::controlLinks(const std::string& endpoint, const boost::json::object& order)
+{
+    for (const auto& view : this->views)
+        view->links.at(endpoint)->control(order);
+}
+
+void SoakSite::controlPaths(const std::string& domain, const boost::json::object& order)
+{
+    for (const auto& [endpoint, link] : this->viewOf(domain).links)
+        link->control(order);
 }
 
 void SoakSite::writeAgain()
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.h
@@ -31,11 +31,17 @@
     Clock::time_point disturbedAt; ///< when it was last stopped, paused or killed, or went on from that
 };
 
-/** \brief Four gateways in two failure domains, with a store, three replicas of a plain service and two chains of two
+/** \brief Which gateways share their paths to the endpoints. */
+enum class SoakPaths {
+    Shared, ///< all
+    ByDomain, ///< those of a failure domain; the first one has two gateways, the other two have one each
+};
+
+/** \brief Four gateways in two failure domains, or in three with paths of their own, with a store, three replicas of a plain service and two chains of two
  * engines, each behind a link that can fail. */
 class SoakSite {
 public:
-    SoakSite(boost::asio::io_context&, SoakRecord&, std::uint64_t seed);
+    SoakSite(boost::asio::io_context&, SoakRecord&, SoakPaths, std::uint64_t seed);
     ~SoakSite();
 
     void start(SoakGateway&);
@@ -44,7 +50,13 @@
     /** \brief Says that the last replica of the plain service leaves. */
     void drainLastReplica();
     /** \brief Restarts the store from a copy that lacks the last \a lost records of each topic. */
-    void restartStore(std::size_t lost) { this->store.restartFromCopy(lost); }
+    void restartStore(std::size_t lost);
+    /** \brief Makes the store answer 503 to everything, or ends that. */
+    void setStoreAway(bool);
+    /** \brief Gives an order to the links of an endpoint. */
+    void controlLinks(const std::string& endpoint, const boost::json::object& order);
+    /** \brief Gives an order to the links between the gateways of a failure domain and all endpoints. */
+    void controlPaths(const std::string& domain, const boost::json::object& order);
     /** \brief Writes the configuration and the entries of all endpoints again, as the operator and the endpoints do. */
     void writeAgain();
     /** \brief Makes an endpoint say in all answers that it is leaving. */
@@ -60,12 +72,21 @@
     std::vector<std::string> logOf(SoakGateway&, const std::string& request);
 
     std::vector<SoakGateway> gateways;
-    std::map<std::string, std::unique_ptr<RelayStandIn>> endpointLinks; ///< by endpoint
-    StoreStandIn store;
+    std::vector<std::string> endpointNames;
     int version = 0; ///< of the newest configuration
     bool drained = false;
 
 private:
+    /** \brief The store with the addresses at which some gateways reach the endpoints, and the links behind these addresses. */
+    struct View {
+        View(boost::asio::io_context&, std::string domain);
+
+        std::string domain; ///< whose gateways use it; empty for all
+        StoreStandIn store;
+        std::map<std::string, std::unique_ptr<RelayStandIn>> links; ///< by endpoint
+    };
+
+    View& viewOf(const std::string& domain);
     ReplicaScript answer(const std::string& endpoint, const HttpRequest&);
     ReplicaScript answerInTrouble(const std::string& endpoint, const HttpRequest&);
     ReplicaScript answerWell(const HttpRequest&) const;
@@ -78,6 +99,7 @@
     SoakRecord& record;
     std::mt19937_64 random;
     std::map<std::string, std::unique_ptr<ReplicaStandIn>> endpoints;
+    std::vector<std::unique_ptr<View>> views;
     std::map<std::string, std::string> states; ///< by endpoint, as its entry has it
     std::map<std::string, unsigned> starts; ///< by endpoint
     std::map<std::string, std::chrono::milliseconds> pushbacks; ///< by endpoint; 0 for none
--- a/packages/Soak/tests/ShortRun.cpp
+++ b/packages/Soak/tests/ShortRun.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-void keepsEveryPromise(std::uint64_t seed)
+void keepsEveryPromise(std::uint64_t seed, soak::SoakPaths paths = soak::SoakPaths::Shared)
 {
-    const soak::SoakOutcome outcome = soak::SoakRun(seed, std::chrono::seconds(8)).run();
+    const soak::SoakOutcome outcome = soak::SoakRun(seed, std::chrono::seconds(8), paths).run();
     for (const std::string& violation : outcome.violations)
         BOOST_ERROR("seed " << seed << ": " << violation);
     for (const std::string& line : outcome.log)
@@ -27,6 +27,12 @@
     keepsEveryPromise(1);
 }
 
+// Gateways that reach no endpoint have to hand their requests over.
+BOOST_AUTO_TEST_CASE(gatewaysKeepEveryPromiseWhileCutOffFromAllEndpoints)
+{
+    keepsEveryPromise(1, soak::SoakPaths::ByDomain);
+}
+
 // A gateway could not start again and again, most likely because two of its listeners had been given one port.
 BOOST_AUTO_TEST_CASE(gatewayWhoseListenersHaveOnePortEach)
 {
--- a/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.cpp
@@ -9,6 +9,7 @@
 #include <boost/json/parse.hpp>
 
 #include <array>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -38,19 +39,21 @@
         co_return jsonResponse(boost::json::object());
     })
 {
+    this->listening = this->acceptor.local_endpoint();
     asio::co_spawn(context, this->listen(), asio::detached);
 }
 
 HttpAddress RelayStandIn::address() const
 {
-    const tcp::endpoint endpoint = this->acceptor.local_endpoint();
-    return { endpoint.address().to_string(), endpoint.port() };
+    return { this->listening.address().to_string(), this->listening.port() };
 }
 
 asio::awaitable<void> RelayStandIn::listen()
 {
     while (this->acceptor.is_open()) {
         auto [error, accepted] = co_await this->acceptor.async_accept(asTuple);
+        if (error == asio::error::operation_aborted)
+            co_return;
         if (error || this->mode == Mode::Cut)
             continue;
         asio::co_spawn(this->context, this->connect(std::make_shared<Socket>(std::move(accepted))), asio::detached);
@@ -95,7 +98,7 @@
 
 bool RelayStandIn::passes(const SharedSocket& from, Direction direction) const
 {
-    return !this->silenced.contains(from) && this->mode != Mode::BlackHole && (this->mode != Mode::OneWay || direction == Direction::ToTarget);
+    return !this->silenced.contains(from) && this->mode != Mode::BlackHole && this->mode != Mode::Unreachable && (this->mode != Mode::OneWay || direction == Direction::ToTarget);
 }
 
 asio::awaitable<void> RelayStandIn::pauseFor(std::chrono::milliseconds duration)
@@ -104,25 +107,64 @@
     co_await timer.async_wait(asTuple);
 }
 
+void RelayStandIn::setMode(Mode value)
+{
+    const auto listens = [](Mode tested) { return tested != Mode::Refuse && tested != Mode::Unreachable; };
+    const bool listened = listens(this->mode);
+    this->mode = value;
+    if (listened && listens(value))
+        return;
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    this->queued.clear();
+    if (value == Mode::Refuse)
+        return;
+    if (value == Mode::Unreachable)
+        return this->fillQueue();
+    this->acceptor = tcp::acceptor(this->context, this->listening);
+    asio::co_spawn(this->context, this->listen(), asio::detached);
+}
+
+void RelayStandIn::fillQueue()
+{
+    constexpr std::size_t connections = 4;
+    this->acceptor.open(this->listening.protocol());
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(this->listening);
+    this->acceptor.listen(0);
+    for (std::size_t index = 0; index < connections; ++index) {
+        this->queued.emplace_back(this->context);
+        this->queued.back().async_connect(this->listening, [](const boost::system::error_code&) {});
+    }
+}
+
+void RelayStandIn::resetConnections()
+{
+    boost::system::error_code ignored;
+    for (const SharedSocket& socket : this->sockets) {
+        socket->set_option(asio::socket_base::linger(true, 0), ignored);
+        socket->close(ignored);
+    }
+}
+
 void RelayStandIn::control(const boost::json::object& order)
 {
     if (const auto* value = order.if_contains("delayMs"))
         this->delay = std::chrono::milliseconds(value->to_number<std::int64_t>());
     const auto* value = order.if_contains("mode");
     const std::string mode = value ? std::string(value->as_string()) : std::string();
+    static const std::map<std::string, Mode> modes { { "cut", Mode::Cut }, { "black-hole", Mode::BlackHole }, { "one-way", Mode::OneWay }, { "refuse", Mode::Refuse }, { "reset-refuse", Mode::Refuse }, { "unreachable", Mode::Unreachable } };
+    const auto entry = modes.find(mode);
     if (value)
-        this->mode = mode == "cut" ? Mode::Cut : mode == "black-hole" ? Mode::BlackHole
-            : mode == "one-way"                                       ? Mode::OneWay
-                                                                      : Mode::Forward;
+        this->setMode(entry == modes.end() ? Mode::Forward : entry->second);
     if (mode == "silence")
         this->silenced = this->sockets;
-    if (mode != "cut" && mode != "reset")
-        return;
+    if (mode == "reset" || mode == "reset-refuse")
+        this->resetConnections();
     boost::system::error_code ignored;
-    for (const SharedSocket& socket : this->sockets) {
-        if (mode == "reset")
-            socket->set_option(asio::socket_base::linger(true, 0), ignored);
-        socket->close(ignored);
+    if (mode == "cut") {
+        for (const SharedSocket& socket : this->sockets)
+            socket->close(ignored);
     }
 }
 
--- a/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.h
+++ b/packages/StandIns/filbertspoke/src/StandIns/RelayStandIn.h
@@ -11,6 +11,7 @@
 #include <boost/json/object.hpp>
 
 #include <chrono>
+#include <deque>
 #include <memory>
 #include <set>
 
@@ -30,7 +31,9 @@
 
     /** \brief Carries out an order: `delayMs`, and `mode` as "forward", "cut" (connections close, and new ones at once),
      * "black-hole" (nothing passes), "one-way" (nothing comes back from the target), "reset" (connections are reset
-     * once, new ones pass) or "silence" (nothing passes any more over connections that are open, new ones pass). */
+     * once, new ones pass), "silence" (nothing passes any more over connections that are open, new ones pass),
+     * "refuse" (open connections go on, new ones are refused), "reset-refuse" (connections are reset, new ones refused)
+     * or "unreachable" (nothing passes, and new connections neither succeed nor fail). */
     void control(const boost::json::object&);
 
 private:
@@ -42,9 +45,15 @@
         Cut, ///< connections are closed, and new ones as soon as they come
         BlackHole, ///< connections stay open and nothing passes
         OneWay, ///< connections stay open and nothing comes back
+        Refuse, ///< connections stay open, and nothing listens
+        Unreachable, ///< connections stay open and nothing passes; the queue of new ones is full
     };
 
     boost::asio::awaitable<void> listen();
+    void setMode(Mode);
+    /** \brief Listens with a queue that stays full, so that the system drops the first packet of each new connection. */
+    void fillQueue();
+    void resetConnections();
     boost::asio::awaitable<void> connect(SharedSocket client);
     enum class Direction {
         ToTarget,
@@ -56,7 +65,9 @@
     boost::asio::awaitable<void> pauseFor(std::chrono::milliseconds);
     boost::asio::io_context& context;
     boost::asio::ip::tcp::endpoint target;
+    boost::asio::ip::tcp::endpoint listening; ///< the address that the relay keeps while it does not listen
     boost::asio::ip::tcp::acceptor acceptor;
+    std::deque<Socket> queued; ///< connections that fill the queue
     Mode mode = Mode::Forward;
     std::chrono::milliseconds delay {};
     std::set<SharedSocket> sockets;
