--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -86,6 +86,11 @@
     asio::co_spawn(context, this->state->run(text), asio::detached);
 }
 
+RawCaller::~RawCaller()
+{
+    this->leave();
+}
+
 const std::string& RawCaller::received() const
 {
     return this->state->received;
@@ -177,6 +182,7 @@
     gateway.retryRatio = this->retryRatio;
     gateway.stopTimeout = this->stopTimeout;
     gateway.handover = this->free(host);
+    this->started.insert_or_assign(gateway.name, gateway);
     const std::string file = this->folder + "/" + gateway.name + ".yaml";
     std::ofstream(file) << settingsText(gateway);
     return Process("filbertspoked", { "gateway", "--settings", file });
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -20,6 +20,11 @@
 class RawCaller {
 public:
     RawCaller(boost::asio::io_context&, const HttpAddress&, const std::string& text);
+    /** \brief Closes the connection. Descriptors that stay open would make the system enlarge the descriptor table, which can hold a program
+     * with several threads up for seconds. */
+    ~RawCaller();
+    RawCaller(const RawCaller&) = delete;
+    RawCaller& operator=(const RawCaller&) = delete;
 
     /** \returns all bytes that arrived */
     const std::string& received() const;
@@ -71,6 +76,7 @@
     HttpAddress callers;
     HttpAddress secondCallers;
     HttpAddress readiness;
+    std::map<std::string, GatewayText> started; ///< gateways, by name, with the addresses at which they listen
     std::chrono::milliseconds stopTimeout { 8000 }; ///< within which a gateway ends after SIGTERM, whatever is in progress
     double retryRatio = 10; ///< retries that a gateway saves up for with each request: by default the first one suffices
 
