--- a/packages/Daemon/tests/UnframedAnswers.cpp
+++ b/packages/Daemon/tests/UnframedAnswers.cpp
@@ -15,16 +15,6 @@
 const std::vector<std::string> firstEngines { "engine-a1", "engine-b1" };
 const std::vector<std::string> serviceReplicas { "app-1", "app-2" };
 
-std::string unframedHead(const HttpRequest& request)
-{
-    return "HTTP/1.1 200 OK\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\n\r\n";
-}
-
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: token\n\n";
-}
-
 struct Fixture : GatewayScene {
     Fixture() { this->start(); }
 
@@ -59,7 +49,7 @@
 
 BOOST_FIXTURE_TEST_CASE(streamIsWholeWhenItsConnectionEndsAfterAnEvent, Fixture)
 {
-    this->setAnswers(firstEngines, [](const HttpRequest& request) { return ReplicaScript { { unframedHead(request), event(1), event(2) }, 5ms, ReplicaScript::End::Close }; });
+    this->setAnswers(firstEngines, [](const HttpRequest& request) { return ReplicaScript { { unframedHead(request), unframedEvent(1), unframedEvent(2) }, 5ms, ReplicaScript::End::Close }; });
     const std::string received = this->answer(*this->call("POST", "/chat/x"), "0\r\n\r\n");
     BOOST_TEST(contains(received, "id: 2"));
     BOOST_TEST(contains(received, "0\r\n\r\n"));
@@ -70,8 +60,8 @@
     int runs = 0;
     this->setAnswers(firstEngines, [&runs](const HttpRequest& request) {
         if (++runs == 1)
-            return ReplicaScript { { unframedHead(request), event(1), "id: 2\ndata: to" }, 5ms, ReplicaScript::End::Close };
-        return ReplicaScript { { unframedHead(request), event(readForwarded(request).lastEvent + 1) }, 5ms, ReplicaScript::End::Close };
+            return ReplicaScript { { unframedHead(request), unframedEvent(1), "id: 2\ndata: to" }, 5ms, ReplicaScript::End::Close };
+        return ReplicaScript { { unframedHead(request), unframedEvent(readForwarded(request).lastEvent + 1) }, 5ms, ReplicaScript::End::Close };
     });
     const std::string received = this->answer(*this->call("POST", "/chat/x"), "0\r\n\r\n");
     BOOST_TEST(runs == 2);
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -191,11 +191,27 @@
     return answer.insert(answer.find("\r\n") + 2, "Retry-After: " + seconds + "\r\n");
 }
 
+std::string blamingAnswer(const HttpAddress& engine)
+{
+    std::string answer = fullAnswer();
+    return answer.insert(answer.find("\r\n") + 2, "At-Server: " + addressText(engine) + "\r\n");
+}
+
 std::string streamHead(const HttpRequest& request)
 {
     return "HTTP/1.1 200 OK\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+std::string unframedHead(const HttpRequest& request)
+{
+    return "HTTP/1.1 200 OK\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\n\r\n";
+}
+
+std::string unframedEvent(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
 std::string eventChunk(int id, const std::string& data)
 {
     const std::string event = "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -66,8 +66,14 @@
 std::string limitingAnswer(std::string answer, const std::string& requestsPerSecond);
 /** \returns an answer that says that the endpoint has not run the request and wants no others for the time */
 std::string pushbackAnswer(const std::string& seconds);
+/** \returns an answer of the first engine of a chain that says that the request has not run, and blames another engine */
+std::string blamingAnswer(const HttpAddress& engine);
 /** \returns the head of a stream in chunks, with id and seal */
 std::string streamHead(const HttpRequest& request);
+/** \returns the head of an answer with neither length nor chunks, which ends with its connection */
+std::string unframedHead(const HttpRequest& request);
+/** \returns one event of a stream without chunks */
+std::string unframedEvent(int id);
 /** \returns one event of a stream as a chunk */
 std::string eventChunk(int id, const std::string& data = "token");
 /** \returns the end of a stream */
