--- a/packages/Daemon/tests/Handover.cpp
+++ b/packages/Daemon/tests/Handover.cpp
@@ -144,3 +144,25 @@
         BOOST_TEST(caller->received().starts_with("HTTP/1.1 503"));
     }
 }
+
+// Guards against a stream that was handed over and is passed on as whole although it ended inside an event.
+BOOST_FIXTURE_TEST_CASE(streamThatEndsInsideAnEventAfterItsHandoverIsNotPassedOnAsWhole, Fixture)
+{
+    const std::string address = ownLoopbackAddress(3);
+    this->moveEndpoints([&address](const std::string&) { return HttpAddress { address, freePort(address) }; });
+    this->checkService();
+    for (const char* id : { "engine-a1", "engine-b1" }) {
+        this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return emptyReport();
+            const int next = readForwarded(request).lastEvent + 1;
+            return ReplicaScript { { unframedHead(request), unframedEvent(next), "id: " + std::to_string(next + 1) + "\ndata: to" }, 5ms, ReplicaScript::End::Close };
+        });
+    }
+    const auto caller = this->call("POST", "/chat/x");
+    const std::string received = this->answer(*caller, lastChunk());
+    BOOST_TEST(caller->closed());
+    BOOST_TEST(received.find(unframedEvent(1)) != std::string::npos);
+    BOOST_TEST(received.find(lastChunk()) == std::string::npos);
+    BOOST_TEST(!received.ends_with("to"));
+}
--- a/packages/Daemon/tests/PromptQuarantine.cpp
+++ b/packages/Daemon/tests/PromptQuarantine.cpp
@@ -3,11 +3,13 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <string>
 #include <vector>
 
 using namespace filbertspoke;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -48,6 +50,30 @@
     int requests = 0;
 };
 
+/** \brief Chains whose later engines crash; their first engines report them. */
+struct LaterEngineFixture : Fixture {
+    LaterEngineFixture()
+    {
+        for (const std::string& id : firstEngines)
+            this->replicas.at(id)->setAnswer([this](const HttpRequest& request) { return this->answerAtFirst(request); });
+        this->crashUnder({ "engine-a2", "engine-b2" }, [](const HttpRequest&) { return false; });
+    }
+
+    ReplicaScript answerAtFirst(const HttpRequest& request)
+    {
+        if (request.target.starts_with("/filbertspoke/"))
+            return emptyReport();
+        const std::string later = findHeader(request.headers, "Hop-Count").find(addressText(this->replicas.at("engine-a2")->address())) != std::string_view::npos ? "engine-a2" : "engine-b2";
+        if (isCrashing(request) && !this->hasCrashed(later)) {
+            ++this->crashes;
+            this->crash(later);
+        }
+        if (!this->hasCrashed(later))
+            return { { streamHead(request), eventChunk(1), lastChunk() }, 5ms, ReplicaScript::End::Keep };
+        return { { blamingAnswer(this->replicas.at(later)->address()) }, 5ms, ReplicaScript::End::Keep };
+    }
+};
+
 }
 
 // Guards against one kind of request crashing engines one after the other.
@@ -83,3 +109,32 @@
         BOOST_TEST(this->sendCrashingPart().starts_with("HTTP/1.1 503"));
     }
 }
+
+// Guards against a crash that looks like the end of a stream: the stream has neither length nor chunks, and ends within an event.
+BOOST_FIXTURE_TEST_CASE(streamThatEndsWithinItsFirstEventCountsAsACrash, Fixture)
+{
+    this->setLastAnswer([](const HttpRequest& request) { return ReplicaScript { { unframedHead(request), "id: 1\ndata: to" }, 5ms, ReplicaScript::End::Close }; });
+    const std::string answer = this->crashAgainAndAgain();
+    BOOST_TEST(this->crashes <= crashLimit + requestsAfterLimit);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(this->serveSound());
+}
+
+// Guards against an answer without any event that is passed on as whole, since its stream has neither length nor chunks.
+BOOST_FIXTURE_TEST_CASE(streamThatEndsBeforeItsFirstEventCountsAsACrash, Fixture)
+{
+    this->setLastAnswer([](const HttpRequest& request) { return ReplicaScript { { unframedHead(request) }, 50ms, ReplicaScript::End::Close }; });
+    const std::string answer = this->crashAgainAndAgain();
+    BOOST_TEST(this->crashes <= crashLimit + requestsAfterLimit);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(this->serveSound());
+}
+
+// Guards against a part that crashes the later engines of chains, whose first engines answer that the request has not run.
+BOOST_FIXTURE_TEST_CASE(requestsThatCrashLaterEnginesAreRefused, LaterEngineFixture)
+{
+    const std::string answer = this->crashAgainAndAgain();
+    BOOST_TEST(this->crashes <= crashLimit + requestsAfterLimit);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(this->serveSound());
+}
--- a/packages/Gateway/tests/RequestQuarantine.cpp
+++ b/packages/Gateway/tests/RequestQuarantine.cpp
@@ -301,3 +301,36 @@
     BOOST_TEST(this->refuses({ crashing }));
     BOOST_TEST(!this->refuses({ sound }));
 }
+
+// Guards against sound requests at crashed engines that leave no room for the part which crashed them.
+BOOST_FIXTURE_TEST_CASE(suspectsOfSoundRequestsDoNotDisplaceACrashingPart, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine) {
+        for (int bystander = 0; bystander < 1024; ++bystander)
+            this->quarantine.noteCrash({ RequestTraitId("request:" + std::to_string(engine) + "-" + std::to_string(bystander)) }, run(engine), this->now);
+        this->crash({ crashing }, engine);
+    }
+    BOOST_TEST(this->refuses({ crashing }));
+}
+
+// Guards against refusing the sound requests with a part that was never served and met only engines which another part crashed.
+BOOST_FIXTURE_TEST_CASE(partsWithTheSameEvidenceAreRefusedOnlyTogether, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ sound, crashing }, engine);
+    BOOST_TEST(this->refuses({ sound, crashing }));
+    BOOST_TEST(!this->refuses({ common, sound }));
+    BOOST_TEST(!this->refuses({ common, crashing }));
+    this->crash({ common, crashing }, 4);
+    BOOST_TEST(this->refuses({ common, crashing }));
+    BOOST_TEST(!this->refuses({ common, sound }));
+}
+
+BOOST_FIXTURE_TEST_CASE(partIsClearedWhenARequestWithoutTheOtherOneIsServed, Fixture)
+{
+    for (int engine = 1; engine <= 3; ++engine)
+        this->crash({ sound, crashing }, engine);
+    this->quarantine.noteServed({ common, sound }, this->now);
+    BOOST_TEST(this->refuses({ common, crashing }));
+    BOOST_TEST(!this->refuses({ common, sound }));
+}
