--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -40,6 +40,13 @@
 // The value is well above the usual time between two events.
 constexpr Duration suspectedStallTimeout = std::chrono::milliseconds(150);
 
+AttemptResult brokenOff(const std::string& reason)
+{
+    AttemptResult result { AttemptEnd::Lost, EndpointFault::Broken, {}, reason };
+    result.connectionBroken = true;
+    return result;
+}
+
 /** \brief Records that a request with the traits was at the engine when it crashed, if its broken connection is due to a crash. */
 asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<RequestTraitId> traits, ForwardStage engine, EndpointRun run, TimePoint sentAt)
 {
@@ -177,9 +184,7 @@
 {
     if (this->abandonedStalledChain || isTimeout(error))
         return { AttemptEnd::Lost, EndpointFault::Silent, {}, timeoutReason };
-    AttemptResult result { AttemptEnd::Lost, EndpointFault::Broken, {}, brokenReason };
-    result.connectionBroken = true;
-    return result;
+    return brokenOff(brokenReason);
 }
 
 asio::awaitable<AttemptResult> StreamForwarder::relayBody(const UpstreamPointer& connection, std::optional<Duration> expectedPerEvent)
@@ -207,7 +212,7 @@
             co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "event-too-large" };
     }
     if (events.midEvent())
-        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "ended-within-event" };
+        co_return brokenOff("ended-within-event");
     if (this->eventsInAttempt > 1)
         logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", expectedPerEvent ? std::to_string(expectedPerEvent->count()) : "" } });
     co_return AttemptResult {};
