Don't pass on a stream without any event as a whole one

Callers got 200 and an empty stream that looked complete when an engine closed its connection before the first event of a stream with neither length nor chunks. Such a stream counts as broken off unless it resumes another: one that resumes may have nothing more to send.

--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -213,6 +213,9 @@
     }
     if (events.midEvent())
         co_return brokenOff("ended-within-event");
+    // The caller would take a stream that its engine left before the first event for a whole one.
+    if (this->eventsInAttempt == 0 && !this->lastEventId && connection->endsWithConnection())
+        co_return brokenOff("ended-without-event");
     if (this->eventsInAttempt > 1)
         logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", expectedPerEvent ? std::to_string(expectedPerEvent->count()) : "" } });
     co_return AttemptResult {};
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -179,6 +179,11 @@
     return error == asio::error::would_block;
 }
 
+bool UpstreamConnection::endsWithConnection() const
+{
+    return this->state->parser && this->state->parser->need_eof();
+}
+
 std::optional<Duration> UpstreamConnection::keepAlive() const
 {
     constexpr std::string_view parameter = "timeout=";
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
@@ -60,6 +60,8 @@
 
     /** \returns whether the last response was read completely, no further bytes followed it and the endpoint keeps the connection open */
     bool reusable();
+    /** \returns whether the response has neither a length nor chunks, so that its body ends with the connection */
+    bool endsWithConnection() const;
     /** \returns the idle timeout that the endpoint announced in its Keep-Alive header, if any */
     std::optional<Duration> keepAlive() const;
     /** \brief Resets the connection; operations in progress fail. Bytes that have not reached the endpoint yet are discarded. */
