Count crashes of a chain's later engines against the requests there

Callers saw engine after engine crash under one part: only the first engine of a chain was looked at. An engine that the first one blames, or that is found lost, and that gives no report, now counts. When it crashed isn't known, so that the time of sending counts: a request with the same traits that is served later clears them. Ruled out: the time at which the loss is found, since engines of a rack that fail together are found at different times, after requests that were served. A report request that is 200 ms old is shared, so that a full later engine, which is blamed too, is asked five times a second at most by streams without an event.

--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -39,6 +39,9 @@
 // A stream without events for at least this time attributes the stall to an engine of its chain that is reported as suspect.
 // The value is well above the usual time between two events.
 constexpr Duration suspectedStallTimeout = std::chrono::milliseconds(150);
+// A first engine answers for a later one that it has waited for longer than this, so that a report request of this age shows the loss too.
+constexpr Duration reportSharing = std::chrono::milliseconds(200);
+const std::string engineLost = "engine-lost";
 
 AttemptResult brokenOff(const std::string& reason)
 {
@@ -47,12 +50,37 @@
     return result;
 }
 
-/** \brief Records that a request with the traits was at the engine when it crashed, if its broken connection is due to a crash. */
-asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<RequestTraitId> traits, ForwardStage engine, EndpointRun run, TimePoint sentAt)
+/** \brief Records that a request with the traits was at the engine when it crashed, if the engine was lost by a crash.
+ * \param broken whether the engine's connection broke at the time of the crash; otherwise the time is unknown, and counts as that of sending,
+ * so that a request with the traits that is served later clears them */
+asio::awaitable<void> noteCrash(GatewayContext& context, std::vector<RequestTraitId> traits, ForwardStage engine, EndpointRun run, TimePoint sentAt, bool broken)
 {
-    const TimePoint brokenAt = bootNow();
-    if (co_await context.failureDetector.hasCrashed(engine, brokenAt))
-        context.noteCrash(traits, run, sentAt, brokenAt);
+    const TimePoint lostAt = bootNow();
+    if (co_await context.failureDetector.hasCrashed(engine, broken ? lostAt : lostAt - reportSharing))
+        context.noteCrash(traits, run, sentAt, broken ? lostAt : sentAt);
+}
+
+std::vector<EndpointRun> runsOf(const ForwardMetadata& metadata, const EndpointRegistry& registry)
+{
+    std::vector<EndpointRun> runs;
+    for (const ForwardStage& stage : metadata.stages) {
+        const EndpointRecord* record = registry.find(stage.endpoint);
+        runs.push_back({ stage.endpoint, record ? record->endpoint.startedAtMs : 0 });
+    }
+    return runs;
+}
+
+/** \returns the stage whose engine may have crashed under the request, as an index */
+std::optional<std::size_t> lostStage(const ForwardMetadata& metadata, const AttemptResult& result)
+{
+    if (result.connectionBroken)
+        return 0;
+    if (!result.failure || !result.blamed || (result.fault != EndpointFault::Unreachable && result.reason != engineLost))
+        return std::nullopt;
+    const auto stage = std::find_if(metadata.stages.begin(), metadata.stages.end(), [&result](const ForwardStage& candidate) { return candidate.endpoint == *result.blamed; });
+    if (stage == metadata.stages.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(stage - metadata.stages.begin());
 }
 
 }
@@ -302,9 +330,7 @@
     this->abandonedStalledChain = false;
     this->eventsInAttempt = 0;
     this->attemptStartedAt = bootNow();
-    const EndpointId& firstEngine = metadata.stages.front().endpoint;
-    const EndpointRecord* record = this->task.context.registry.find(firstEngine);
-    const EndpointRun firstRun { firstEngine, record ? record->endpoint.startedAtMs : 0 };
+    const std::vector<EndpointRun> runs = runsOf(metadata, this->task.context.registry);
     const std::uint64_t subscription = this->subscribeToSuspicions(chain);
     const auto monitor = std::make_shared<AttemptMonitor>();
     monitor->firstEventLimit = std::max<Duration>(minFirstEventTimeout, chain.firstToken * firstEventFactor);
@@ -315,11 +341,11 @@
     this->task.context.streams.remove(subscription);
     this->task.upstream = nullptr;
     if (result.failure && this->failedEngine)
-        result = { result.failure, this->failedEngineFault, this->failedEngine, "engine-lost" };
+        result = { result.failure, this->failedEngineFault, this->failedEngine, engineLost };
     result.events = this->eventsInAttempt;
-    const bool firstEngineLost = result.connectionBroken || (result.failure && this->failedEngine == firstEngine);
-    if (firstEngineLost && result.events == 0 && !this->task.caller->disconnected())
-        asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.traits(), metadata.stages.front(), firstRun, this->attemptStartedAt), asio::detached);
+    const auto lost = lostStage(metadata, result);
+    if (lost && result.events == 0 && !this->task.caller->disconnected())
+        asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.traits(), metadata.stages[*lost], runs[*lost], this->attemptStartedAt, result.connectionBroken || *lost == 0), asio::detached);
     co_return result;
 }
 
