Forget old suspects rather than ignore new ones

Once 1,024 traits were suspected, the traits of further requests at crashed engines were ignored for up to 30 s, those of the request that crashed them included. The suspect with the fewest and oldest crashes now makes room.

--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
@@ -1,6 +1,7 @@
 #include <filbertspoke/Gateway>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace filbertspoke {
@@ -66,9 +67,7 @@
 {
     for (const RequestTraitId& trait : traits) {
         if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(trait))
-            this->forget(now);
-        if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(trait))
-            return;
+            this->makeRoom(now);
         const auto [entry, added] = this->suspects.try_emplace(trait);
         Suspect& suspect = entry->second;
         const auto served = this->servedAt.find(trait);
@@ -80,6 +79,15 @@
     }
 }
 
+void RequestQuarantine::makeRoom(TimePoint now)
+{
+    this->forget(now);
+    if (this->suspects.size() < maximumSuspects)
+        return;
+    const auto weight = [](const Suspect& suspect) { return std::make_tuple(suspect.quarantined || suspect.quarantinedElsewhere, suspect.crashes.size(), lastCrashAt(suspect)); };
+    this->suspects.erase(std::min_element(this->suspects.begin(), this->suspects.end(), [&weight](const auto& a, const auto& b) { return weight(a.second) < weight(b.second); }));
+}
+
 void RequestQuarantine::noteServed(const std::vector<RequestTraitId>& shared, TimePoint now, const RequestTraitId& fingerprint)
 {
     if (this->servedAt.size() >= maximumServedTraits)
--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
@@ -94,6 +94,8 @@
     static bool hasEnoughEvidence(const Suspect&, TimePoint now);
     /** \returns whether a trait with better evidence against it leaves too few crashes unexplained to suspect this one */
     bool isExplained(const RequestTraitId&, const Suspect&, TimePoint now) const;
+    /** \brief Makes room for another suspect: the one with the fewest and oldest crashes is forgotten. */
+    void makeRoom(TimePoint now);
     /** \brief Erases what is too old to matter. */
     void forget(TimePoint now);
 
--- a/packages/Gateway/tests/RequestQuarantine.cpp
+++ b/packages/Gateway/tests/RequestQuarantine.cpp
@@ -313,6 +313,19 @@
     BOOST_TEST(this->refuses({ crashing }));
 }
 
+BOOST_FIXTURE_TEST_CASE(oldSuspectsMakeRoomForACrashingPart, Fixture)
+{
+    for (int bystander = 0; bystander < 1024; ++bystander)
+        this->quarantine.noteCrash({ RequestTraitId("request:old-" + std::to_string(bystander)) }, run(0), this->now);
+    for (int engine = 1; engine <= 3; ++engine) {
+        this->now += 100ms;
+        for (int bystander = 0; bystander < 150; ++bystander)
+            this->quarantine.noteCrash({ RequestTraitId("request:" + std::to_string(engine) + "-" + std::to_string(bystander)) }, run(engine), this->now);
+        this->crash({ crashing }, engine);
+    }
+    BOOST_TEST(this->refuses({ crashing }));
+}
+
 // Guards against refusing the sound requests with a part that was never served and met only engines which another part crashed.
 BOOST_FIXTURE_TEST_CASE(partsWithTheSameEvidenceAreRefusedOnlyTogether, Fixture)
 {
