Refuse traits with the same evidence only together

Two parts that were never served and were at the same crashes were each refused for ten minutes, with all sound requests that have the sound one of them. Now a request is refused if it has all traits that are as likely as the quarantined one. The next request with one of them is served, which clears it, or adds a crash that tells them apart. Weighed: one such request at a time for each gateway (needs a state of its own; the first crash decides at that gateway at once, and elsewhere within the exchanges).

Gateway.RequestQuarantine.partsWithTheSameEvidenceAreRefusedOnlyTogether failed before and passes; partIsClearedWhenARequestWithoutTheOtherOneIsServed passes. The three properties of Gateway.CrashingPromptParts give the same cases as before at 60 and 40 cases.

--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
@@ -175,17 +175,29 @@
     return suspect.othersServed >= requiredOthersServed && now - crashes[requiredCrashes - 1] >= propagationTime;
 }
 
+bool RequestQuarantine::explains(const Suspect& other, const Suspect& suspect)
+{
+    Crashes remaining = suspect.crashes;
+    std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
+    return separateCrashes(remaining).size() < requiredCrashes;
+}
+
 bool RequestQuarantine::isExplained(const RequestTraitId& trait, const Suspect& suspect, TimePoint now) const
 {
     return std::any_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
         const Suspect& other = entry.second;
         const bool servedLessRecently = suspect.servedAt && (!other.servedAt || *other.servedAt < *suspect.servedAt);
         const bool betterSupported = other.crashes.size() > suspect.crashes.size() || (other.crashes.size() == suspect.crashes.size() && servedLessRecently);
-        if (entry.first == trait || !betterSupported || !hasEnoughEvidence(other, now))
-            return false;
-        Crashes remaining = suspect.crashes;
-        std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
-        return separateCrashes(remaining).size() < requiredCrashes;
+        return entry.first != trait && betterSupported && hasEnoughEvidence(other, now) && explains(other, suspect);
+    });
+}
+
+bool RequestQuarantine::hasAllEquallySupported(const Suspects::value_type& suspect, const std::vector<RequestTraitId>& traits) const
+{
+    return std::all_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
+        const Suspect& other = entry.second;
+        const bool equal = other.quarantined && other.crashes.size() == suspect.second.crashes.size() && explains(other, suspect.second);
+        return !equal || std::find(traits.begin(), traits.end(), entry.first) != traits.end();
     });
 }
 
@@ -217,7 +229,7 @@
     std::optional<Duration> time;
     for (const RequestTraitId& trait : traits) {
         const auto suspect = this->suspects.find(trait);
-        if (suspect != this->suspects.end() && suspect->second.quarantined)
+        if (suspect != this->suspects.end() && suspect->second.quarantined && this->hasAllEquallySupported(*suspect, traits))
             time = std::max(time.value_or(Duration::zero()), lastCrashAt(suspect->second) + quarantineLifetime - now);
     }
     return time;
--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
@@ -44,7 +44,8 @@
  * its fingerprint, which only its repeats have. A request that is served clears its traits, which the repeats of sound requests do within a
  * fraction of a second. A trait is quarantined after crashes of several endpoints at different times without a request in between that was
  * served, while requests without the trait are served. Of traits that were at the same crashes, only the one is quarantined whose requests
- * were served least recently or never.
+ * were served least recently or never. Where that doesn't tell them apart, only requests with all of them are refused: the next request with
+ * one of them is served and clears it, or adds a crash to it.
  */
 class RequestQuarantine {
 public:
@@ -94,6 +95,10 @@
     static bool hasEnoughEvidence(const Suspect&, TimePoint now);
     /** \returns whether a trait with better evidence against it leaves too few crashes unexplained to suspect this one */
     bool isExplained(const RequestTraitId&, const Suspect&, TimePoint now) const;
+    /** \returns whether the crashes under one trait leave too few under the other to suspect it */
+    static bool explains(const Suspect& other, const Suspect&);
+    /** \returns whether the traits include all that are as likely as the quarantined one to have caused its crashes */
+    bool hasAllEquallySupported(const Suspects::value_type&, const std::vector<RequestTraitId>&) const;
     /** \brief Makes room for another suspect: the one with the fewest and oldest crashes is forgotten. */
     void makeRoom(TimePoint now);
     /** \brief Erases what is too old to matter. */
