Let clang read the test of sites with a crashing part

clang-tidy rejects the capture of a structured binding, which gcc takes. The lambda captures a copy under a name of its own. scripts/check-lint on the file passes; partIsRefusedAndOthersAreServed and partIsRefusedWhileGatewaysRestartInTurn give the same results at their own numbers of cases.

--- a/packages/Gateway/tests/CrashingPromptParts.cpp
+++ b/packages/Gateway/tests/CrashingPromptParts.cpp
@@ -202,7 +202,7 @@
             traits.push_back(running.request.fingerprint);
             gateway.quarantine.noteCrash(traits, run, this->now, this->now - running.sentAt);
             if (running.attempt < 3)
-                this->at(this->between(1ms, 100ms), [this, running] { this->send(running.request, running.gateway, running.attempt + 1); });
+                this->at(this->between(1ms, 100ms), [this, repeated = running] { this->send(repeated.request, repeated.gateway, repeated.attempt + 1); });
         }
         ++engine.run;
         engine.upFrom = this->now + this->between(3s, 5s);
