--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
@@ -1,6 +1,7 @@
 #include <filbertspoke/Gateway>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace filbertspoke {
@@ -66,9 +67,7 @@
 {
     for (const RequestTraitId& trait : traits) {
         if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(trait))
-            this->forget(now);
-        if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(trait))
-            return;
+            this->makeRoom(now);
         const auto [entry, added] = this->suspects.try_emplace(trait);
         Suspect& suspect = entry->second;
         const auto served = this->servedAt.find(trait);
@@ -80,6 +79,15 @@
     }
 }
 
+void RequestQuarantine::makeRoom(TimePoint now)
+{
+    this->forget(now);
+    if (this->suspects.size() < maximumSuspects)
+        return;
+    const auto weight = [](const Suspect& suspect) { return std::make_tuple(suspect.quarantined || suspect.quarantinedElsewhere, suspect.crashes.size(), lastCrashAt(suspect)); };
+    this->suspects.erase(std::min_element(this->suspects.begin(), this->suspects.end(), [&weight](const auto& a, const auto& b) { return weight(a.second) < weight(b.second); }));
+}
+
 void RequestQuarantine::noteServed(const std::vector<RequestTraitId>& shared, TimePoint now, const RequestTraitId& fingerprint)
 {
     if (this->servedAt.size() >= maximumServedTraits)
@@ -146,11 +154,20 @@
             if (!cleared)
                 this->noteCrash({ reported.trait }, crash.run, now - crash.age, crash.held);
         }
+        if (reported.servedAge && *reported.servedAge < clearedLifetime && this->suspects.size() < maximumSuspects)
+            this->suspects.try_emplace(reported.trait);
         const auto suspect = this->suspects.find(reported.trait);
         if (suspect == this->suspects.end())
             continue;
+        const std::optional<TimePoint> servedBefore = suspect->second.servedAt;
         if (reported.servedAge)
             clear(suspect->second, now - *reported.servedAge);
+        // A later time may be the same request, as other daemons pass it on.
+        const std::optional<TimePoint> served = suspect->second.servedAt;
+        if (served && (!servedBefore || *served - *servedBefore >= propagationTime)) {
+            for (auto& [trait, other] : this->suspects)
+                other.othersServed += trait != reported.trait && !other.crashes.empty() && separateCrashes(other.crashes).front() < *served ? 1 : 0;
+        }
         suspect->second.quarantinedElsewhere = suspect->second.quarantinedElsewhere || (reported.quarantined && separateCrashes(suspect->second.crashes).size() >= requiredCrashes);
     }
 }
@@ -167,17 +184,29 @@
     return suspect.othersServed >= requiredOthersServed && now - crashes[requiredCrashes - 1] >= propagationTime;
 }
 
+bool RequestQuarantine::explains(const Suspect& other, const Suspect& suspect)
+{
+    Crashes remaining = suspect.crashes;
+    std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
+    return separateCrashes(remaining).size() < requiredCrashes;
+}
+
 bool RequestQuarantine::isExplained(const RequestTraitId& trait, const Suspect& suspect, TimePoint now) const
 {
     return std::any_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
         const Suspect& other = entry.second;
         const bool servedLessRecently = suspect.servedAt && (!other.servedAt || *other.servedAt < *suspect.servedAt);
         const bool betterSupported = other.crashes.size() > suspect.crashes.size() || (other.crashes.size() == suspect.crashes.size() && servedLessRecently);
-        if (entry.first == trait || !betterSupported || !hasEnoughEvidence(other, now))
-            return false;
-        Crashes remaining = suspect.crashes;
-        std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
-        return separateCrashes(remaining).size() < requiredCrashes;
+        return entry.first != trait && betterSupported && hasEnoughEvidence(other, now) && explains(other, suspect);
+    });
+}
+
+bool RequestQuarantine::hasAllEquallySupported(const Suspects::value_type& suspect, const std::vector<RequestTraitId>& traits) const
+{
+    return std::all_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
+        const Suspect& other = entry.second;
+        const bool equal = other.quarantined && other.crashes.size() == suspect.second.crashes.size() && explains(other, suspect.second);
+        return !equal || std::find(traits.begin(), traits.end(), entry.first) != traits.end();
     });
 }
 
@@ -209,7 +238,7 @@
     std::optional<Duration> time;
     for (const RequestTraitId& trait : traits) {
         const auto suspect = this->suspects.find(trait);
-        if (suspect != this->suspects.end() && suspect->second.quarantined)
+        if (suspect != this->suspects.end() && suspect->second.quarantined && this->hasAllEquallySupported(*suspect, traits))
             time = std::max(time.value_or(Duration::zero()), lastCrashAt(suspect->second) + quarantineLifetime - now);
     }
     return time;
