Ask an engine that is named in a refusal whether it has crashed

A refusal is no loss of the engine any more, and crashes of a chain's later engines were counted only where the named engine had counted as unreachable.

--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -75,7 +75,8 @@
 {
     if (result.connectionBroken)
         return 0;
-    if (!result.failure || !result.blamed || (result.fault != EndpointFault::Unreachable && result.reason != engineLost))
+    const bool mayBeLost = result.fault == EndpointFault::Unreachable || result.fault == EndpointFault::Refused || result.reason == engineLost;
+    if (!result.failure || !result.blamed || !mayBeLost)
         return std::nullopt;
     const auto stage = std::find_if(metadata.stages.begin(), metadata.stages.end(), [&result](const ForwardStage& candidate) { return candidate.endpoint == *result.blamed; });
     if (stage == metadata.stages.end())
