--- a/review/1/second-answer.cpp
+++ b/review/1/second-answer.cpp
@@ -72,12 +72,12 @@
 
 bool run(Record& record, const std::string& folder)
 {
-    Store store;
-    Replica first(record, "engine-a", answer);
-    Replica one(record, "engine-b", answer);
-    Replica two(record, "engine-c", answer);
+    Store& store = keep<Store>();
+    Replica& first = keep<Replica>(record, "engine-a", answer);
+    Replica& one = keep<Replica>(record, "engine-b", answer);
+    Replica& two = keep<Replica>(record, "engine-c", answer);
     shortAddress = one.port();
-    Heartbeats heartbeats(store);
+    Heartbeats& heartbeats = keep<Heartbeats>(store);
     heartbeats.engine(first, "zone-a", 0, 4);
     heartbeats.engine(one, "zone-a", 4, 8);
     heartbeats.engine(two, "zone-a", 4, 8);
--- a/review/2/spoilt.cpp
+++ b/review/2/spoilt.cpp
@@ -50,11 +50,11 @@
 
 bool run(Record& record, const std::string& folder)
 {
-    Store store;
-    Replica one(record, "engine-1", answer);
-    Replica two(record, "engine-2", answer);
-    Replica three(record, "engine-3", answer);
-    Heartbeats heartbeats(store);
+    Store& store = keep<Store>();
+    Replica& one = keep<Replica>(record, "engine-1", answer);
+    Replica& two = keep<Replica>(record, "engine-2", answer);
+    Replica& three = keep<Replica>(record, "engine-3", answer);
+    Heartbeats& heartbeats = keep<Heartbeats>(store);
     heartbeats.engine(one, "zone-a", 0, 8);
     heartbeats.engine(two, "zone-a", 0, 8);
     heartbeats.engine(three, "zone-a", 0, 8);
--- a/review/3/silence.cpp
+++ b/review/3/silence.cpp
@@ -52,10 +52,10 @@
 
 bool run(Record& record, const std::string& folder)
 {
-    Store store;
-    Replica engine(record, "engine-1", answer);
-    Replica app(record, "app-1", answer);
-    Heartbeats heartbeats(store);
+    Store& store = keep<Store>();
+    Replica& engine = keep<Replica>(record, "engine-1", answer);
+    Replica& app = keep<Replica>(record, "app-1", answer);
+    Heartbeats& heartbeats = keep<Heartbeats>(store);
     heartbeats.engine(engine, "zone-a", 0, 8);
     heartbeats.plain(app, "app", "zone-a");
     heartbeats.start();
--- a/review/4/late-request.cpp
+++ b/review/4/late-request.cpp
@@ -51,9 +51,9 @@
 
 bool run(Record& record, const std::string& folder)
 {
-    Store store;
-    Replica engine(record, "engine-1", answer);
-    Heartbeats heartbeats(store);
+    Store& store = keep<Store>();
+    Replica& engine = keep<Replica>(record, "engine-1", answer);
+    Heartbeats& heartbeats = keep<Heartbeats>(store);
     heartbeats.engine(engine, "zone-a", 0, 8);
     heartbeats.start();
     Routes routes;
--- a/review/support/Harness.h
+++ b/review/support/Harness.h
@@ -56,6 +56,13 @@
     return !value || std::string(value) != "0";
 }
 
+/** \returns a new object that lives until the process ends, because detached threads use it */
+template <typename Type, typename... Arguments>
+Type& keep(Arguments&&... arguments)
+{
+    return *new Type(std::forward<Arguments>(arguments)...);
+}
+
 /** \brief Writes the record of a run, one line for each event with the time since its start. */
 class Record {
 public:
@@ -785,7 +792,7 @@
     if (argc < 3)
         return couldNotRun;
     std::signal(SIGPIPE, SIG_IGN);
-    Record record(argv[1]);
+    Record& record = keep<Record>(argv[1]);
     record.write(troubled() ? "with the disruption" : "without the disruption");
     int result = couldNotRun;
     try {
@@ -794,7 +801,7 @@
     } catch (const CannotRun& problem) {
         record.write("result: could not run: " + problem.reason);
     }
-    // The stand-ins' threads still run, so no destructor of theirs may.
+    // Threads of the stand-ins still run.
     std::cout.flush();
     ::_exit(result);
 }
