review: case 5, a part that crashes engines after their first event is never quarantined

Cause: a crash counts against a prompt's parts only before the first event, and the first event clears them. Done: a script with one gateway, eight engines that crash and come back, sound clients and few requests with the part; heartbeats with restarts in the stand-ins.

--- a/review/support/Harness.h
+++ b/review/support/Harness.h
@@ -589,6 +589,11 @@
         this->add(replica, "llm", zone, R"(,"Kind":"l4","Layers":{"From":)" + std::to_string(first) + R"(,"To":)" + std::to_string(last) + R"(,"Version":1})", replica.port());
     }
 
+    void engineBehind(const Replica& replica, const Link& link, const std::string& zone, int first, int last)
+    {
+        this->add(replica, "llm", zone, R"(,"Kind":"l4","Layers":{"From":)" + std::to_string(first) + R"(,"To":)" + std::to_string(last) + R"(,"Version":1})", link.port());
+    }
+
     void start()
     {
         this->write();
@@ -600,20 +605,54 @@
         }).detach();
     }
 
+    /** \brief The replica writes nothing any more. */
+    void pause(const std::string& id)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->entries[id].paused = true;
+    }
+
+    /** \brief The replica has started again, and writes its entry. */
+    void resume(const std::string& id)
+    {
+        const std::lock_guard lock(this->mutex);
+        Entry& entry = this->entries[id];
+        entry.paused = false;
+        entry.born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+        entry.beats = 0;
+        this->write(id, entry);
+    }
+
 private:
+    struct Entry {
+        std::string text;
+        std::int64_t born = 1700000000000;
+        int beats = 0;
+        bool paused = false;
+    };
+
     void add(const Replica& replica, const std::string& service, const std::string& zone, const std::string& engine, int port)
     {
-        this->entries[replica.id()] = { R"({"Service":")" + service + R"(","Address":")" + addressText(port) + R"(","Zone":")" + zone + R"(","Version":"1","Slots":6,"State":"ready","ColdLeftMs":0,"born":1700000000000)" + engine, 0 };
+        this->entries[replica.id()].text = R"({"Service":")" + service + R"(","Address":")" + addressText(port) + R"(","Zone":")" + zone + R"(","Version":"1","Slots":6,"State":"ready","ColdLeftMs":0)" + engine;
     }
 
     void write()
     {
-        for (auto& [id, entry] : this->entries)
-            this->store.put("keyed.servers", id, entry.first + R"(,"CallSeq":)" + std::to_string(++entry.second) + "}");
+        const std::lock_guard lock(this->mutex);
+        for (auto& [id, entry] : this->entries) {
+            if (!entry.paused)
+                this->write(id, entry);
+        }
+    }
+
+    void write(const std::string& id, Entry& entry)
+    {
+        this->store.put("keyed.servers", id, entry.text + R"(,"born":)" + std::to_string(entry.born) + R"(,"CallSeq":)" + std::to_string(++entry.beats) + "}");
     }
 
     Store& store;
-    std::map<std::string, std::pair<std::string, int>> entries;
+    std::mutex mutex;
+    std::map<std::string, Entry> entries;
 };
 
 /** \brief What a case sets in the configuration of its routes. */
