--- a/review/3/silence.cpp
+++ b/review/3/silence.cpp
@@ -83,7 +83,7 @@
             record.write("client " + std::to_string(number) + ": sent stream-" + std::to_string(number));
             const StreamAnswer answer = readStream(*connection, 20s);
             record.write("client " + std::to_string(number) + ": status " + std::to_string(answer.status) + ", " + std::to_string(answer.events.size()) + " events, " + (answer.complete ? "complete" : connection->ended ? "the channel was closed"
-                                                                                                                                                                                                                        : "no end"));
+                                                                                                                                                                                                                          : "no end"));
             // A failure that is answered whole, such as 502, is a complete answer.
             if (!answer.complete)
                 ++cut;
