--- a/review/5/poison.cpp
+++ b/review/5/poison.cpp
@@ -18,6 +18,7 @@
 
 std::mutex mutex;
 std::map<std::string, Link*> links;
+std::set<std::string> down; ///< ids of the engines that have crashed and aren't back yet
 std::vector<Clock::time_point> crashes;
 std::vector<Clock::time_point> poisonArrivals;
 Heartbeats* heartbeats = nullptr;
@@ -27,7 +28,10 @@
     const std::string id = replica.id();
     Link& link = *links.at(id);
     {
+        // Another request may have crashed it just before.
         const std::lock_guard lock(mutex);
+        if (!down.insert(id).second)
+            return;
         crashes.push_back(Clock::now());
     }
     replica.log("crashes");
@@ -36,6 +40,10 @@
     std::thread([id, &link, &replica] {
         std::this_thread::sleep_for(downTime);
         link.heal();
+        {
+            const std::lock_guard lock(mutex);
+            down.erase(id);
+        }
         heartbeats->resume(id);
         replica.log("is back");
     }).detach();
--- a/review/support/Harness.h
+++ b/review/support/Harness.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -244,18 +245,32 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+/** \brief Listens on the port, or for 0 on any free one.
+ * \param chosen receives the port */
 inline int listenOn(int port, int& chosen)
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int one = 1;
-    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-    sockaddr_in address = loopback(port);
-    if (descriptor < 0 || ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || ::listen(descriptor, 512) != 0)
-        throw CannotRun { "no port to listen on" };
-    socklen_t size = sizeof address;
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    chosen = ntohs(address.sin_port);
-    return descriptor;
+    // Ports outside the usual range of outgoing connections, which could otherwise take one that is free for a moment.
+    constexpr int firstPort = 15000;
+    constexpr int lastPort = 31999;
+    static std::mt19937 random(std::random_device {}());
+    static std::mutex mutex;
+    for (int attempt = 0; attempt < 200; ++attempt) {
+        if (port == 0) {
+            const std::lock_guard lock(mutex);
+            chosen = std::uniform_int_distribution<int>(firstPort, lastPort)(random);
+        } else {
+            chosen = port;
+        }
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int one = 1;
+        ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+        const sockaddr_in address = loopback(chosen);
+        if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 && ::listen(descriptor, 512) == 0)
+            return descriptor;
+        ::close(descriptor);
+        std::this_thread::sleep_for(5ms);
+    }
+    throw CannotRun { "no port to listen on" };
 }
 
 inline int freePort()
@@ -515,6 +530,8 @@
     void cut()
     {
         const std::lock_guard lock(this->mutex);
+        if (!this->open)
+            return;
         this->open = false;
         ::shutdown(this->descriptor, SHUT_RDWR);
         ::close(this->descriptor);
@@ -528,6 +545,8 @@
     void heal()
     {
         const std::lock_guard lock(this->mutex);
+        if (this->open)
+            return;
         this->descriptor = listenOn(this->number, this->number);
         this->open = true;
         this->accept();
