Send the events before a spoilt one to the caller

Cause: forwardEvents() recorded each sound event of a read in lastEventId and returned at the first one out of order without sending the text of those before it. The next attempt resumed after events that the caller never got. Ruled out: the order of events at the engine and the parser, since the same read without the spoilt id arrives whole.

Change: the text of the events before the failure is sent before the attempt fails, so that lastEventId holds what it says. Streams that another gateway serves go through the same function.

--- a/packages/Daemon/tests/Gateway.cpp
+++ b/packages/Daemon/tests/Gateway.cpp
@@ -35,15 +35,6 @@
 const std::vector<std::string> serviceReplicas { "app-1", "app-2" };
 const std::vector<std::string> firstEngines { "engine-a1", "engine-b1" };
 
-/** \returns the event ids of a stream in order, each followed by a space */
-std::string eventIds(const std::string& received)
-{
-    std::string ids;
-    for (std::size_t at = received.find("id: "); at != std::string::npos; at = received.find("id: ", at + 1))
-        ids += received.substr(at + 4, received.find('\n', at) - at - 4) + " ";
-    return ids;
-}
-
 bool contains(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -121,9 +121,12 @@
 asio::awaitable<std::optional<AttemptResult>> StreamForwarder::forwardEvents(std::vector<StreamEvent> events)
 {
     std::string text;
+    std::optional<AttemptResult> failure;
     for (StreamEvent& event : events) {
-        if (event.id && this->lastEventId && *event.id != *this->lastEventId + 1)
-            co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "event-out-of-order" };
+        if (event.id && this->lastEventId && *event.id != *this->lastEventId + 1) {
+            failure = AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "event-out-of-order" };
+            break;
+        }
         text += event.text;
         // Comments and other events without id do not count as progress, because an engine that produces no tokens may send them.
         if (!event.id)
@@ -135,14 +138,15 @@
         if (this->eventsInAttempt++ % eventsPerHealthReport == 0)
             this->reportChainHealthy();
     }
-    if (text.empty())
-        co_return std::nullopt;
-    if (!this->firstEventSent) {
-        this->firstEventSent = true;
-        this->task.context.metrics.observeFirstToken(bootNow() - this->task.received);
+    // The next attempt resumes after lastEventId, so the events up to it must reach the caller even if the attempt fails.
+    if (!text.empty()) {
+        if (!this->firstEventSent) {
+            this->firstEventSent = true;
+            this->task.context.metrics.observeFirstToken(bootNow() - this->task.received);
+        }
+        co_await this->task.caller->sendPart(text);
     }
-    co_await this->task.caller->sendPart(text);
-    co_return std::nullopt;
+    co_return failure;
 }
 
 std::uint64_t StreamForwarder::subscribeToSuspicions(const LayerChain& chain)
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -225,4 +225,12 @@
     return "0\r\n\r\n";
 }
 
+std::string eventIds(const std::string& received)
+{
+    std::string ids;
+    for (std::size_t at = received.find("id: "); at != std::string::npos; at = received.find("id: ", at + 1))
+        ids += received.substr(at + 4, received.find('\n', at) - at - 4) + " ";
+    return ids;
+}
+
 }
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -78,6 +78,8 @@
 std::string eventChunk(int id, const std::string& data = "token");
 /** \returns the end of a stream */
 std::string lastChunk();
+/** \returns the ids of the events that a caller received, in order, each followed by a space */
+std::string eventIds(const std::string& received);
 
 }
 
