Refuse requests that come too late after SIGTERM

Cause: which requests are taken was a side effect of the listener, which was closed at the first poll, 20 ms apart, after three seconds, the bound itself. A connection on which a request was arriving stayed open, and its request was forwarded whenever it was complete. Ruled out: the delay of the signal, since requests later than 3.002 s were taken with the poll's interval as the window.

Change: StopSchedule decides in virtual time, for each request that has been read completely. It is forwarded for 2.8 s and refused with 503 and Retry-After later. Connections are accepted for three seconds as before. Requests that another gateway hands over are declined with 421, so that it looks further.

Tests: Daemon.Shutdown.requestThatIsCompletedAfterTheTimeForRequestsIsRefused. Gateway.StopSchedule has the bounds.

--- /dev/null
+++ b/packages/Daemon/tests/Shutdown.cpp
@@ -0,0 +1,83 @@
+// Runs a gateway that gets SIGTERM while a stream is in progress and callers still send requests.
+#include <filbertspoke/PlatformTesting>
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <string>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+const std::string endOfHead = "\r\n\r\n";
+const std::string endOfStream = "0\r\n\r\n";
+// Requirement of the users: a request that is sent later than this after SIGTERM and passed on must not be broken off.
+constexpr auto lastTaken = 3s;
+// The balancer still sends requests to the gateway at this time.
+constexpr auto beforeRemoval = 1s;
+
+/** \returns a stream that is longer than the time for which the gateway takes requests */
+ReplicaScript longStream(const HttpRequest& request)
+{
+    if (request.target.starts_with("/filbertspoke/"))
+        return emptyReport();
+    ReplicaScript script;
+    script.pieces.push_back(streamHead(request));
+    for (int id = 1; id <= 9; ++id)
+        script.pieces.push_back(eventChunk(id));
+    script.pieces.push_back(lastChunk());
+    script.pause = 350ms;
+    return script;
+}
+
+struct Fixture : GatewayScene {
+    Fixture()
+    {
+        this->start();
+        for (const char* id : { "engine-a1", "engine-b1" })
+            this->replicas.at(id)->setAnswer(longStream);
+        this->stream = this->call("POST", "/chat/x");
+        BOOST_TEST_REQUIRE(this->await([this] { return !eventIds(this->stream->received()).empty(); }));
+        this->gateway->signal(SIGTERM);
+        this->signalledAt = Clock::now();
+    }
+
+    void awaitTimeAfterSignal(Clock::duration time)
+    {
+        BOOST_TEST_REQUIRE(this->await([&] { return Clock::now() - this->signalledAt > time; }));
+    }
+
+    std::unique_ptr<RawCaller> stream;
+    Clock::time_point signalledAt;
+};
+
+}
+
+// Guards against requests that were forwarded so late after SIGTERM that the gateway ended before their answer.
+BOOST_FIXTURE_TEST_CASE(requestThatIsCompletedAfterTheTimeForRequestsIsRefused, Fixture)
+{
+    const std::string text = callText({ "POST", "/book/late", "late-request" });
+    const std::size_t sentFirst = text.size() - 2;
+    this->awaitTimeAfterSignal(beforeRemoval);
+    RawCaller caller(this->context, this->callers, text.substr(0, sentFirst));
+    this->awaitTimeAfterSignal(lastTaken);
+    caller.send(text.substr(sentFirst));
+    const std::string received = this->answer(caller, endOfHead);
+    BOOST_TEST(received.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(received.find("Retry-After: ") != std::string::npos);
+    BOOST_TEST(this->replicas.at("app-1")->requests().size() + this->replicas.at("app-2")->requests().size() == 0U);
+    BOOST_TEST(eventIds(this->answer(*this->stream, endOfStream)) == "1 2 3 4 5 6 7 8 9 ");
+}
+
+BOOST_FIXTURE_TEST_CASE(requestThatIsSentBeforeTheBalancerRemovesTheGatewayIsServed, Fixture)
+{
+    this->awaitTimeAfterSignal(beforeRemoval);
+    BOOST_TEST(this->answer(*this->call("POST", "/book/x"), "served").starts_with("HTTP/1.1 200"));
+    BOOST_TEST(eventIds(this->answer(*this->stream, endOfStream)) == "1 2 3 4 5 6 7 8 9 ");
+}
--- /dev/null
+++ b/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.cpp
@@ -0,0 +1,32 @@
+#include <filbertspoke/Gateway>
+
+namespace filbertspoke {
+
+namespace {
+
+// The load balancer removes a gateway after two failed health checks, which are a second apart; the third second covers a late check.
+constexpr Duration balancerRemovalTime = std::chrono::milliseconds(3000);
+// The signal and a request can reach the gateway with different delays. Requests are refused this long before connections are, so that none
+// that was sent after balancerRemovalTime is forwarded.
+constexpr Duration deliveryMargin = std::chrono::milliseconds(200);
+// The gateway ends this long before it would be killed.
+constexpr Duration killMargin = std::chrono::milliseconds(300);
+
+}
+
+bool StopSchedule::takesRequests(TimePoint now) const
+{
+    return now - this->signalledAt < balancerRemovalTime - deliveryMargin;
+}
+
+bool StopSchedule::acceptsConnections(TimePoint now) const
+{
+    return now - this->signalledAt < balancerRemovalTime;
+}
+
+bool StopSchedule::isOver(TimePoint now) const
+{
+    return now - this->signalledAt >= this->timeout - killMargin;
+}
+
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -19,8 +19,8 @@
 // Response to a gateway that hands over a request which this one can't serve either.
 constexpr unsigned misdirectedStatus = 421;
 
-// Retry-After of refusals sent before a configuration is known or while it offers no service; a read of the store takes about
-// this long.
+// Retry-After of refusals sent before a configuration is known, while it offers no service or while this daemon stops; a read of the store takes
+// about this long, and the caller's next attempt reaches another daemon.
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(500);
 // Delay after a failed accept, which is usually caused by a lack of file descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
@@ -121,18 +121,34 @@
         co_return false;
     }
     co_await this->forward(connection, std::move(*decoded), received);
-    co_return connection->keepAlive() && !connection->disconnected() && !this->context.stopping;
+    co_return connection->keepAlive() && !connection->disconnected() && !this->context.isStopping();
 }
 
 asio::awaitable<void> CallerListener::refuse(std::shared_ptr<CallerConnection> connection, const Refusal& refusal, const CallerRequest& request)
 {
     const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, request.id);
     logLine(WriteLog::Level::Info, "request-refused", { { "request", request.id.str() }, { "host", request.host }, { "target", request.http.target }, { "reason", std::string(name(refusal.code())) }, { "status", std::to_string(response.status) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
-    co_await connection->respond(response, connection->keepAlive() && !this->context.stopping);
+    co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
+}
+
+asio::awaitable<void> CallerListener::declineHandover(std::shared_ptr<CallerConnection> connection)
+{
+    const HttpResponse response = emptyResponse(misdirectedStatus);
+    co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
 }
 
 asio::awaitable<void> CallerListener::forward(std::shared_ptr<CallerConnection> connection, CallerRequest request, TimePoint received)
 {
+    if (this->context.stopSchedule && !this->context.stopSchedule->takesRequests(received)) {
+        if (request.endpointsUsed) {
+            logLine(WriteLog::Level::Info, "handover-declined", { { "request", request.id.str() }, { "reason", std::string(name(ErrorCode::Draining)) } });
+            co_await this->declineHandover(connection);
+            co_return;
+        }
+        const Refusal refusal = Refusal(ErrorCode::Draining, Ran::No).retryAfter(unavailableRetryAfter);
+        co_await this->refuse(connection, refusal, request);
+        co_return;
+    }
     const auto table = this->context.table;
     if (!table || !this->context.registryLoaded) {
         const Refusal refusal = Refusal(ErrorCode::ConfigurationUnavailable, Ran::No).retryAfter(unavailableRetryAfter);
@@ -165,8 +181,7 @@
     if (request.endpointsUsed) {
         logLine(WriteLog::Level::Info, "request-taken-over", { { "request", request.id.str() }, { "endpointsUsed", std::to_string(*request.endpointsUsed) }, { "state", std::string(name(this->context.reachability(*service).state())) } });
         if (this->context.reachability(*service).state() == Reachability::CutOff || *request.endpointsUsed >= route->attempts) {
-            const HttpResponse response = emptyResponse(misdirectedStatus);
-            co_await connection->respond(response, connection->keepAlive() && !this->context.stopping);
+            co_await this->declineHandover(connection);
             co_return;
         }
         permitted.attempts -= *request.endpointsUsed;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -112,7 +112,7 @@
     void noteServed();
 
     /** \returns whether the caller's connection stays open after the response */
-    bool keepAlive() const { return this->caller->keepAlive() && !this->context.stopping; }
+    bool keepAlive() const { return this->caller->keepAlive() && !this->context.isStopping(); }
 
     GatewayContext& context;
     std::shared_ptr<CallerConnection> caller;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -42,6 +42,8 @@
     SharedRetryBudget& retryBudget(const ServiceId&);
     /** \returns the number of gateways that share the retry budgets, or nothing while it is unknown */
     std::optional<std::size_t> siteGateways() const;
+    /** \returns whether the gateway was told to stop, so that callers' connections are closed after their responses */
+    bool isStopping() const { return this->stopSchedule.has_value(); }
     /** \returns whether this daemon must read the store itself */
     bool followsStore() const;
     /** \returns a uniformly distributed random number in [0, 1) */
@@ -113,7 +115,7 @@
     std::uint64_t capacityChanges = 1; ///< incremented when the free capacity of the engines may have grown
     UpstreamPool pool; ///< idle connections to endpoints
     Metrics metrics;
-    bool stopping = false; ///< shutdown has begun
+    std::optional<StopSchedule> stopSchedule; ///< set once the gateway was told to stop
     unsigned requestsInProgress = 0; ///< requests of callers without a complete response
 
 private:
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -22,10 +22,6 @@
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(500);
 // Interval at which a stopping daemon checks whether the requests in progress have finished.
 constexpr Duration stopPollInterval = std::chrono::milliseconds(20);
-// The load balancer removes a daemon after two failed health checks, which are a second apart; the third second covers a late check.
-constexpr Duration balancerRemovalTime = std::chrono::milliseconds(3000);
-// The process exits this long before the stop timeout, at which it would be killed.
-constexpr Duration killMargin = std::chrono::milliseconds(300);
 
 /** \brief I/O context whose pending handlers can be destroyed before the objects that they refer to. */
 class HandlerOwner : public asio::io_context {
@@ -79,7 +75,7 @@
     }
 
 private:
-    bool ready() const { return !this->context.stopping && this->context.table && this->context.registryLoaded; }
+    bool ready() const { return !this->context.isStopping() && this->context.table && this->context.registryLoaded; }
 
     asio::awaitable<std::optional<HttpResponse>> handleOperatorRequest(const HttpRequest& request)
     {
@@ -109,14 +105,14 @@
     asio::awaitable<void> awaitStop()
     {
         const auto [error, signal] = co_await this->signals.async_wait(asTuple);
-        const TimePoint signalledAt = bootNow();
-        this->context.stopping = true;
+        const StopSchedule schedule(bootNow(), this->context.settings.stopTimeout);
+        this->context.stopSchedule = schedule;
         this->placement.stop();
         logLine(WriteLog::Level::Info, "stopping", { { "signal", std::to_string(signal) }, { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
         bool listening = true;
-        while (bootNow() - signalledAt < this->context.settings.stopTimeout - killMargin) {
+        while (!schedule.isOver(bootNow())) {
             co_await sleepFor(this->io, stopPollInterval);
-            if (listening && bootNow() - signalledAt >= balancerRemovalTime) {
+            if (listening && !schedule.acceptsConnections(bootNow())) {
                 listening = false;
                 this->callers.stopListening();
                 if (this->handovers)
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -101,6 +101,12 @@
     return this->state->closed;
 }
 
+void RawCaller::send(const std::string& text)
+{
+    boost::system::error_code ignored;
+    asio::write(this->state->socket, asio::buffer(text), ignored);
+}
+
 void RawCaller::leave()
 {
     boost::system::error_code ignored;
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -30,6 +30,8 @@
     const std::string& received() const;
     /** \returns whether the gateway closed the connection */
     bool closed() const;
+    /** \brief Sends more bytes, after the text with which the connection was opened. */
+    void send(const std::string& text);
     /** \brief Closes the connection. */
     void leave();
 
