Send each attempt of a request on another connection

Cause: the connection of a refused attempt goes back to the pool, and the next attempt of the same request took it from there when its chain had the same first engine. A late second copy of the refusal has the request's id and passed for the answer to the attempt that ran. Ruled out: answers to other requests, which the id tells apart.

Change: ForwardTask keeps the connections on which it has sent the request, and UpstreamPool::takeIdle() leaves them out. That covers calls and requests that are handed over as well, which are sent by the same function.

Test: Daemon.GarbledAnswers.secondCopyOfARefusalDoesNotAnswerTheNextAttempt. Before: "sends == 2 has failed [3 != 2]".

--- a/packages/Daemon/tests/GarbledAnswers.cpp
+++ b/packages/Daemon/tests/GarbledAnswers.cpp
@@ -1,4 +1,4 @@
-// Runs a gateway whose engines spoil events of their streams.
+// Runs a gateway whose engines spoil events of their streams, or send an answer twice.
 #include <filbertspoke/PlatformTesting>
 
 #include <boost/test/unit_test.hpp>
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Time between the two copies of an answer, in which the gateway sends the request again.
+constexpr Duration extraAnswerDelay = 25ms;
 constexpr int lastEvent = 5;
 const std::string endOfStream = "0\r\n\r\n";
 
@@ -49,3 +51,26 @@
     BOOST_TEST(eventIds(received) == "1 2 3 4 5 ");
     BOOST_TEST(runs == 2);
 }
+
+// Guards against streams that ran twice because the second copy of a refusal was taken for the answer to the next attempt.
+BOOST_FIXTURE_TEST_CASE(secondCopyOfARefusalDoesNotAnswerTheNextAttempt, Fixture)
+{
+    this->putEndpoint("engine-b1", "draining");
+    BOOST_TEST_REQUIRE(this->await([&] {
+        const std::size_t before = this->replicas.at("engine-b1")->requests().size();
+        for (int call = 0; call < 4; ++call)
+            this->answer(*this->call("POST", "/chat/before"), endOfStream);
+        return this->replicas.at("engine-b1")->requests().size() == before;
+    }));
+    int sends = 0;
+    this->setFirstEngines([&](const HttpRequest& request) {
+        if (++sends > 1)
+            return restOfStream(request);
+        std::string refusal = blamingAnswer(this->replicas.at("engine-a2")->address());
+        refusal.insert(refusal.find("\r\n") + 2, requestIdHeader() + ": " + readForwarded(request).id + "\r\n");
+        return ReplicaScript { { refusal, refusal }, extraAnswerDelay, ReplicaScript::End::Keep };
+    });
+    const std::string received = this->answer(*this->call("POST", "/chat/x"), endOfStream);
+    BOOST_TEST(eventIds(received) == "1 2 3 4 5 ");
+    BOOST_TEST(sends == 2);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -227,7 +227,8 @@
 asio::awaitable<UpstreamPointer> ForwardTask::sendMessage(const SocketAddress& address, const EndpointId& endpoint, const HttpRequest& message, AttemptResult& result)
 {
     this->history.noteAttempt();
-    UpstreamPointer connection = this->context.pool.takeIdle(address);
+    // A second copy of the answer to an earlier attempt has the id of this request too: it may still arrive on the connection of that attempt.
+    UpstreamPointer connection = this->context.pool.takeIdle(address, this->usedConnections);
     if (!connection) {
         connection = this->context.pool.create(address);
         this->upstream = connection;
@@ -245,6 +246,7 @@
         co_return nullptr;
     }
     this->history.noteSent();
+    this->usedConnections.insert(connection);
     this->retryCharged = false;
     const std::error_code error = co_await connection->send(message, this->timeLeft());
     // The endpoint may have received the whole request in spite of a write error, and may have responded to it.
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -80,7 +80,7 @@
      * \returns whether another attempt is permitted */
     bool noteHandoverFailure(const SocketAddress& target, const AttemptResult&);
 
-    /** \brief Sends the request to the first stage, on a pooled connection if there is one, unless the caller has disconnected.
+    /** \brief Sends the request to the first stage, on a pooled connection that it was not sent on before or a new one, unless the caller has disconnected.
      * chargeRetryBudget() must have returned true before.
      * \returns the connection, or nullptr when nothing was sent; the attempt's result then holds the failure */
     boost::asio::awaitable<UpstreamPointer> sendRequest(const ForwardMetadata&, AttemptResult&);
@@ -126,12 +126,13 @@
     const TimePoint deadline;
     const double handoverDraw; ///< random number that decides whether the request is handed over while only a part of them is
     UpstreamPointer upstream; ///< connection of the attempt in progress
+    UpstreamSet usedConnections; ///< to which the request was sent
     AttemptHistory history;
     std::set<SocketAddress> triedGateways; ///< to which the request was handed over without success
     bool retryCharged = false; ///< whether the retry budget was charged for a send that has not happened yet
 
 private:
-    /** \brief Sends a message on a pooled connection if there is one, unless the caller has disconnected.
+    /** \brief Sends a message on a connection that the request was not sent on before, unless the caller has disconnected.
      * \param endpoint at the address, or another name for a receiver that is no endpoint
      * \returns the connection, or nullptr when nothing was sent */
     boost::asio::awaitable<UpstreamPointer> sendMessage(const SocketAddress&, const EndpointId& endpoint, const HttpRequest&, AttemptResult&);
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamPool.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamPool.cpp
@@ -15,15 +15,18 @@
 
 }
 
-UpstreamPointer UpstreamPool::takeIdle(const SocketAddress& address)
+UpstreamPointer UpstreamPool::takeIdle(const SocketAddress& address, const UpstreamSet& excluded)
 {
     const auto entry = this->idleByAddress.find(address);
     if (entry == this->idleByAddress.end())
         return nullptr;
+    std::deque<Idle>& connections = entry->second;
     const TimePoint now = bootNow();
-    while (!entry->second.empty()) {
-        Idle idle = std::move(entry->second.back());
-        entry->second.pop_back();
+    for (std::size_t index = connections.size(); index-- > 0;) {
+        if (excluded.contains(connections[index].connection))
+            continue;
+        const Idle idle = std::move(connections[index]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index));
         if (now < idle.closesAt && idle.connection->reusable())
             return idle.connection;
     }
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamPool.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamPool.h
@@ -6,12 +6,16 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace filbertspoke {
 
 /** \brief Shared ownership of a connection by an attempt and the coroutines that may close it. */
 using UpstreamPointer = std::shared_ptr<UpstreamConnection>;
 
+/** \brief Connections, which need not exist any more. */
+using UpstreamSet = std::set<std::weak_ptr<UpstreamConnection>, std::owner_less<>>;
+
 /** \brief Pool of idle connections to endpoints. */
 class UpstreamPool {
 public:
@@ -20,8 +24,8 @@
     {
     }
 
-    /** \returns an idle connection to the address that is still usable, or nullptr */
-    UpstreamPointer takeIdle(const SocketAddress&);
+    /** \returns an idle connection to the address that is still usable and not \a excluded, or nullptr */
+    UpstreamPointer takeIdle(const SocketAddress&, const UpstreamSet& excluded);
     /** \returns a new connection, which is not connected yet */
     UpstreamPointer create(const SocketAddress&);
     /** \brief Returns a connection to the pool if it is reusable and the pool has space for it, and closes it otherwise. */
