Keep a stream at a silent engine until another chain can serve it

Cause: monitorAttempt() closed the connection as soon as the first engine had missed two reports, or had named an engine that it waits for, without asking prepareMove() whether the stream could go on anywhere else, as the two other ways out of a chain do. Ruled out: SIGTERM. The regression test shows the cut without it.

Change: the stream leaves the chain only if prepareMove() finds a way on. Otherwise the engine is noted as suspected, so that new requests avoid it and streams that can leave it do, and the stream asks again at the next check.

Tests: Daemon.SilentEngines.streamStaysAtASilentEngineWhileThereIsNoOtherChain. Before: "eventIds(received) == "1 2 " has failed [1 != 1 2 ]". streamLeavesASilentEngineAsSoonAsThereIsAnotherChain holds before and after.

--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -165,6 +165,20 @@
     });
 }
 
+void StreamForwarder::noteSuspected(const EndpointId& engine, const std::string& evidence)
+{
+    GatewayContext& context = this->task.context;
+    const EndpointRecord* record = context.registry.find(engine);
+    if (!record)
+        return;
+    const bool alreadySuspected = EndpointRegistry::isSuspected(*record, bootNow());
+    context.registry.noteFault(engine, EndpointFault::Unreachable, bootNow());
+    if (alreadySuspected)
+        return;
+    this->task.logDecision("engine-suspected", { { "engine", engine.str() }, { "evidence", evidence }, { "pausedMs", milliseconds(this->stallDuration()) } });
+    context.streams.notifySuspected(engine, evidence);
+}
+
 bool StreamForwarder::prepareMove(const EndpointId& first, const EndpointId& blamed)
 {
     const auto historyAfter = this->task.historyAfterStall(first, blamed);
@@ -210,9 +224,15 @@
         const bool stalled = monitor->checkedAt - this->lastProgress >= suspectedStallTimeout;
         if (!failed || !stalled || !this->task.upstream)
             continue;
+        const std::string evidence = "report of " + firstEngine.str();
+        // The engine may be silent for a moment only: the stream stays on its chain until another one can serve it.
+        if (!this->prepareMove(firstEngine, *failed)) {
+            this->noteSuspected(*failed, evidence);
+            continue;
+        }
         this->failedEngine = failed;
         this->failedEngineFault = EndpointFault::Unreachable;
-        this->failedEngineEvidence = "report of " + firstEngine.str();
+        this->failedEngineEvidence = evidence;
         this->task.upstream->close();
         co_return;
     }
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -42,6 +42,8 @@
      * \returns whether the attempt at \a first may be aborted because of \a blamed */
     bool prepareMove(const EndpointId& first, const EndpointId& blamed);
     bool abandonStalledChain(const EndpointId& first);
+    /** \brief Keeps new requests away from an engine that the stream can't leave, and lets other streams leave it. */
+    void noteSuspected(const EndpointId& engine, const std::string& evidence);
     AttemptResult readFailure(const std::error_code&, const std::string& timeoutReason, const std::string& brokenReason) const;
     std::uint64_t subscribeToSuspicions(const LayerChain&);
     boost::asio::awaitable<void> finish(bool complete);
