Give no attempt up for a handover while the own paths are only suspect

What callers saw: streams at silent engines are broken off, all at one gateway.

Cause: prepareMove() took any gateway that accepts handovers for a proof that the rest of a stream can be served there, as soon as this gateway's paths were suspect. Two silent engines make them so. Ruled out: the configuration, which the test does not change.

Change: ForwardTask::canHandOver() holds only while the gateway is cut off. Requests without an attempt in progress are handed over as before.

Test: Daemon.SilentEngines.streamsStayAtSilentEnginesWhileOtherGatewaysFindNoChain. On: "complete == callers.size() has failed [12 != 16]".

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -3,7 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstddef>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace filbertspoke;
 using namespace std::chrono_literals;
@@ -11,6 +14,8 @@
 namespace {
 
 constexpr Duration silence = 1700ms;
+// Streams that an engine runs at once, by the configuration of the scene.
+constexpr std::size_t slots = 8;
 const std::string endOfStream = "0\r\n\r\n";
 
 /** \returns a stream that pauses after its first event, or the lack of a report meanwhile */
@@ -55,3 +60,23 @@
     BOOST_TEST(eventIds(received) == "1 2 3 4 5 6 ");
     BOOST_TEST(scene.replicas.at("engine-b1")->requests().size() == 1U);
 }
+
+// Guards against streams that were cut at silent engines to be handed over to another gateway, which could not serve them either.
+BOOST_AUTO_TEST_CASE(streamsStayAtSilentEnginesWhileOtherGatewaysFindNoChain)
+{
+    const std::vector<std::string> firstEngines { "engine-a1", "engine-b1" };
+    GatewayScene scene;
+    scene.start();
+    scene.startSecond("zone-b", scene.secondStore.address());
+    for (const std::string& id : firstEngines)
+        scene.replicas.at(id)->setAnswer(fallSilent);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t call = 0; call < slots * firstEngines.size(); ++call)
+        callers.push_back(scene.call("POST", "/chat/x"));
+    std::size_t complete = 0;
+    for (const auto& caller : callers)
+        complete += scene.answer(*caller, endOfStream).ends_with(endOfStream) ? 1 : 0;
+    BOOST_TEST(complete == callers.size());
+    for (const std::string& id : firstEngines)
+        BOOST_TEST(scene.replicas.at(id)->requests().size() == slots);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -63,7 +63,9 @@
 
     /** \returns the gateway to which to hand the request over, or nothing if this one serves it itself as far as it can */
     std::optional<SocketAddress> handoverTarget() const;
-    /** \returns whether the request can be handed over once an attempt with this history has ended */
+    /** \returns whether an attempt in progress may be aborted to hand the request over: this gateway is cut off from the endpoints, and another one
+     * takes requests
+     * \param history including the aborted attempt */
     bool canHandOver(const AttemptHistory&) const;
     /** \brief Hands the request over to another gateway.
      * \returns the connection, or nullptr when nothing was sent; the attempt's result then holds the failure */
--- a/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
@@ -32,7 +32,9 @@
 
 bool ForwardTask::canHandOver(const AttemptHistory& attempts) const
 {
-    return !attempts.attemptsExhausted() && this->handoverTarget().has_value();
+    // Whether the other gateway finds an endpoint is unknown. A few silent endpoints also make this gateway's paths suspect.
+    const bool cutOff = this->context.reachability(this->service).state() == Reachability::CutOff;
+    return cutOff && !attempts.attemptsExhausted() && this->handoverTarget().has_value();
 }
 
 asio::awaitable<UpstreamPointer> ForwardTask::sendHandover(const SocketAddress& target, std::optional<std::uint64_t> lastEventId, AttemptResult& result)
