Reserve the chain for which a stream leaves its own

What callers saw: many streams leave a silent engine together, and those for which the other chain has no room are broken off.

Cause: prepareMove() planned a chain to see that there is one, and forgot it. Streams leave an engine in the same moment, so that all of them counted on the same free capacity, which was reserved only by the next attempt. Ruled out: the loads of other gateways, since the test has one gateway.

Change: the planned chain is reserved when the stream leaves, and the next attempt uses it. A stream for which nothing is left stays.

Test: Daemon.SilentEngines.asManyStreamsLeaveASilentEngineAsAnotherChainHasRoomFor. On: "complete == callers.size() has failed [2 != 8]".

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -18,6 +18,16 @@
 constexpr std::size_t slots = 8;
 const std::string endOfStream = "0\r\n\r\n";
 
+/** \returns a stream that occupies its engine until after the silence of another one, or the rest of a stream that was begun there */
+ReplicaScript occupy(const HttpRequest& request)
+{
+    if (request.target.starts_with("/filbertspoke/"))
+        return emptyReport();
+    if (readForwarded(request).lastEvent > 0)
+        return { { streamHead(request) + eventChunk(2), lastChunk() }, silence, ReplicaScript::End::Keep };
+    return { { streamHead(request) + eventChunk(1), lastChunk() }, silence * 2, ReplicaScript::End::Keep };
+}
+
 /** \returns a stream that pauses after its first event, or the lack of a report meanwhile */
 ReplicaScript fallSilent(const HttpRequest& request)
 {
@@ -80,3 +90,29 @@
     for (const std::string& id : firstEngines)
         BOOST_TEST(scene.replicas.at(id)->requests().size() == slots);
 }
+
+// Guards against streams that left a silent engine together for a chain with room for a few of them.
+BOOST_AUTO_TEST_CASE(asManyStreamsLeaveASilentEngineAsAnotherChainHasRoomFor)
+{
+    constexpr std::size_t occupied = slots - 2;
+    GatewayScene scene;
+    scene.putEndpoint("engine-b1", "draining");
+    scene.start();
+    scene.replicas.at("engine-a1")->setAnswer(fallSilent);
+    scene.replicas.at("engine-b1")->setAnswer(occupy);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t call = 0; call < slots; ++call)
+        callers.push_back(scene.call("POST", "/chat/x"));
+    BOOST_TEST_REQUIRE(scene.await([&] { return !eventIds(callers.back()->received()).empty(); }));
+    scene.restartEndpoint("engine-b1");
+    std::vector<std::unique_ptr<RawCaller>> occupying;
+    while (scene.replicas.at("engine-b1")->requests().size() < occupied) {
+        occupying.push_back(scene.call("POST", "/chat/occupying"));
+        BOOST_TEST_REQUIRE(scene.await([&] { return !occupying.back()->received().empty(); }));
+    }
+    std::size_t complete = 0;
+    for (const auto& caller : callers)
+        complete += scene.answer(*caller, endOfStream).ends_with(endOfStream) ? 1 : 0;
+    BOOST_TEST(complete == callers.size());
+    BOOST_TEST(scene.replicas.at("engine-b1")->requests().size() <= slots);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -25,6 +25,16 @@
 
 }
 
+std::optional<LayerChain> StreamForwarder::takePlannedChain()
+{
+    if (!this->plannedMove)
+        return std::nullopt;
+    LayerChain chain = this->plannedMove->chain;
+    this->plannedMove.reset();
+    // An engine's entry may have been removed since.
+    return this->metadataFor(chain) ? std::optional(std::move(chain)) : std::nullopt;
+}
+
 asio::awaitable<std::optional<LayerChain>> StreamForwarder::awaitChain()
 {
     const TimePoint latestStart = this->headSent ? this->lastProgress + callerStallLimit : bootNow() + scaled(this->task.route.targetLatency, queueingFraction);
@@ -117,7 +127,8 @@
     while (retry && !this->task.caller->disconnected()) {
         if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
             break;
-        if (const auto target = this->task.handoverTarget()) {
+        std::optional<LayerChain> chain = this->takePlannedChain();
+        if (const auto target = chain ? std::nullopt : this->task.handoverTarget()) {
             if (!this->task.chargeRetryBudget())
                 break;
             const AttemptResult result = co_await this->attemptHandover(*target);
@@ -125,7 +136,8 @@
             retry = result.failure && !this->task.caller->disconnected() && this->task.noteHandoverFailure(*target, result);
             continue;
         }
-        const std::optional<LayerChain> chain = co_await this->awaitChain();
+        if (!chain)
+            chain = co_await this->awaitChain();
         // This daemon was found to be cut off meanwhile.
         if (!chain && this->task.handoverTarget())
             continue;
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -182,7 +182,15 @@
 bool StreamForwarder::prepareMove(const EndpointId& first, const EndpointId& blamed)
 {
     const auto historyAfter = this->task.historyAfterStall(first, blamed);
-    return historyAfter && this->task.upstream && (this->task.canHandOver(*historyAfter) || planStream(this->task, *historyAfter)) && this->task.chargeRetryBudget();
+    if (!historyAfter || !this->task.upstream || this->plannedMove)
+        return false;
+    if (this->task.canHandOver(*historyAfter))
+        return this->task.chargeRetryBudget();
+    auto chain = planStream(this->task, *historyAfter);
+    if (!chain || !this->task.chargeRetryBudget())
+        return false;
+    this->plannedMove.emplace(this->task.context, std::move(*chain));
+    return true;
 }
 
 bool StreamForwarder::abandonStalledChain(const EndpointId& first)
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -2,6 +2,7 @@
 #define FILBERTSPOKE_INTERNAL_STREAM_FORWARDER_H
 
 #include "../ForwardTask.h"
+#include "ChainReservation.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -9,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <utility>
 #include <vector>
 
 namespace filbertspoke::internal {
@@ -16,6 +18,18 @@
 /** \brief State of the coroutine that monitors one attempt. */
 struct AttemptMonitor;
 
+/** \brief Chain to which a stream moves, with a reservation so that streams that leave an engine together don't count on the same capacity. */
+struct PlannedMove {
+    PlannedMove(GatewayContext& context, LayerChain planned)
+        : chain(std::move(planned))
+        , reservation(context, this->chain)
+    {
+    }
+
+    const LayerChain chain;
+    const ChainReservation reservation;
+};
+
 /** \brief Forwards one stream, over all chains that serve it in turn, and over other gateways while this one reaches no engines. */
 class StreamForwarder {
 public:
@@ -28,6 +42,8 @@
     boost::asio::awaitable<void> run();
 
 private:
+    /** \returns the chain that was reserved before the last attempt was aborted, if any; the reservation ends */
+    std::optional<LayerChain> takePlannedChain();
     boost::asio::awaitable<std::optional<LayerChain>> awaitChain();
     std::optional<ForwardMetadata> metadataFor(const LayerChain&) const;
     boost::asio::awaitable<AttemptResult> runMonitoredAttempt(const ForwardMetadata&, const LayerChain&);
@@ -38,7 +54,7 @@
     boost::asio::awaitable<void> monitorAttempt(std::shared_ptr<AttemptMonitor>, ForwardMetadata);
     Duration stallDuration() const { return bootNow() - std::max(this->lastProgress, this->attemptStartedAt); }
     Duration stallLimit() const;
-    /** \brief Charges the retry budget if another chain or gateway could serve the rest of the stream now.
+    /** \brief Reserves another chain for the rest of the stream and charges the retry budget, if a chain or another gateway could serve the rest now.
      * \returns whether the attempt at \a first may be aborted because of \a blamed */
     bool prepareMove(const EndpointId& first, const EndpointId& blamed);
     bool abandonStalledChain(const EndpointId& first);
@@ -57,6 +73,7 @@
     bool responded = false; ///< the caller has a whole response that is no stream
     bool firstEventSent = false;
     bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
+    std::optional<PlannedMove> plannedMove; ///< why the current attempt is being aborted, unless the stream is to be handed over
     std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
     EndpointFault failedEngineFault = EndpointFault::Failed; ///< how failedEngine failed
     std::string failedEngineEvidence; ///< for the log: why failedEngine counts as failed
