Move the monitor of a stream's attempt into a file of its own

The functions that watch an attempt and let its stream leave a chain move to StreamMonitor.cpp, AttemptMonitor to a header; nothing else changes.

Tried and dropped: breaking a stream off 1.9 s after its last event at an engine that gives no sign of life.

--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -1,7 +1,7 @@
 // One attempt of a StreamForwarder: at a chain of engines, or at the gateway to which the request is handed over.
 #include <filbertspoke/Proxy>
 
-#include "internal/Awaiting.h"
+#include "internal/AttemptMonitor.h"
 #include "internal/ChainReservation.h"
 #include "internal/StreamForwarder.h"
 
@@ -26,19 +26,8 @@
 constexpr Duration minGapTimeout = std::chrono::milliseconds(400);
 // Time limit for reading and discarding the body of an error response, so that its connection can be reused.
 constexpr Duration refusalBodyTimeout = std::chrono::milliseconds(200);
-// A chain without events is abandoned after stallTimeout, or after firstEventStallTimeout before its first event, even if all of
-// its engines seem alive, provided that the stream can be resumed elsewhere. Enough time is then left for a second chain to
-// serve the caller.
-constexpr Duration stallTimeout = std::chrono::milliseconds(1300);
-constexpr Duration firstEventStallTimeout = std::chrono::milliseconds(900);
-// Interval of checks for another chain while a stream is stalled beyond its limit; planning a chain takes one or two milliseconds
-// of CPU time on a slow host.
-constexpr Duration stallCheckInterval = std::chrono::milliseconds(250);
 // All engines of a chain are reported as healthy to the registry once every this many events of the stream.
 constexpr std::uint32_t eventsPerHealthReport = 16;
-// A stream without events for at least this time attributes the stall to an engine of its chain that is reported as suspect.
-// The value is well above the usual time between two events.
-constexpr Duration suspectedStallTimeout = std::chrono::milliseconds(150);
 // A first engine answers for a later one that it has waited for longer than this, so that a report request of this age shows the loss too.
 constexpr Duration reportSharing = std::chrono::milliseconds(200);
 const std::string engineLost = "engine-lost";
@@ -86,32 +75,6 @@
 
 }
 
-// Shared by the coroutine and the attempt, because the coroutine may outlive the attempt.
-struct AttemptMonitor {
-    bool finished = false; ///< the attempt has ended
-    Duration firstEventLimit {}; ///< time to the first event after which the chain is checked
-    Duration gapLimit {}; ///< time between events after which the chain is checked
-    TimePoint checkedAt = bootNow();
-    unsigned checksSinceEvent = 0; ///< checks since the last event that found no failed engine
-
-    /** \returns the time without events after which the chain is checked again. It backs off exponentially, because an engine
-     * that was alive at earlier checks is more likely slow than failed */
-    Duration checkInterval(Duration limit) const
-    {
-        // A failed engine is detected within the first checks, which therefore run without backoff.
-        const unsigned doublings = this->checksSinceEvent < missedReportsForFailure ? 0 : this->checksSinceEvent - missedReportsForFailure + 1;
-        return limit * (1 << std::min(doublings, maximumDoublings));
-    }
-
-private:
-    static constexpr unsigned maximumDoublings = 2;
-};
-
-Duration StreamForwarder::stallLimit() const
-{
-    return this->eventsInAttempt == 0 ? firstEventStallTimeout : stallTimeout;
-}
-
 void StreamForwarder::reportChainHealthy()
 {
     for (const EndpointId& engine : this->engines)
@@ -149,103 +112,6 @@
     co_return failure;
 }
 
-std::uint64_t StreamForwarder::subscribeToSuspicions(const LayerChain& chain)
-{
-    this->engines.clear();
-    for (const LayerStage& stage : chain.stages)
-        this->engines.push_back(stage.endpoint);
-    return this->task.context.streams.add(this->engines, [this](const EndpointId& engine, const std::string& evidence) {
-        // A suspected engine may still be alive: the stream stays on its chain until another one can serve it.
-        if (this->stallDuration() < suspectedStallTimeout || !this->prepareMove(this->engines.front(), engine))
-            return;
-        this->failedEngine = engine;
-        this->failedEngineFault = EndpointFault::Failed;
-        this->failedEngineEvidence = evidence;
-        this->task.upstream->close();
-    });
-}
-
-void StreamForwarder::noteSuspected(const EndpointId& engine, const std::string& evidence)
-{
-    GatewayContext& context = this->task.context;
-    const EndpointRecord* record = context.registry.find(engine);
-    if (!record)
-        return;
-    const bool alreadySuspected = EndpointRegistry::isSuspected(*record, bootNow());
-    context.registry.noteFault(engine, EndpointFault::Unreachable, bootNow());
-    if (alreadySuspected)
-        return;
-    this->task.logDecision("engine-suspected", { { "engine", engine.str() }, { "evidence", evidence }, { "pausedMs", milliseconds(this->stallDuration()) } });
-    context.streams.notifySuspected(engine, evidence);
-}
-
-bool StreamForwarder::prepareMove(const EndpointId& first, const EndpointId& blamed)
-{
-    const auto historyAfter = this->task.historyAfterStall(first, blamed);
-    if (!historyAfter || !this->task.upstream || this->plannedMove)
-        return false;
-    if (this->task.canHandOver(*historyAfter))
-        return this->task.chargeRetryBudget();
-    auto chain = planStream(this->task, *historyAfter);
-    if (!chain || !this->task.chargeRetryBudget())
-        return false;
-    this->plannedMove.emplace(this->task.context, std::move(*chain));
-    return true;
-}
-
-bool StreamForwarder::abandonStalledChain(const EndpointId& first)
-{
-    if (!this->prepareMove(first, first))
-        return false;
-    this->abandonedStalledChain = true;
-    this->task.upstream->close();
-    return true;
-}
-
-asio::awaitable<void> StreamForwarder::monitorAttempt(std::shared_ptr<AttemptMonitor> monitor, ForwardMetadata metadata)
-{
-    while (!monitor->finished) {
-        // The forwarder may be destroyed during a wait: no member may be accessed before the check above.
-        GatewayContext& context = this->task.context;
-        if (this->stallDuration() >= this->stallLimit() && this->abandonStalledChain(metadata.stages.front().endpoint))
-            co_return;
-        const Duration untilAbandoning = std::max<Duration>(this->stallLimit() - this->stallDuration(), stallCheckInterval);
-        if (this->lastProgress > monitor->checkedAt)
-            monitor->checksSinceEvent = 0;
-        const TimePoint due = std::max(this->lastProgress, monitor->checkedAt) + monitor->checkInterval(this->eventsInAttempt == 0 ? monitor->firstEventLimit : monitor->gapLimit);
-        if (bootNow() < due) {
-            co_await sleepFor(context.io, std::min<Duration>(due - bootNow(), untilAbandoning));
-            continue;
-        }
-        // A report request would be another request to an engine that wants none now.
-        const EndpointId& firstEngine = metadata.stages.front().endpoint;
-        const EndpointRecord* first = context.registry.find(firstEngine);
-        if ((first && EndpointRegistry::isPushedBack(*first, bootNow())) || !context.rateLimits.permits(firstEngine, bootNow())) {
-            monitor->checkedAt = bootNow();
-            continue;
-        }
-        const std::optional<EndpointId> failed = co_await context.failureDetector.findFailedEngine(metadata, this->task.request.id);
-        if (monitor->finished)
-            co_return;
-        monitor->checkedAt = bootNow();
-        ++monitor->checksSinceEvent;
-        const bool stalled = monitor->checkedAt - this->lastProgress >= suspectedStallTimeout;
-        if (!failed || !stalled || !this->task.upstream)
-            continue;
-        const std::string evidence = "report of " + firstEngine.str();
-        // The engine may be silent for a moment only: the stream stays on its chain until another one can serve it.
-        if (!this->prepareMove(firstEngine, *failed)) {
-            this->noteSuspected(*failed, evidence);
-            continue;
-        }
-        this->failedEngine = failed;
-        this->failedEngineFault = EndpointFault::Unreachable;
-        this->failedEngineEvidence = evidence;
-        this->task.upstream->close();
-        co_return;
-    }
-}
-
 AttemptResult StreamForwarder::readFailure(const std::error_code& error, const std::string& timeoutReason, const std::string& brokenReason) const
 {
     if (this->abandonedStalledChain || isTimeout(error))
