--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -95,6 +95,8 @@
 BOOST_AUTO_TEST_CASE(asManyStreamsLeaveASilentEngineAsAnotherChainHasRoomFor)
 {
     constexpr std::size_t occupied = slots - 2;
+    // Calls are refused until the gateway has read the entry of the second engine.
+    constexpr std::size_t maximumCalls = 1000;
     GatewayScene scene;
     scene.putEndpoint("engine-b1", "draining");
     scene.start();
@@ -107,6 +109,7 @@
     scene.restartEndpoint("engine-b1");
     std::vector<std::unique_ptr<RawCaller>> occupying;
     while (scene.replicas.at("engine-b1")->requests().size() < occupied) {
+        BOOST_TEST_REQUIRE(occupying.size() < maximumCalls);
         occupying.push_back(scene.call("POST", "/chat/occupying"));
         BOOST_TEST_REQUIRE(scene.await([&] { return !occupying.back()->received().empty(); }));
     }
