--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -42,7 +42,8 @@
     boost::asio::awaitable<void> run();
 
 private:
-    /** \returns the chain that was reserved before the last attempt was aborted, if any; the reservation ends */
+    /** \brief Ends the reservation of the chain for which the last attempt was aborted.
+     * \returns that chain, or nothing if there is none or one of its engines is not registered any more */
     std::optional<LayerChain> takePlannedChain();
     boost::asio::awaitable<std::optional<LayerChain>> awaitChain();
     std::optional<ForwardMetadata> metadataFor(const LayerChain&) const;
@@ -73,7 +74,7 @@
     bool responded = false; ///< the caller has a whole response that is no stream
     bool firstEventSent = false;
     bool abandonedStalledChain = false; ///< the current attempt was aborted because it produced no events
-    std::optional<PlannedMove> plannedMove; ///< why the current attempt is being aborted, unless the stream is to be handed over
+    std::optional<PlannedMove> plannedMove; ///< for which the current attempt is aborted; the next attempt takes it
     std::optional<EndpointId> failedEngine; ///< the engine whose failure aborted the current attempt
     EndpointFault failedEngineFault = EndpointFault::Failed; ///< how failedEngine failed
     std::string failedEngineEvidence; ///< for the log: why failedEngine counts as failed
