Take only refused connections for lost paths to engines

Cause: an engine that accepted the connection for a report and was silent then counted as unreachable, as did each stream that left an engine. Ruled out: the paths; all connections were accepted.

Change: only a connection that is not accepted tells against the path to an engine, and one that is accepted tells for it, also if no report follows. Streams whose engine falls silent still ask for its report, which opens a connection.

Test: Daemon.SilentEngines.gatewayIsNotCutOffFromEnginesThatAreAllSilent.

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -36,6 +37,50 @@
     return { { streamHead(request) + eventChunk(1), eventChunk(2) + lastChunk() }, silence, ReplicaScript::End::Keep };
 }
 
+/** \returns the same from an engine that has no room for streams which were begun elsewhere */
+ReplicaScript fallSilentWhenFull(const HttpRequest& request)
+{
+    if (readForwarded(request).lastEvent > 0)
+        return { { fullAnswer() }, 5ms, ReplicaScript::End::Keep };
+    return fallSilent(request);
+}
+
+/** \brief Two gateways and engines that hold the whole model, fall silent together, and refuse streams that were begun elsewhere. */
+struct SilentScene : GatewayScene {
+    static constexpr std::size_t streamsPerEngine = 2;
+
+    SilentScene()
+    {
+        for (const char* id : { "engine-a1", "engine-a2", "engine-b1", "engine-b2" })
+            this->putEndpoint(id, "draining");
+        for (const std::string& id : this->engines) {
+            this->replicas.emplace(id, std::make_unique<ReplicaStandIn>(this->context, ownLoopbackAddress(1), fallSilentWhenFull));
+            this->putEngine(id, { 0, 8 });
+        }
+    }
+
+    void startBoth()
+    {
+        this->start();
+        this->startSecond("zone-b", this->secondStore.address());
+    }
+
+    void callAll()
+    {
+        for (std::size_t call = 0; call < streamsPerEngine * this->engines.size(); ++call)
+            this->streams.push_back(this->call("POST", "/chat/x"));
+    }
+
+    /** \returns how many streams reach their callers completely */
+    std::size_t complete()
+    {
+        return static_cast<std::size_t>(std::count_if(this->streams.begin(), this->streams.end(), [this](const auto& caller) { return this->answer(*caller, endOfStream).ends_with(endOfStream); }));
+    }
+
+    const std::vector<std::string> engines { "engine-c1", "engine-c2", "engine-c3", "engine-c4", "engine-c5", "engine-c6" };
+    std::vector<std::unique_ptr<RawCaller>> streams;
+};
+
 }
 
 // Guards against streams that were cut at a silent engine although no other chain could serve the rest.
@@ -119,3 +164,14 @@
     BOOST_TEST(complete == callers.size());
     BOOST_TEST(scene.replicas.at("engine-b1")->requests().size() <= slots);
 }
+
+// Guards against a gateway that takes itself to be cut off because all engines are silent for a moment.
+BOOST_FIXTURE_TEST_CASE(gatewayIsNotCutOffFromEnginesThatAreAllSilent, SilentScene)
+{
+    this->startBoth();
+    this->callAll();
+    this->complete();
+    this->gateway->kill();
+    while (const auto line = this->gateway->readLine())
+        BOOST_TEST(line->find("\"cut-off\"") == std::string::npos, *line);
+}
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointReachability.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointReachability.h
@@ -24,8 +24,8 @@
  * Load pattern: a daemon is partitioned from all endpoints for some seconds, while callers, the store and the other daemons still reach it. It would go
  * on taking requests that it can't serve, spend retries on them and tell other daemons that sound endpoints are unreachable.
  *
- * Only new connections count as evidence that endpoints are reachable: during some partitions, old ones live on while new ones are refused. An endpoint
- * that is silent is probed, since a request that must not be repeated would otherwise tell nothing until its deadline. When several endpoints fail, others are probed, so that the loss of a few endpoints is told from a partition. After a partition, the daemon sends a share
+ * Only new connections count as evidence that endpoints are reachable or not: during some partitions, old ones live on while new ones are refused, and an
+ * endpoint that is silent for a moment still accepts connections. An endpoint that is silent is probed, since a request that must not be repeated would otherwise tell nothing until its deadline. When several endpoints fail, others are probed, so that the loss of a few endpoints is told from a partition. After a partition, the daemon sends a share
  * of the requests itself that grows with each connection which an endpoint accepts.
  *
  * Does no input or output.
@@ -35,7 +35,7 @@
     /** \brief Records that an endpoint accepted a new connection.
      * \returns whether the state changed */
     bool noteConnected();
-    /** \brief Records that an endpoint accepted no connection, or gave no response in time.
+    /** \brief Records that an endpoint accepted no connection.
      * \param endpoints number of the service's endpoints
      * \returns whether the state changed */
     bool noteUnreachable(const EndpointId&, std::size_t endpoints, TimePoint now);
--- a/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
@@ -3,6 +3,7 @@
 #include "internal/Awaiting.h"
 
 #include <utility>
+#include <variant>
 
 namespace filbertspoke {
 
@@ -20,11 +21,11 @@
 
 }
 
-EngineFailureDetector::EngineFailureDetector(asio::io_context& context, std::shared_ptr<const EngineCodec> codec, RequestListener onRequest, ResponseListener onResponse)
+EngineFailureDetector::EngineFailureDetector(asio::io_context& context, std::shared_ptr<const EngineCodec> codec, RequestListener onRequest, ConnectionListener onConnection)
     : context(context)
     , codec(std::move(codec))
     , onRequest(std::move(onRequest))
-    , onResponse(std::move(onResponse))
+    , onConnection(std::move(onConnection))
 {
 }
 
@@ -44,7 +45,9 @@
     state.receivedAt = bootNow();
     state.missedReports = report ? 0 : state.missedReports + 1;
     state.stalled = report ? report->stalled : std::vector<StalledRequest> {};
-    this->onResponse(first.endpoint, response != nullptr);
+    // An engine that is silent for a moment still accepts connections; its silence tells nothing of the path to it.
+    const auto* failure = std::get_if<HttpFailure>(&outcome);
+    this->onConnection(first.endpoint, !failure || failure->sent);
 }
 
 asio::awaitable<std::optional<EndpointId>> EngineFailureDetector::findFailedEngine(ForwardMetadata metadata, RequestId request)
--- a/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.h
@@ -27,10 +27,10 @@
 public:
     /** \brief Called with the engine before each report request. */
     using RequestListener = std::function<void(const EndpointId&)>;
-    /** \brief Called with the engine after each report request, and with whether it responded over its new connection. */
-    using ResponseListener = std::function<void(const EndpointId&, bool responded)>;
+    /** \brief Called with the engine after each report request, and with whether it accepted the new connection. */
+    using ConnectionListener = std::function<void(const EndpointId&, bool accepted)>;
 
-    EngineFailureDetector(boost::asio::io_context&, std::shared_ptr<const EngineCodec>, RequestListener, ResponseListener);
+    EngineFailureDetector(boost::asio::io_context&, std::shared_ptr<const EngineCodec>, RequestListener, ConnectionListener);
 
     /** \brief Requests a report from the first engine of a chain, which names the engine that it waits for.
      * \returns the failed engine, the first one if it repeatedly does not respond, or nothing when none seems to have failed */
@@ -56,7 +56,7 @@
     boost::asio::io_context& context;
     std::shared_ptr<const EngineCodec> codec;
     RequestListener onRequest;
-    ResponseListener onResponse;
+    ConnectionListener onConnection;
     std::map<EndpointId, ReportState> reportStates; ///< by first engine of the chain
 };
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -99,7 +99,7 @@
     // A pushback excludes the endpoint for exactly the time that it named; that is no sign of a defect.
     if (!result.pushedBack || blamed != first)
         this->context.registry.noteFault(blamed, result.fault, bootNow());
-    if (blamed == first && (result.fault == EndpointFault::Unreachable || result.fault == EndpointFault::Silent))
+    if (blamed == first && result.failure == AttemptEnd::NotSent && result.fault == EndpointFault::Unreachable)
         this->context.noteUnreachable(first);
     if (result.fault == EndpointFault::Unreachable)
         this->context.streams.notifySuspected(blamed, "request " + this->request.id.str() + ": " + result.reason);
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -21,7 +21,7 @@
     , storeReading(std::uniform_real_distribution<double>(0, 1)(this->random), bootNow())
     , waiters(io)
     , failureDetector(
-          io, this->codecs.engine, [this](const EndpointId& engine) { this->rateLimits.noteSent(engine, bootNow()); }, [this](const EndpointId& engine, bool responded) { responded ? this->noteConnected(engine) : this->noteUnreachable(engine); })
+          io, this->codecs.engine, [this](const EndpointId& engine) { this->rateLimits.noteSent(engine, bootNow()); }, [this](const EndpointId& engine, bool accepted) { accepted ? this->noteConnected(engine) : this->noteUnreachable(engine); })
     , pool(io)
 {
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -82,7 +82,7 @@
     EndpointReachability& reachability(const ServiceId& service) { return this->reachabilities[service]; }
     /** \brief Records that the endpoint accepted a new connection. */
     void noteConnected(const EndpointId&);
-    /** \brief Records that the endpoint accepted no connection, or gave no response in time. */
+    /** \brief Records that the endpoint accepted no connection. */
     void noteUnreachable(const EndpointId&);
     /** \returns the services from whose endpoints this daemon is cut off */
     std::vector<ServiceId> unreachableServices() const;
