Leave a chain only for one that has begun the rest of the stream

What callers saw: streams at silent engines are broken off although the engines go on within two seconds (LOST).

Cause: a stream closed the connection to its chain as soon as another chain was planned for it, or another gateway took handovers. Whether they serve the rest was known only afterwards: an engine refused it, or the other gateway found no chain, and nothing was left. Ruled out: the capacity that the gateway counts on itself, which is reserved since; the engines in the test have free places by its count and refuse, as engines do that other gateways fill.

The attempt is aborted once the rest begins to arrive. A refusal leaves the stream where it is. If the engine goes on meanwhile, the request elsewhere is cancelled. If the connection to the engine breaks meanwhile, the rest is awaited. Engines that may have failed are noted when this is found, no longer when their streams have left.

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -45,6 +45,14 @@
     return fallSilent(request);
 }
 
+/** \returns the rest of a stream, which begins only after the silence of another engine */
+ReplicaScript beginLate(const HttpRequest& request)
+{
+    if (request.target.starts_with("/filbertspoke/"))
+        return emptyReport();
+    return { { "", streamHead(request) + eventChunk(2) + lastChunk() }, silence / 2, ReplicaScript::End::Keep };
+}
+
 /** \brief Two gateways and engines that hold the whole model, fall silent together, and refuse streams that were begun elsewhere. */
 struct SilentScene : GatewayScene {
     static constexpr std::size_t streamsPerEngine = 2;
@@ -165,6 +173,14 @@
     BOOST_TEST(scene.replicas.at("engine-b1")->requests().size() <= slots);
 }
 
+// Guards against streams that left silent engines for others, which refused them.
+BOOST_FIXTURE_TEST_CASE(streamsStayAtSilentEnginesWhileOthersRefuseThem, SilentScene)
+{
+    this->startBoth();
+    this->callAll();
+    BOOST_TEST(this->complete() == this->streams.size());
+}
+
 // Guards against a gateway that takes itself to be cut off because all engines are silent for a moment.
 BOOST_FIXTURE_TEST_CASE(gatewayIsNotCutOffFromEnginesThatAreAllSilent, SilentScene)
 {
@@ -175,3 +191,32 @@
     while (const auto line = this->gateway->readLine())
         BOOST_TEST(line->find("\"cut-off\"") == std::string::npos, *line);
 }
+
+// Guards against streams that a gateway without paths to engines cut before another one had taken them over.
+BOOST_FIXTURE_TEST_CASE(streamsStayAtSilentEnginesUntilAnotherGatewayHasTakenThemOver, SilentScene)
+{
+    this->startBoth();
+    this->callAll();
+    BOOST_TEST_REQUIRE(this->await([&] { return !eventIds(this->streams.back()->received()).empty(); }));
+    for (const std::string& id : this->engines)
+        this->replicas.at(id)->setListening(false);
+    BOOST_TEST(this->complete() == this->streams.size());
+}
+
+// Guards against events that reach the caller twice when an engine goes on while the rest of its stream is requested elsewhere.
+BOOST_AUTO_TEST_CASE(eventsOfAnEngineThatGoesOnReachTheCallerOnce)
+{
+    GatewayScene scene;
+    scene.putEndpoint("engine-b1", "draining");
+    scene.start();
+    scene.replicas.at("engine-a1")->setAnswer(fallSilent);
+    scene.replicas.at("engine-b1")->setAnswer(beginLate);
+    const auto caller = scene.call("POST", "/chat/x");
+    BOOST_TEST_REQUIRE(scene.await([&] { return !eventIds(caller->received()).empty(); }));
+    scene.restartEndpoint("engine-b1");
+    const std::string received = scene.answer(*caller, endOfStream);
+    BOOST_TEST(eventIds(received) == "1 2 ");
+    BOOST_TEST(received.ends_with(endOfStream));
+    BOOST_TEST(scene.replicas.at("engine-b1")->requests().size() == 1U);
+    BOOST_TEST(scene.await([&] { return scene.replicas.at("engine-b1")->abandoned() == 1; }));
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -191,8 +191,7 @@
     }
     ForwardTask task(this->context, connection, std::move(request), permitted, *service, account, received);
     connection->watchDisconnect([&task] {
-        if (task.upstream)
-            task.upstream->close();
+        task.closeConnections();
         task.context.waiters.wakeAll();
     });
     if (route->kind == RouteKind::Stream)
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -143,10 +143,10 @@
 asio::awaitable<AttemptResult> attemptHandover(ForwardTask& task, const SocketAddress target)
 {
     AttemptResult result;
-    UpstreamPointer connection = co_await task.sendHandover(target, std::nullopt, result);
+    UpstreamPointer connection = co_await task.sendHandover(target, std::nullopt, task.history.state(task.timeLeft()).endpointsUsed, task.upstream, result);
     if (!connection)
         co_return result;
-    const Result<EndpointReply> reply = co_await task.readHandoverReply(connection);
+    const Result<EndpointReply> reply = co_await task.readHandoverReply(connection, task.timeLeft());
     if (!reply)
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
     if (auto failure = task.handoverFailureOf(*reply, false)) {
@@ -163,7 +163,7 @@
     metadata.stages = { { endpoint.id, endpoint.address, {} } };
     metadata.account = task.account;
     AttemptResult result;
-    UpstreamPointer connection = co_await task.sendRequest(metadata, result);
+    UpstreamPointer connection = co_await task.sendRequest(metadata, task.upstream, result);
     if (!connection)
         co_return result;
     co_return co_await readResponse(task, connection, endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -25,16 +25,6 @@
 
 }
 
-std::optional<LayerChain> StreamForwarder::takePlannedChain()
-{
-    if (!this->plannedMove)
-        return std::nullopt;
-    LayerChain chain = this->plannedMove->chain;
-    this->plannedMove.reset();
-    // An engine's entry may have been removed since.
-    return this->metadataFor(chain) ? std::optional(std::move(chain)) : std::nullopt;
-}
-
 asio::awaitable<std::optional<LayerChain>> StreamForwarder::awaitChain()
 {
     const TimePoint latestStart = this->headSent ? this->lastProgress + callerStallLimit : bootNow() + scaled(this->task.route.targetLatency, queueingFraction);
@@ -81,12 +71,12 @@
     return metadata;
 }
 
-asio::awaitable<void> StreamForwarder::finish(bool complete)
+asio::awaitable<void> StreamForwarder::finish()
 {
     if (this->responded)
         co_return;
     this->task.caller->stopWatching();
-    if (complete) {
+    if (this->complete) {
         co_await this->task.caller->endStream();
         this->task.logOutcome("answered", 200);
         co_return;
@@ -120,24 +110,53 @@
     this->task.logDecision("stream-broken-off", { { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "pausedMs", milliseconds(now - this->lastProgress) }, { "timeLeftMs", milliseconds(this->task.timeLeft()) }, { "engines", std::to_string(engines) }, { "avoided", std::to_string(avoided) }, { "retriesSaved", std::to_string(this->task.context.retryBudget(this->task.service).saved()) } });
 }
 
+asio::awaitable<bool> StreamForwarder::serveByChain(ForwardMetadata metadata, LayerChain chain, std::optional<BegunStream> begun)
+{
+    const AttemptResult result = co_await this->runMonitoredAttempt(metadata, chain, std::move(begun));
+    this->complete = !result.failure;
+    if (this->complete || this->task.caller->disconnected())
+        co_return false;
+    const bool retry = this->task.noteFailure(result, metadata.stages.front().endpoint);
+    co_return retry || this->acceptedMove;
+}
+
+asio::awaitable<bool> StreamForwarder::serveByGateway(SocketAddress target, std::optional<BegunStream> begun)
+{
+    const AttemptResult result = co_await this->attemptHandover(target, std::move(begun));
+    this->complete = !result.failure;
+    co_return result.failure && !this->task.caller->disconnected() && this->task.noteHandoverFailure(target, result);
+}
+
+asio::awaitable<bool> StreamForwarder::serveMoved(AcceptedMove moved)
+{
+    std::optional<BegunStream> begun(std::move(moved.begun));
+    if (const auto* gateway = std::get_if<SocketAddress>(&moved.target))
+        co_return co_await this->serveByGateway(*gateway, std::move(begun));
+    auto& planned = std::get<std::shared_ptr<const PlannedChain>>(moved.target);
+    ForwardMetadata metadata = planned->metadata;
+    LayerChain chain = planned->chain;
+    // The attempt reserves the chain anew.
+    planned.reset();
+    co_return co_await this->serveByChain(std::move(metadata), std::move(chain), std::move(begun));
+}
+
 asio::awaitable<void> StreamForwarder::run()
 {
-    bool complete = false;
     bool retry = true;
     while (retry && !this->task.caller->disconnected()) {
         if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
             break;
-        std::optional<LayerChain> chain = this->takePlannedChain();
-        if (const auto target = chain ? std::nullopt : this->task.handoverTarget()) {
+        if (auto moved = std::exchange(this->acceptedMove, std::nullopt)) {
+            retry = co_await this->serveMoved(std::move(*moved));
+            continue;
+        }
+        if (const auto target = this->task.handoverTarget()) {
             if (!this->task.chargeRetryBudget())
                 break;
-            const AttemptResult result = co_await this->attemptHandover(*target);
-            complete = !result.failure;
-            retry = result.failure && !this->task.caller->disconnected() && this->task.noteHandoverFailure(*target, result);
+            retry = co_await this->serveByGateway(*target, std::nullopt);
             continue;
         }
-        if (!chain)
-            chain = co_await this->awaitChain();
+        std::optional<LayerChain> chain = co_await this->awaitChain();
         // This daemon was found to be cut off meanwhile.
         if (!chain && this->task.handoverTarget())
             continue;
@@ -148,14 +167,12 @@
             break;
         this->task.context.rateLimits.noteSent(chain->stages.front().endpoint, bootNow());
         this->logChain(*chain);
-        const AttemptResult result = co_await this->runMonitoredAttempt(*metadata, *chain);
-        complete = !result.failure;
-        retry = result.failure && !this->task.caller->disconnected() && this->task.noteFailure(result, chain->stages.front().endpoint);
+        retry = co_await this->serveByChain(*metadata, std::move(*chain), std::nullopt);
     }
     if (this->task.caller->disconnected())
         this->task.logOutcome("caller-gone", 0);
     else
-        co_await this->finish(complete);
+        co_await this->finish();
 }
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -217,21 +217,29 @@
     this->context.metrics.count({ "requests_total", outcome });
 }
 
-asio::awaitable<UpstreamPointer> ForwardTask::sendRequest(const ForwardMetadata& metadata, AttemptResult& result)
+void ForwardTask::closeConnections()
+{
+    for (const UpstreamPointer& connection : { this->upstream, this->offered }) {
+        if (connection)
+            connection->close();
+    }
+}
+
+asio::awaitable<UpstreamPointer> ForwardTask::sendRequest(const ForwardMetadata& metadata, UpstreamPointer& slot, AttemptResult& result)
 {
     const ForwardStage& first = metadata.stages.front();
     const HttpRequest message = this->context.codecs.caller->encodeForward(this->request, metadata);
-    co_return co_await this->sendMessage(first.address, first.endpoint, message, result);
+    co_return co_await this->sendMessage(first.address, first.endpoint, message, slot, result);
 }
 
-asio::awaitable<UpstreamPointer> ForwardTask::sendMessage(const SocketAddress& address, const EndpointId& endpoint, const HttpRequest& message, AttemptResult& result)
+asio::awaitable<UpstreamPointer> ForwardTask::sendMessage(const SocketAddress& address, const EndpointId& endpoint, const HttpRequest& message, UpstreamPointer& slot, AttemptResult& result)
 {
     this->history.noteAttempt();
     // A second copy of the answer to an earlier attempt has the id of this request too: it may still arrive on the connection of that attempt.
     UpstreamPointer connection = this->context.pool.takeIdle(address, this->usedConnections);
     if (!connection) {
         connection = this->context.pool.create(address);
-        this->upstream = connection;
+        slot = connection;
         const std::error_code error = co_await connection->connect(std::min(connectTimeout, this->timeLeft()));
         if (error) {
             result = { AttemptEnd::NotSent, EndpointFault::Unreachable, {}, "connect" };
@@ -239,7 +247,7 @@
         }
         this->context.noteConnected(endpoint);
     }
-    this->upstream = connection;
+    slot = connection;
     if (this->caller->checkDisconnected()) {
         this->context.pool.giveBack(address, connection);
         result = { AttemptEnd::NotSent, EndpointFault::Broken, {}, "caller-gone" };
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -68,10 +68,12 @@
      * \param history including the aborted attempt */
     bool canHandOver(const AttemptHistory&) const;
     /** \brief Hands the request over to another gateway.
+     * \param endpointsUsed number of endpoints that may have run the request when the other gateway runs it
+     * \param slot upstream or offered
      * \returns the connection, or nullptr when nothing was sent; the attempt's result then holds the failure */
-    boost::asio::awaitable<UpstreamPointer> sendHandover(const SocketAddress& target, std::optional<std::uint64_t> lastEventId, AttemptResult&);
+    boost::asio::awaitable<UpstreamPointer> sendHandover(const SocketAddress& target, std::optional<std::uint64_t> lastEventId, std::uint32_t endpointsUsed, UpstreamPointer& slot, AttemptResult&);
     /** \brief Reads the head of the response of the gateway to which the request was handed over. */
-    boost::asio::awaitable<Result<EndpointReply>> readHandoverReply(const UpstreamPointer&);
+    boost::asio::awaitable<Result<EndpointReply>> readHandoverReply(const UpstreamPointer&, Duration timeout);
     /** \returns the failure that the other gateway's response means, or nothing when it goes to the caller
      * \param streaming whether the caller has already got a part of the response */
     std::optional<AttemptResult> handoverFailureOf(const EndpointReply&, bool streaming) const;
@@ -84,8 +86,9 @@
 
     /** \brief Sends the request to the first stage, on a pooled connection that it was not sent on before or a new one, unless the caller has disconnected.
      * chargeRetryBudget() must have returned true before.
+     * \param slot upstream or offered
      * \returns the connection, or nullptr when nothing was sent; the attempt's result then holds the failure */
-    boost::asio::awaitable<UpstreamPointer> sendRequest(const ForwardMetadata&, AttemptResult&);
+    boost::asio::awaitable<UpstreamPointer> sendRequest(const ForwardMetadata&, UpstreamPointer& slot, AttemptResult&);
     /** \brief Reads response heads until one belongs to this request; interim responses and late responses to other requests
      * are dropped.
      * \param endpoint at the other end of the connection
@@ -113,6 +116,9 @@
     /** \brief Records that the request was served, so that it crashes no endpoint. */
     void noteServed();
 
+    /** \brief Closes the connections on which the request is in progress. */
+    void closeConnections();
+
     /** \returns whether the caller's connection stays open after the response */
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.isStopping(); }
 
@@ -128,6 +134,7 @@
     const TimePoint deadline;
     const double handoverDraw; ///< random number that decides whether the request is handed over while only a part of them is
     UpstreamPointer upstream; ///< connection of the attempt in progress
+    UpstreamPointer offered; ///< connection on which the rest of a stream is requested elsewhere while an attempt is in progress
     UpstreamSet usedConnections; ///< to which the request was sent
     AttemptHistory history;
     std::set<SocketAddress> triedGateways; ///< to which the request was handed over without success
@@ -136,8 +143,9 @@
 private:
     /** \brief Sends a message on a connection that the request was not sent on before, unless the caller has disconnected.
      * \param endpoint at the address, or another name for a receiver that is no endpoint
+     * \param slot gets the connection as soon as there is one, so that it can be closed
      * \returns the connection, or nullptr when nothing was sent */
-    boost::asio::awaitable<UpstreamPointer> sendMessage(const SocketAddress&, const EndpointId& endpoint, const HttpRequest&, AttemptResult&);
+    boost::asio::awaitable<UpstreamPointer> sendMessage(const SocketAddress&, const EndpointId& endpoint, const HttpRequest&, UpstreamPointer& slot, AttemptResult&);
     /** \returns the number of layers of the service's model; 0 for plain services */
     std::uint32_t modelLayers() const;
     /** \returns the endpoints to which the request may be sent, whatever their rate limits */
--- a/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
@@ -37,19 +37,19 @@
     return cutOff && !attempts.attemptsExhausted() && this->handoverTarget().has_value();
 }
 
-asio::awaitable<UpstreamPointer> ForwardTask::sendHandover(const SocketAddress& target, std::optional<std::uint64_t> lastEventId, AttemptResult& result)
+asio::awaitable<UpstreamPointer> ForwardTask::sendHandover(const SocketAddress& target, std::optional<std::uint64_t> lastEventId, std::uint32_t endpointsUsed, UpstreamPointer& slot, AttemptResult& result)
 {
-    const HandoverMetadata metadata { this->timeLeft(), this->history.state(this->timeLeft()).endpointsUsed, lastEventId };
+    const HandoverMetadata metadata { this->timeLeft(), endpointsUsed, lastEventId };
     const HttpRequest message = this->context.codecs.caller->encodeHandover(this->request, metadata);
     this->logDecision("request-handed-over", { { "gateway", formatSocketAddress(target) }, { "state", std::string(name(this->context.reachability(this->service).state())) }, { "endpointsUsed", std::to_string(metadata.endpointsUsed) }, { "sends", std::to_string(this->history.attemptCount()) } });
     this->context.metrics.count({ "requests_handed_over_total", "" });
     const EndpointId gateway = handoverName(target);
-    co_return co_await this->sendMessage(target, gateway, message, result);
+    co_return co_await this->sendMessage(target, gateway, message, slot, result);
 }
 
-asio::awaitable<Result<EndpointReply>> ForwardTask::readHandoverReply(const UpstreamPointer& connection)
+asio::awaitable<Result<EndpointReply>> ForwardTask::readHandoverReply(const UpstreamPointer& connection, Duration timeout)
 {
-    const Result<ResponseHead> head = co_await connection->readHead(std::max<Duration>(this->timeLeft(), std::chrono::milliseconds(1)));
+    const Result<ResponseHead> head = co_await connection->readHead(std::max<Duration>(timeout, std::chrono::milliseconds(1)));
     if (!head)
         co_return head.error();
     EndpointReply reply = this->context.codecs.caller->decodeReply(head->status, head->headers);
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -49,16 +49,6 @@
         context.noteCrash(traits, run, sentAt, broken ? lostAt : sentAt);
 }
 
-std::vector<EndpointRun> runsOf(const ForwardMetadata& metadata, const EndpointRegistry& registry)
-{
-    std::vector<EndpointRun> runs;
-    for (const ForwardStage& stage : metadata.stages) {
-        const EndpointRecord* record = registry.find(stage.endpoint);
-        runs.push_back({ stage.endpoint, record ? record->endpoint.startedAtMs : 0 });
-    }
-    return runs;
-}
-
 /** \returns the stage whose engine may have crashed under the request, as an index */
 std::optional<std::size_t> lostStage(const ForwardMetadata& metadata, const AttemptResult& result)
 {
@@ -132,8 +122,9 @@
         ended = co_await connection->readBody(bytes, this->task.timeLeft());
         if (this->task.caller->disconnected())
             co_return AttemptResult {};
-        if (!ended)
-            co_return this->readFailure(ended.error(), "stalled", "broken-off");
+        // What has arrived since another chain or gateway began to send the rest would reach the caller twice.
+        if (!ended || this->acceptedMove)
+            co_return this->readFailure(ended ? make_error_code(ErrorCode::EndpointUnreachable) : ended.error(), "stalled", "broken-off");
         if (first && !bytes.empty()) {
             first = false;
             firstEventAt = bootNow();
@@ -153,41 +144,72 @@
     co_return AttemptResult {};
 }
 
-asio::awaitable<AttemptResult> StreamForwarder::attempt(const ForwardMetadata& metadata, const LayerChain& chain)
+asio::awaitable<std::optional<BegunStream>> StreamForwarder::beginAtChain(const ForwardMetadata& metadata, Duration timeout, UpstreamPointer& slot, AttemptResult& result)
 {
-    AttemptResult result;
-    const UpstreamPointer connection = co_await this->task.sendRequest(metadata, result);
+    const ForwardStage& first = metadata.stages.front();
+    const UpstreamPointer connection = co_await this->task.sendRequest(metadata, slot, result);
     if (!connection)
-        co_return result;
-    const Result<EndpointReply> reply = co_await this->task.readReply(connection, metadata.stages.front().endpoint, this->task.timeLeft());
+        co_return std::nullopt;
+    const Result<EndpointReply> reply = co_await this->task.readReply(connection, first.endpoint, timeout);
+    result = {};
     if (this->task.caller->disconnected())
-        co_return AttemptResult {};
+        co_return std::nullopt;
     if (!reply) {
         connection->close();
-        co_return this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
+        result = this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
+        co_return std::nullopt;
     }
     if (auto failure = this->task.classifyFailure(*reply)) {
         // A connection with unread body bytes can't be reused; the pool closes it.
         const std::error_code unread = co_await connection->skipBody(std::min<Duration>(refusalBodyTimeout, this->task.timeLeft()));
         if (unread)
-            logLine(WriteLog::Level::Info, "refusal-body-unread", { { "request", this->task.request.id.str() }, { "endpoint", metadata.stages.front().endpoint.str() }, { "reason", unread.message() } });
-        this->task.context.pool.giveBack(metadata.stages.front().address, connection);
-        co_return *failure;
+            logLine(WriteLog::Level::Info, "refusal-body-unread", { { "request", this->task.request.id.str() }, { "endpoint", first.endpoint.str() }, { "reason", unread.message() } });
+        this->task.context.pool.giveBack(first.address, connection);
+        result = *failure;
+        co_return std::nullopt;
     }
+    co_return BegunStream { connection, *reply };
+}
+
+asio::awaitable<std::optional<BegunStream>> StreamForwarder::beginAtGateway(SocketAddress target, bool streaming, std::uint32_t endpointsUsed, Duration timeout, UpstreamPointer& slot, AttemptResult& result)
+{
+    const UpstreamPointer connection = co_await this->task.sendHandover(target, this->lastEventId, endpointsUsed, slot, result);
+    if (!connection)
+        co_return std::nullopt;
+    const Result<EndpointReply> reply = co_await this->task.readHandoverReply(connection, timeout);
+    result = {};
+    if (this->task.caller->disconnected())
+        co_return std::nullopt;
+    if (!reply) {
+        connection->close();
+        result = this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
+        co_return std::nullopt;
+    }
+    if (auto failure = this->task.handoverFailureOf(*reply, streaming)) {
+        connection->close();
+        result = *failure;
+        co_return std::nullopt;
+    }
+    co_return BegunStream { connection, *reply };
+}
+
+asio::awaitable<AttemptResult> StreamForwarder::relay(BegunStream begun, SocketAddress address, std::optional<Duration> expectedPerEvent)
+{
     if (!this->headSent) {
         this->headSent = true;
-        co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
+        co_await this->task.caller->startStream(begun.reply.status, begun.reply.headers, this->task.keepAlive());
     }
-    result = co_await this->relayBody(connection, chain.perEvent);
+    AttemptResult result = co_await this->relayBody(begun.connection, expectedPerEvent);
+    result.events = this->eventsInAttempt;
     // Closing the connection makes the engines stop at once, so that no work continues in parallel with the next attempt.
     if (result.failure)
-        connection->close();
+        begun.connection->close();
     else
-        this->task.context.pool.giveBack(metadata.stages.front().address, connection);
+        this->task.context.pool.giveBack(address, begun.connection);
     co_return result;
 }
 
-asio::awaitable<AttemptResult> StreamForwarder::attemptHandover(SocketAddress target)
+asio::awaitable<AttemptResult> StreamForwarder::attemptHandover(SocketAddress target, std::optional<BegunStream> begun)
 {
     this->engines.clear();
     this->failedEngine.reset();
@@ -195,52 +217,58 @@
     this->eventsInAttempt = 0;
     this->attemptStartedAt = bootNow();
     AttemptResult result;
-    const UpstreamPointer connection = co_await this->task.sendHandover(target, this->lastEventId, result);
-    if (!connection)
+    if (begun)
+        this->task.upstream = begun->connection;
+    else
+        begun = co_await this->beginAtGateway(target, this->headSent, this->task.history.state(this->task.timeLeft()).endpointsUsed, this->task.timeLeft(), this->task.upstream, result);
+    if (!begun)
         co_return result;
-    const Result<EndpointReply> reply = co_await this->task.readHandoverReply(connection);
-    if (this->task.caller->disconnected())
-        co_return AttemptResult {};
-    if (!reply) {
-        connection->close();
-        co_return this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
-    }
-    if (auto failure = this->task.handoverFailureOf(*reply, this->headSent)) {
-        connection->close();
-        co_return *failure;
-    }
-    if (!beginsStream(reply->status, reply->sealed)) {
-        result = co_await this->task.relayHandoverResponse(connection, target, *reply);
+    if (!beginsStream(begun->reply.status, begun->reply.sealed)) {
+        result = co_await this->task.relayHandoverResponse(begun->connection, target, begun->reply);
         this->responded = !result.failure;
         co_return result;
     }
-    if (!this->headSent) {
-        this->headSent = true;
-        co_await this->task.caller->startStream(reply->status, reply->headers, this->task.keepAlive());
+    co_return co_await this->relay(std::move(*begun), target, std::nullopt);
+}
+
+std::vector<EndpointRun> StreamForwarder::runsOf(const ForwardMetadata& metadata) const
+{
+    std::vector<EndpointRun> runs;
+    for (const ForwardStage& stage : metadata.stages) {
+        const EndpointRecord* record = this->task.context.registry.find(stage.endpoint);
+        runs.push_back({ stage.endpoint, record ? record->endpoint.startedAtMs : 0 });
     }
-    result = co_await this->relayBody(connection, std::nullopt);
-    result.events = this->eventsInAttempt;
-    if (result.failure)
-        connection->close();
-    else
-        this->task.context.pool.giveBack(target, connection);
-    co_return result;
+    return runs;
 }
 
-asio::awaitable<AttemptResult> StreamForwarder::runMonitoredAttempt(const ForwardMetadata& metadata, const LayerChain& chain)
+void StreamForwarder::noteCrashAfter(const AttemptResult& result, const ForwardMetadata& metadata, const std::vector<EndpointRun>& runs, TimePoint sentAt)
+{
+    const auto lost = lostStage(metadata, result);
+    if (!lost || result.events > 0 || this->task.caller->disconnected())
+        return;
+    asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.traits(), metadata.stages[*lost], runs[*lost], sentAt, result.connectionBroken || *lost == 0), asio::detached);
+}
+
+asio::awaitable<AttemptResult> StreamForwarder::runMonitoredAttempt(const ForwardMetadata& metadata, const LayerChain& chain, std::optional<BegunStream> begun)
 {
     const ChainReservation reservation(this->task.context, chain);
     this->failedEngine.reset();
     this->abandonedStalledChain = false;
     this->eventsInAttempt = 0;
     this->attemptStartedAt = bootNow();
-    const std::vector<EndpointRun> runs = runsOf(metadata, this->task.context.registry);
-    const std::uint64_t subscription = this->subscribeToSuspicions(chain);
-    const auto monitor = std::make_shared<AttemptMonitor>();
+    const std::vector<EndpointRun> runs = this->runsOf(metadata);
+    const auto monitor = std::make_shared<AttemptMonitor>(this->task.context.io);
+    const std::uint64_t subscription = this->subscribeToSuspicions(chain, monitor);
     monitor->firstEventLimit = std::max<Duration>(minFirstEventTimeout, chain.firstToken * firstEventFactor);
     monitor->gapLimit = std::max<Duration>(minGapTimeout, this->task.route.targetGap * gapFactor);
     asio::co_spawn(this->task.context.io, this->monitorAttempt(monitor, metadata), asio::detached);
-    AttemptResult result = co_await this->attempt(metadata, chain);
+    AttemptResult result;
+    if (begun)
+        this->task.upstream = begun->connection;
+    else
+        begun = co_await this->beginAtChain(metadata, this->task.timeLeft(), this->task.upstream, result);
+    if (begun)
+        result = co_await this->relay(std::move(*begun), metadata.stages.front().address, chain.perEvent);
     monitor->finished = true;
     this->task.context.streams.remove(subscription);
     this->task.upstream = nullptr;
@@ -249,9 +277,8 @@
         result.evidence = this->failedEngineEvidence;
     }
     result.events = this->eventsInAttempt;
-    const auto lost = lostStage(metadata, result);
-    if (lost && result.events == 0 && !this->task.caller->disconnected())
-        asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.traits(), metadata.stages[*lost], runs[*lost], this->attemptStartedAt, result.connectionBroken || *lost == 0), asio::detached);
+    this->noteCrashAfter(result, metadata, runs, this->attemptStartedAt);
+    co_await this->awaitMove(monitor, result);
     co_return result;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
@@ -1,4 +1,4 @@
-// Monitors an attempt of a StreamForwarder, and aborts it when the stream can leave engines that fail or fall silent.
+// Monitors an attempt of a StreamForwarder, and lets the stream leave engines that fail or fall silent.
 #include <filbertspoke/Proxy>
 
 #include "internal/AttemptMonitor.h"
@@ -34,19 +34,14 @@
     return this->eventsInAttempt == 0 ? firstEventStallTimeout : stallTimeout;
 }
 
-std::uint64_t StreamForwarder::subscribeToSuspicions(const LayerChain& chain)
+std::uint64_t StreamForwarder::subscribeToSuspicions(const LayerChain& chain, std::shared_ptr<AttemptMonitor> monitor)
 {
     this->engines.clear();
     for (const LayerStage& stage : chain.stages)
         this->engines.push_back(stage.endpoint);
-    return this->task.context.streams.add(this->engines, [this](const EndpointId& engine, const std::string& evidence) {
-        // A suspected engine may still be alive: the stream stays on its chain until another one can serve it.
-        if (this->stallDuration() < suspectedStallTimeout || !this->prepareMove(this->engines.front(), engine))
-            return;
-        this->failedEngine = engine;
-        this->failedEngineFault = EndpointFault::Failed;
-        this->failedEngineEvidence = evidence;
-        this->task.upstream->close();
+    return this->task.context.streams.add(this->engines, [this, monitor](const EndpointId& engine, const std::string& evidence) {
+        if (this->stallDuration() >= suspectedStallTimeout)
+            this->beginMove(monitor, this->engines.front(), { engine, EndpointFault::Failed, evidence });
     });
 }
 
@@ -64,36 +59,17 @@
     context.streams.notifySuspected(engine, evidence);
 }
 
-bool StreamForwarder::prepareMove(const EndpointId& first, const EndpointId& blamed)
-{
-    const auto historyAfter = this->task.historyAfterStall(first, blamed);
-    if (!historyAfter || !this->task.upstream || this->plannedMove)
-        return false;
-    if (this->task.canHandOver(*historyAfter))
-        return this->task.chargeRetryBudget();
-    auto chain = planStream(this->task, *historyAfter);
-    if (!chain || !this->task.chargeRetryBudget())
-        return false;
-    this->plannedMove.emplace(this->task.context, std::move(*chain));
-    return true;
-}
-
-bool StreamForwarder::abandonStalledChain(const EndpointId& first)
-{
-    if (!this->prepareMove(first, first))
-        return false;
-    this->abandonedStalledChain = true;
-    this->task.upstream->close();
-    return true;
-}
-
 asio::awaitable<void> StreamForwarder::monitorAttempt(std::shared_ptr<AttemptMonitor> monitor, ForwardMetadata metadata)
 {
     while (!monitor->finished) {
         // The forwarder may be destroyed during a wait: no member may be accessed before the check above.
         GatewayContext& context = this->task.context;
-        if (this->stallDuration() >= this->stallLimit() && this->abandonStalledChain(metadata.stages.front().endpoint))
-            co_return;
+        if (monitor->moving) {
+            co_await sleepFor(context.io, stallCheckInterval);
+            continue;
+        }
+        if (this->stallDuration() >= this->stallLimit() && this->beginMove(monitor, metadata.stages.front().endpoint, {}))
+            continue;
         const Duration untilAbandoning = std::max<Duration>(this->stallLimit() - this->stallDuration(), stallCheckInterval);
         if (this->lastProgress > monitor->checkedAt)
             monitor->checksSinceEvent = 0;
@@ -115,19 +91,12 @@
         monitor->checkedAt = bootNow();
         ++monitor->checksSinceEvent;
         const bool stalled = monitor->checkedAt - this->lastProgress >= suspectedStallTimeout;
-        if (!failed || !stalled || !this->task.upstream)
+        if (!failed || !stalled || monitor->moving)
             continue;
         const std::string evidence = "report of " + firstEngine.str();
-        // The engine may be silent for a moment only: the stream stays on its chain until another one can serve it.
-        if (!this->prepareMove(firstEngine, *failed)) {
-            this->noteSuspected(*failed, evidence);
-            continue;
-        }
-        this->failedEngine = failed;
-        this->failedEngineFault = EndpointFault::Unreachable;
-        this->failedEngineEvidence = evidence;
-        this->task.upstream->close();
-        co_return;
+        this->beginMove(monitor, firstEngine, { *failed, EndpointFault::Unreachable, evidence });
+        // The engine may be silent for a moment only, so that the stream stays there until the rest comes from elsewhere.
+        this->noteSuspected(*failed, evidence);
     }
 }
 
