Judge no engine by what a gateway did while it was held up

What callers saw: streams at sound engines that go on all the time are broken off, all at one gateway (LOST).

Cause: the monitors of streams, the reports of engines and new connections judge by the time that has passed. After a hold-up all of them are over time, and their timers are served before what has arrived meanwhile is read. Ruled out: the engines; in the test they send an event each 100 ms.

Change: an operation that ends over 100 ms later than its own limit was held up (wasHeldUp()). A monitor then waits until the backlog has been read; a report or a connection that ends so late tells nothing.

Test: Daemon.SilentEngines.streamsStayWhenTheGatewayWasHeldUp, a gateway that is stopped for 1.7 s.

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <csignal>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -220,3 +222,32 @@
     BOOST_TEST(scene.replicas.at("engine-b1")->requests().size() == 1U);
     BOOST_TEST(scene.await([&] { return scene.replicas.at("engine-b1")->abandoned() == 1; }));
 }
+
+// Guards against streams that a gateway cuts because it was held up itself and takes all engines to be silent.
+BOOST_FIXTURE_TEST_CASE(streamsStayWhenTheGatewayWasHeldUp, SilentScene)
+{
+    constexpr int events = 25;
+    constexpr Duration pause = 100ms;
+    for (const std::string& id : this->engines) {
+        this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return emptyReport();
+            if (readForwarded(request).lastEvent > 0)
+                return ReplicaScript { { fullAnswer() }, 5ms, ReplicaScript::End::Keep };
+            ReplicaScript script { { streamHead(request) }, pause, ReplicaScript::End::Keep };
+            for (int event = 1; event <= events; ++event)
+                script.pieces.push_back(eventChunk(event) + (event == events ? lastChunk() : ""));
+            return script;
+        });
+    }
+    this->startBoth();
+    this->callAll();
+    BOOST_TEST_REQUIRE(this->await([&] { return !eventIds(this->streams.back()->received()).empty(); }));
+    this->gateway->signal(SIGSTOP);
+    const auto heldUpUntil = std::chrono::steady_clock::now() + silence;
+    this->await([&] { return std::chrono::steady_clock::now() >= heldUpUntil; });
+    this->gateway->signal(SIGCONT);
+    BOOST_TEST(this->complete() == this->streams.size());
+    for (const std::string& id : this->engines)
+        BOOST_TEST(this->replicas.at(id)->requests().size() == streamsPerEngine);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/BootClock.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/BootClock.h
@@ -10,6 +10,12 @@
  * \returns the time since the host booted */
 TimePoint bootNow();
 
+/** \brief Tells the silence of others from a daemon that was itself held up, as by a lack of processor time: what has arrived meanwhile is not read yet.
+ * \param startedAt when an operation began
+ * \param limit after which it ends at the latest
+ * \returns whether it has ended so late that its outcome tells nothing of the other side */
+bool wasHeldUp(TimePoint startedAt, Duration limit);
+
 }
 
 #endif
--- a/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/EngineFailureDetector.cpp
@@ -32,7 +32,8 @@
 asio::awaitable<void> EngineFailureDetector::requestReport(ForwardStage first)
 {
     this->reportStates[first.endpoint].inFlight = true;
-    this->reportStates[first.endpoint].requestedAt = bootNow();
+    const TimePoint requestedAt = bootNow();
+    this->reportStates[first.endpoint].requestedAt = requestedAt;
     this->onRequest(first.endpoint);
     HttpConnection connection(this->context, httpAddress(first.address), endpointLimits(reportTimeout));
     HttpRequest request = this->codec->encodeReportRequest(first.endpoint);
@@ -43,8 +44,11 @@
     ReportState& state = this->reportStates[first.endpoint];
     state.inFlight = false;
     state.receivedAt = bootNow();
-    state.missedReports = report ? 0 : state.missedReports + 1;
+    const bool heldUp = !report && wasHeldUp(requestedAt, reportTimeout);
+    state.missedReports = report ? 0 : state.missedReports + (heldUp ? 0 : 1);
     state.stalled = report ? report->stalled : std::vector<StalledRequest> {};
+    if (heldUp)
+        co_return;
     // An engine that is silent for a moment still accepts connections; its silence tells nothing of the path to it.
     const auto* failure = std::get_if<HttpFailure>(&outcome);
     this->onConnection(first.endpoint, !failure || failure->sent);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -240,9 +240,12 @@
     if (!connection) {
         connection = this->context.pool.create(address);
         slot = connection;
-        const std::error_code error = co_await connection->connect(std::min(connectTimeout, this->timeLeft()));
+        const TimePoint startedAt = bootNow();
+        const Duration limit = std::min(connectTimeout, this->timeLeft());
+        const std::error_code error = co_await connection->connect(limit);
         if (error) {
-            result = { AttemptEnd::NotSent, EndpointFault::Unreachable, {}, "connect" };
+            const bool heldUp = wasHeldUp(startedAt, limit);
+            result = { AttemptEnd::NotSent, heldUp ? EndpointFault::Broken : EndpointFault::Unreachable, {}, heldUp ? "held-up" : "connect" };
             co_return nullptr;
         }
         this->context.noteConnected(endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -92,8 +92,13 @@
     asio::awaitable<void> runHousekeeping()
     {
         while (true) {
+            const TimePoint startedAt = bootNow();
             co_await sleepFor(this->io, housekeepingInterval);
             const TimePoint now = bootNow();
+            if (wasHeldUp(startedAt, housekeepingInterval)) {
+                logLine(WriteLog::Level::Warning, "held-up", { { "lateMs", milliseconds(now - startedAt - housekeepingInterval) }, { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
+                this->context.metrics.count({ "hold_ups_total", "" });
+            }
             this->context.pool.expire(now);
             this->context.loads.expire(now);
             this->context.registry.expire(now);
--- a/packages/Proxy/filbertspoke/src/Proxy/ReachabilityProber.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ReachabilityProber.cpp
@@ -25,12 +25,13 @@
 asio::awaitable<bool> probeEndpoint(GatewayContext& context, EndpointId endpoint, SocketAddress address)
 {
     const UpstreamPointer connection = context.pool.create(address);
+    const TimePoint startedAt = bootNow();
     const std::error_code error = co_await connection->connect(probeTimeout);
     connection->close();
-    if (error)
-        context.noteUnreachable(endpoint);
-    else
+    if (!error)
         context.noteConnected(endpoint);
+    else if (!wasHeldUp(startedAt, probeTimeout))
+        context.noteUnreachable(endpoint);
     co_return !error;
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
@@ -26,6 +26,8 @@
 // A stream without events for at least this time attributes the stall to an engine of its chain that is reported as suspect.
 // The value is well above the usual time between two events.
 constexpr Duration suspectedStallTimeout = std::chrono::milliseconds(150);
+// Time in which a daemon that was held up reads what has arrived meanwhile, before it judges a stall.
+constexpr Duration catchUpTime = std::chrono::milliseconds(50);
 
 }
 
@@ -59,13 +61,24 @@
     context.streams.notifySuspected(engine, evidence);
 }
 
+asio::awaitable<void> StreamForwarder::pauseMonitor(GatewayContext& context, Duration duration)
+{
+    while (true) {
+        const TimePoint startedAt = bootNow();
+        co_await sleepFor(context.io, duration);
+        if (!wasHeldUp(startedAt, duration))
+            co_return;
+        duration = catchUpTime;
+    }
+}
+
 asio::awaitable<void> StreamForwarder::monitorAttempt(std::shared_ptr<AttemptMonitor> monitor, ForwardMetadata metadata)
 {
     while (!monitor->finished) {
         // The forwarder may be destroyed during a wait: no member may be accessed before the check above.
         GatewayContext& context = this->task.context;
         if (monitor->moving) {
-            co_await sleepFor(context.io, stallCheckInterval);
+            co_await pauseMonitor(context, stallCheckInterval);
             continue;
         }
         if (this->stallDuration() >= this->stallLimit() && this->beginMove(monitor, metadata.stages.front().endpoint, {}))
@@ -75,7 +88,7 @@
             monitor->checksSinceEvent = 0;
         const TimePoint due = std::max(this->lastProgress, monitor->checkedAt) + monitor->checkInterval(this->eventsInAttempt == 0 ? monitor->firstEventLimit : monitor->gapLimit);
         if (bootNow() < due) {
-            co_await sleepFor(context.io, std::min<Duration>(due - bootNow(), untilAbandoning));
+            co_await pauseMonitor(context, std::min<Duration>(due - bootNow(), untilAbandoning));
             continue;
         }
         // A report request would be another request to an engine that wants none now.
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -91,6 +91,8 @@
     boost::asio::awaitable<AttemptResult> relayBody(const UpstreamPointer&, std::optional<Duration> expectedPerEvent);
     boost::asio::awaitable<AttemptResult> attemptHandover(SocketAddress target, std::optional<BegunStream> begun);
     boost::asio::awaitable<std::optional<AttemptResult>> forwardEvents(std::vector<StreamEvent>);
+    /** \brief Suspends the monitor for the duration, and longer while this daemon is held up. */
+    static boost::asio::awaitable<void> pauseMonitor(GatewayContext&, Duration);
     boost::asio::awaitable<void> monitorAttempt(std::shared_ptr<AttemptMonitor>, ForwardMetadata);
     Duration stallDuration() const { return bootNow() - std::max(this->lastProgress, this->attemptStartedAt); }
     Duration stallLimit() const;
