Give the engines of a test scene an address of their own

Cause: GatewayScene chooses the ports of its gateways before they are bound, and freePort() gives none of them twice. The engines that SilentScene adds listen at any free port of the same address, and were given ports that a gateway was to bind. An engine at the port for readiness answers 200, so that the gateway that failed to start seemed ready. Ruled out: a crash of the gateway; its log has the failed bind.

Change: the engines listen at another loopback address. No check is changed.

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,13 +59,15 @@
 /** \brief Two gateways and engines that hold the whole model, fall silent together, and refuse streams that were begun elsewhere. */
 struct SilentScene : GatewayScene {
     static constexpr std::size_t streamsPerEngine = 2;
+    // The scene has chosen ports at its own address that its gateways have not bound yet.
+    static constexpr std::uint32_t engineAddress = 4;
 
     SilentScene()
     {
         for (const char* id : { "engine-a1", "engine-a2", "engine-b1", "engine-b2" })
             this->putEndpoint(id, "draining");
         for (const std::string& id : this->engines) {
-            this->replicas.emplace(id, std::make_unique<ReplicaStandIn>(this->context, ownLoopbackAddress(1), fallSilentWhenFull));
+            this->replicas.emplace(id, std::make_unique<ReplicaStandIn>(this->context, ownLoopbackAddress(engineAddress), fallSilentWhenFull));
             this->putEngine(id, { 0, 8 });
         }
     }
