Let the engines of the held-up gateway's test be a function

The linter's compiler wants a constant that is passed by reference to be captured; the script of the engines is a function now, like the others of the file.

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -48,6 +48,20 @@
     return fallSilent(request);
 }
 
+/** \returns a stream that goes on without a pause and lasts longer than the silence of another process */
+ReplicaScript sendSteadily(const HttpRequest& request)
+{
+    constexpr int events = 25;
+    if (request.target.starts_with("/filbertspoke/"))
+        return emptyReport();
+    if (readForwarded(request).lastEvent > 0)
+        return { { fullAnswer() }, 5ms, ReplicaScript::End::Keep };
+    ReplicaScript script { { streamHead(request) }, 100ms, ReplicaScript::End::Keep };
+    for (int event = 1; event <= events; ++event)
+        script.pieces.push_back(eventChunk(event) + (event == events ? lastChunk() : ""));
+    return script;
+}
+
 /** \returns the rest of a stream, which begins only after the silence of another engine */
 ReplicaScript beginLate(const HttpRequest& request)
 {
@@ -229,20 +243,8 @@
 // Guards against streams that a gateway cuts because it was held up itself and takes all engines to be silent.
 BOOST_FIXTURE_TEST_CASE(streamsStayWhenTheGatewayWasHeldUp, SilentScene)
 {
-    constexpr int events = 25;
-    constexpr Duration pause = 100ms;
-    for (const std::string& id : this->engines) {
-        this->replicas.at(id)->setAnswer([](const HttpRequest& request) {
-            if (request.target.starts_with("/filbertspoke/"))
-                return emptyReport();
-            if (readForwarded(request).lastEvent > 0)
-                return ReplicaScript { { fullAnswer() }, 5ms, ReplicaScript::End::Keep };
-            ReplicaScript script { { streamHead(request) }, pause, ReplicaScript::End::Keep };
-            for (int event = 1; event <= events; ++event)
-                script.pieces.push_back(eventChunk(event) + (event == events ? lastChunk() : ""));
-            return script;
-        });
-    }
+    for (const std::string& id : this->engines)
+        this->replicas.at(id)->setAnswer(sendSteadily);
     this->startBoth();
     this->callAll();
     BOOST_TEST_REQUIRE(this->await([&] { return !eventIds(this->streams.back()->received()).empty(); }));
