Read again: one check of a reply, names of a move

Two functions that begin a stream shared the same seven lines on a missing reply: hasReply(). mayMove() asked whether the rest is still wanted: wantsRest(). move() is moveTo(), with its target first, and says why later events forbid a move. No behaviour is changed.

Looked at and left: StreamMonitor.cpp and PeerTable.cpp share the shape of a list of constants only.

--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -144,6 +144,18 @@
     co_return AttemptResult {};
 }
 
+bool StreamForwarder::hasReply(const Result<EndpointReply>& reply, const UpstreamPointer& connection, AttemptResult& result) const
+{
+    result = {};
+    if (this->task.caller->disconnected())
+        return false;
+    if (reply)
+        return true;
+    connection->close();
+    result = this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
+    return false;
+}
+
 asio::awaitable<std::optional<BegunStream>> StreamForwarder::beginAtChain(const ForwardMetadata& metadata, Duration timeout, UpstreamPointer& slot, AttemptResult& result)
 {
     const ForwardStage& first = metadata.stages.front();
@@ -151,14 +163,8 @@
     if (!connection)
         co_return std::nullopt;
     const Result<EndpointReply> reply = co_await this->task.readReply(connection, first.endpoint, timeout);
-    result = {};
-    if (this->task.caller->disconnected())
+    if (!this->hasReply(reply, connection, result))
         co_return std::nullopt;
-    if (!reply) {
-        connection->close();
-        result = this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
-        co_return std::nullopt;
-    }
     if (auto failure = this->task.classifyFailure(*reply)) {
         // A connection with unread body bytes can't be reused; the pool closes it.
         const std::error_code unread = co_await connection->skipBody(std::min<Duration>(refusalBodyTimeout, this->task.timeLeft()));
@@ -177,14 +183,8 @@
     if (!connection)
         co_return std::nullopt;
     const Result<EndpointReply> reply = co_await this->task.readHandoverReply(connection, timeout);
-    result = {};
-    if (this->task.caller->disconnected())
+    if (!this->hasReply(reply, connection, result))
         co_return std::nullopt;
-    if (!reply) {
-        connection->close();
-        result = this->readFailure(reply.error(), "no-answer", "broken-off-unanswered");
-        co_return std::nullopt;
-    }
     if (auto failure = this->task.handoverFailureOf(*reply, streaming)) {
         connection->close();
         result = *failure;
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamMove.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamMove.cpp
@@ -46,11 +46,11 @@
         return false;
     monitor->moving = true;
     const std::uint32_t endpointsUsed = historyAfter->state(this->task.timeLeft()).endpointsUsed;
-    asio::co_spawn(this->task.context.io, this->move(std::move(monitor), std::move(*target), endpointsUsed, std::move(cause)), asio::detached);
+    asio::co_spawn(this->task.context.io, this->moveTo(std::move(*target), std::move(monitor), endpointsUsed, std::move(cause)), asio::detached);
     return true;
 }
 
-bool StreamForwarder::mayMove(const AttemptMonitor& monitor) const
+bool StreamForwarder::wantsRest(const AttemptMonitor& monitor) const
 {
     return !monitor.moveCancelled && !this->task.caller->disconnected();
 }
@@ -63,7 +63,7 @@
     std::optional<BegunStream> begun;
     if (const auto* gateway = std::get_if<SocketAddress>(&target)) {
         begun = co_await this->beginAtGateway(*gateway, true, endpointsUsed, timeout, this->task.offered, result);
-        if (!begun && result.failure && this->mayMove(*monitor))
+        if (!begun && result.failure && this->wantsRest(*monitor))
             this->task.noteHandoverFailure(*gateway, result);
         co_return begun;
     }
@@ -73,23 +73,24 @@
     this->task.context.rateLimits.noteSent(first, bootNow());
     this->logChain(planned->chain);
     begun = co_await this->beginAtChain(planned->metadata, timeout, this->task.offered, result);
-    if (!begun && result.failure && this->mayMove(*monitor)) {
+    if (!begun && result.failure && this->wantsRest(*monitor)) {
         this->noteCrashAfter(result, planned->metadata, runs, startedAt);
         this->task.noteFailure(result, first);
     }
     co_return begun;
 }
 
-asio::awaitable<void> StreamForwarder::move(std::shared_ptr<AttemptMonitor> monitor, MoveTarget target, std::uint32_t endpointsUsed, MoveCause cause)
+asio::awaitable<void> StreamForwarder::moveTo(MoveTarget target, std::shared_ptr<AttemptMonitor> monitor, std::uint32_t endpointsUsed, MoveCause cause)
 {
     const auto resumesAfter = this->lastEventId;
     std::optional<BegunStream> begun;
     if (!monitor->moveCancelled)
         begun = co_await this->requestRest(monitor, target, endpointsUsed);
-    const bool needed = this->mayMove(*monitor) && this->lastEventId == resumesAfter;
-    if (begun && !needed)
+    // The rest was requested behind the last event at that time: with further events it would overlap.
+    const bool fits = this->wantsRest(*monitor) && this->lastEventId == resumesAfter;
+    if (begun && !fits)
         this->withdrawMove(target, *begun);
-    if (begun && needed) {
+    if (begun && fits) {
         this->acceptedMove = AcceptedMove { std::move(target), std::move(*begun) };
         if (!monitor->finished) {
             this->abandonedStalledChain = !cause.failedEngine;
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -73,6 +73,7 @@
      * \param begun the stream, if the chain was asked for it while the last attempt was in progress
      * \returns whether the stream may go on elsewhere after a failure */
     boost::asio::awaitable<bool> serveByChain(ForwardMetadata, LayerChain, std::optional<BegunStream> begun);
+    /** \brief The same by another gateway. */
     boost::asio::awaitable<bool> serveByGateway(SocketAddress target, std::optional<BegunStream> begun);
     /** \brief Goes on with a stream that its target has begun to send.
      * \returns whether the stream may go on elsewhere after a failure */
@@ -103,18 +104,22 @@
      * until the rest has begun to arrive, because the other chain may refuse the request, and a silent engine may go on.
      * \returns whether the rest is being requested now */
     bool beginMove(std::shared_ptr<AttemptMonitor>, const EndpointId& first, MoveCause);
-    boost::asio::awaitable<void> move(std::shared_ptr<AttemptMonitor>, MoveTarget, std::uint32_t endpointsUsed, MoveCause);
+    /** \brief Requests the rest of the stream from the target, and aborts the attempt in progress once it has begun to arrive. */
+    boost::asio::awaitable<void> moveTo(MoveTarget, std::shared_ptr<AttemptMonitor>, std::uint32_t endpointsUsed, MoveCause);
     /** \brief Requests the rest of the stream from the target.
      * \returns the stream, or nothing if the target does not serve it; the failure is recorded */
     boost::asio::awaitable<std::optional<BegunStream>> requestRest(std::shared_ptr<AttemptMonitor>, MoveTarget, std::uint32_t endpointsUsed);
-    /** \returns whether the rest of the stream is still wanted from elsewhere */
-    bool mayMove(const AttemptMonitor&) const;
+    /** \returns whether the caller still waits for the rest of the stream, and the attempt has not sent it */
+    bool wantsRest(const AttemptMonitor&) const;
     /** \brief Cancels a request for the rest of the stream that is not needed any more. */
     void withdrawMove(const MoveTarget&, const BegunStream&);
     /** \brief Waits until the request for the rest of the stream elsewhere has ended, after the attempt has ended with the result. */
     boost::asio::awaitable<void> awaitMove(std::shared_ptr<AttemptMonitor>, const AttemptResult&);
     /** \brief Keeps new requests away from an engine that may have failed, and lets other streams leave it. */
     void noteSuspected(const EndpointId& engine, const std::string& evidence);
+    /** \returns whether a reply arrived and its caller is still there
+     * \param result set to the failure if there is no reply; the connection is closed then */
+    bool hasReply(const Result<EndpointReply>&, const UpstreamPointer&, AttemptResult& result) const;
     AttemptResult readFailure(const std::error_code&, const std::string& timeoutReason, const std::string& brokenReason) const;
     std::uint64_t subscribeToSuspicions(const LayerChain&, std::shared_ptr<AttemptMonitor>);
     /** \brief Records a crash of the engine at which an attempt without events has failed. */
