Ask no third engine for a stream that has found its next one

What callers and engines saw: a generation ran on three engines, on a route that permits two (BUDGET).

Cause: since a stream closes its connection once another chain has begun the rest, and its attempt ends when the coroutine resumes. In between, the failure that another stream records at the same engine told it to leave again, and a third engine was asked. Ruled out: requests that were cancelled or refused elsewhere, which count against the route's attempts; the retry budget, which only hides the fault when it is used up.

Change: beginMove() does nothing once a move has been accepted.

Test: Daemon.SilentEngines.streamsThatLeaveTogetherReachOneOtherEngineEach, with a gateway that reads all answers at once.

--- a/packages/Daemon/tests/SilentEngines.cpp
+++ b/packages/Daemon/tests/SilentEngines.cpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr Duration silence = 1700ms;
+constexpr Duration answerDelay = 100ms;
 // Streams that an engine runs at once, by the configuration of the scene.
 constexpr std::size_t slots = 8;
 const std::string endOfStream = "0\r\n\r\n";
@@ -48,6 +50,22 @@
     return fallSilent(request);
 }
 
+/** \returns a stream whose engine sends nothing after its first event, or the lack of a report */
+ReplicaScript fallSilentForever(const HttpRequest& request)
+{
+    if (request.target.starts_with("/filbertspoke/"))
+        return { {}, 5ms, ReplicaScript::End::Silence };
+    return { { streamHead(request) + eventChunk(1) }, 5ms, ReplicaScript::End::Silence };
+}
+
+/** \returns the rest of a stream that was begun elsewhere, after a while */
+ReplicaScript resumeLater(const HttpRequest& request)
+{
+    if (request.target.starts_with("/filbertspoke/"))
+        return emptyReport();
+    return { { "", streamHead(request) + eventChunk(2) + lastChunk() }, answerDelay, ReplicaScript::End::Keep };
+}
+
 /** \returns a stream that goes on without a pause and lasts longer than the silence of another process */
 ReplicaScript sendSteadily(const HttpRequest& request)
 {
@@ -130,11 +148,7 @@
     GatewayScene scene;
     scene.putEndpoint("engine-b1", "draining");
     scene.start();
-    scene.replicas.at("engine-a1")->setAnswer([](const HttpRequest& request) {
-        if (request.target.starts_with("/filbertspoke/"))
-            return ReplicaScript { {}, 5ms, ReplicaScript::End::Silence };
-        return ReplicaScript { { streamHead(request) + eventChunk(1) }, 5ms, ReplicaScript::End::Silence };
-    });
+    scene.replicas.at("engine-a1")->setAnswer(fallSilentForever);
     const auto caller = scene.call("POST", "/chat/x");
     BOOST_TEST_REQUIRE(scene.await([&] { return !eventIds(caller->received()).empty(); }));
     scene.restartEndpoint("engine-b1");
@@ -256,3 +270,33 @@
     for (const std::string& id : this->engines)
         BOOST_TEST(this->replicas.at(id)->requests().size() == streamsPerEngine);
 }
+
+// Guards against a stream that is requested from a third engine while it leaves the first one for the second, so that it runs on more than its route permits.
+BOOST_AUTO_TEST_CASE(streamsThatLeaveTogetherReachOneOtherEngineEach)
+{
+    // The retry budget has to permit more than one move of each.
+    constexpr std::size_t streams = slots / 2;
+    GatewayScene scene;
+    scene.putEndpoint("engine-b1", "draining");
+    scene.start();
+    scene.replicas.at("engine-a1")->setAnswer(fallSilentForever);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t call = 0; call < streams; ++call)
+        callers.push_back(scene.call("POST", "/chat/x"));
+    BOOST_TEST_REQUIRE(scene.await([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return !eventIds(caller->received()).empty(); }); }));
+    const std::vector<std::string> others { "engine-c1", "engine-c2", "engine-c3" };
+    for (const std::string& id : others) {
+        scene.replicas.emplace(id, std::make_unique<ReplicaStandIn>(scene.context, ownLoopbackAddress(SilentScene::engineAddress), resumeLater));
+        scene.putEngine(id, { 0, 8 });
+    }
+    const auto resumed = [&] { return std::accumulate(others.begin(), others.end(), std::size_t(0), [&](std::size_t sum, const std::string& id) { return sum + scene.replicas.at(id)->requests().size(); }); };
+    BOOST_TEST_REQUIRE(scene.await([&] { return resumed() == callers.size(); }));
+    // The gateway reads all answers at once.
+    scene.gateway->signal(SIGSTOP);
+    const auto stoppedUntil = std::chrono::steady_clock::now() + answerDelay * 3;
+    scene.await([&] { return std::chrono::steady_clock::now() >= stoppedUntil; });
+    scene.gateway->signal(SIGCONT);
+    for (const auto& caller : callers)
+        BOOST_TEST(eventIds(scene.answer(*caller, endOfStream)) == "1 2 ");
+    BOOST_TEST(resumed() == callers.size());
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamMove.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamMove.cpp
@@ -36,7 +36,8 @@
 
 bool StreamForwarder::beginMove(std::shared_ptr<AttemptMonitor> monitor, const EndpointId& first, MoveCause cause)
 {
-    if (monitor->finished || monitor->moving || !this->task.upstream)
+    // An aborted attempt ends only when its coroutine resumes; the engine may be suspected once more before that.
+    if (monitor->finished || monitor->moving || this->acceptedMove || !this->task.upstream)
         return false;
     const auto historyAfter = this->task.historyAfterStall(first, cause.failedEngine.value_or(first));
     if (!historyAfter)
