Log the outcome of a request after its response, and how long a configuration took

What on-call saw: `request-ended` with `answered` for a response that its caller never got, because the line was written before the response; a request from another gateway that is declined without any line, for want of attempts or of paths; and `configuration-in-force` without a trace of how long decoding held the gateway up.

Change: the outcome is logged once the response is written, `caller-gone` if it could not be. `handover-declined` has its reason each time. `configuration-in-force` tells `bytes` and `decodeMs`, and `configuration_seconds` is a histogram of it.

No decision is changed.

--- a/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
+++ b/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
@@ -30,6 +30,7 @@
         : firstToken(this->histogram("first_token_seconds", "Time from the arrival of a completion request to its first token"))
         , tokenGap(this->histogram("token_gap_seconds", "Time between two consecutive tokens of one completion"))
         , call(this->histogram("call_seconds", "Time from the arrival of a service call to its response"))
+        , configuration(this->histogram("configuration_seconds", "Time for which decoding a configuration occupied the daemon"))
         , inProgress(this->gauge("requests_in_progress", "Requests that are queued or running"))
         , queued(this->gauge("requests_queued", "Completions that are queued for admission"))
         , revision(this->gauge("configuration_revision", "Log offset of the configuration in force, -1 without one"))
@@ -77,6 +78,7 @@
     prometheus::Histogram& firstToken;
     prometheus::Histogram& tokenGap;
     prometheus::Histogram& call;
+    prometheus::Histogram& configuration;
     prometheus::Gauge& inProgress;
     prometheus::Gauge& queued;
     prometheus::Gauge& revision;
@@ -113,6 +115,11 @@
     this->state->call.Observe(seconds(duration));
 }
 
+void Metrics::observeConfiguration(Duration duration)
+{
+    this->state->configuration.Observe(seconds(duration));
+}
+
 void Metrics::observeRetryBudget(const ServiceId& service, double available, std::size_t gateways)
 {
     this->state->availableRetries(service).Set(available);
--- a/packages/Observability/filbertspoke/src/Observability/Metrics.h
+++ b/packages/Observability/filbertspoke/src/Observability/Metrics.h
@@ -23,6 +23,8 @@
     void observeTokenGap(Duration);
     /** \brief Records the time from the arrival of a service call to its response. */
     void observeCall(Duration);
+    /** \brief Records the time for which decoding a configuration occupied the daemon. */
+    void observeConfiguration(Duration);
 
     /** \brief Sets the gauges of the retry budget.
      * \param available number of retries that this daemon may make for the service now
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -131,8 +131,9 @@
     co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
 }
 
-asio::awaitable<void> CallerListener::declineHandover(std::shared_ptr<CallerConnection> connection)
+asio::awaitable<void> CallerListener::declineHandover(std::shared_ptr<CallerConnection> connection, const CallerRequest& request, std::string_view reason)
 {
+    logLine(WriteLog::Level::Info, "handover-declined", { { "request", request.id.str() }, { "reason", std::string(reason) } });
     const HttpResponse response = emptyResponse(misdirectedStatus);
     co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
 }
@@ -141,8 +142,7 @@
 {
     if (this->context.stopSchedule && !this->context.stopSchedule->takesRequests(received)) {
         if (request.endpointsUsed) {
-            logLine(WriteLog::Level::Info, "handover-declined", { { "request", request.id.str() }, { "reason", std::string(name(ErrorCode::Draining)) } });
-            co_await this->declineHandover(connection);
+            co_await this->declineHandover(connection, request, name(ErrorCode::Draining));
             co_return;
         }
         const Refusal refusal = Refusal(ErrorCode::Draining, Ran::No).retryAfter(unavailableRetryAfter);
@@ -180,8 +180,9 @@
     Route permitted = *route;
     if (request.endpointsUsed) {
         logLine(WriteLog::Level::Info, "request-taken-over", { { "request", request.id.str() }, { "endpointsUsed", std::to_string(*request.endpointsUsed) }, { "state", std::string(name(this->context.reachability(*service).state())) } });
-        if (this->context.reachability(*service).state() == Reachability::CutOff || *request.endpointsUsed >= route->attempts) {
-            co_await this->declineHandover(connection);
+        const bool cutOff = this->context.reachability(*service).state() == Reachability::CutOff;
+        if (cutOff || *request.endpointsUsed >= route->attempts) {
+            co_await this->declineHandover(connection, request, cutOff ? name(Reachability::CutOff) : "attempts-exhausted");
             co_return;
         }
         permitted.attempts -= *request.endpointsUsed;
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <set>
+#include <string_view>
 
 namespace filbertspoke {
 
@@ -36,7 +37,7 @@
     boost::asio::awaitable<void> forward(std::shared_ptr<CallerConnection>, CallerRequest, TimePoint received);
     boost::asio::awaitable<void> refuse(std::shared_ptr<CallerConnection>, const Refusal&, const CallerRequest&);
     /** \brief Tells another gateway that this one does not serve the request that it hands over. */
-    boost::asio::awaitable<void> declineHandover(std::shared_ptr<CallerConnection>);
+    boost::asio::awaitable<void> declineHandover(std::shared_ptr<CallerConnection>, const CallerRequest&, std::string_view reason);
     boost::asio::awaitable<void> rejectUnread(std::shared_ptr<CallerConnection>, CallerReadFailure);
 
     GatewayContext& context;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -134,9 +134,9 @@
     }
     task.noteServed();
     task.caller->stopWatching();
-    task.logOutcome(reply->status < 400 ? "answered" : "endpoint-failure", reply->status);
     task.context.metrics.observeCall(bootNow() - task.received);
-    co_await task.caller->respond(response, task.keepAlive());
+    const std::string outcome = reply->status < 400 ? "answered" : "endpoint-failure";
+    co_await task.respond(response, outcome);
     co_return AttemptResult {};
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -78,7 +78,7 @@
     this->task.caller->stopWatching();
     if (this->complete) {
         co_await this->task.caller->endStream();
-        this->task.logOutcome("answered", 200);
+        this->task.logOutcome(this->task.caller->disconnected() ? "caller-gone" : "answered", 200);
         co_return;
     }
     if (!this->headSent) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -193,8 +193,14 @@
     const auto rateDelay = this->rateLimitDelay();
     const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, this->request.id);
     this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "rateLimitMs", rateDelay ? milliseconds(*rateDelay) : "others" }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
-    this->logOutcome(std::string(name(refusal.code())), response.status);
+    const std::string outcome(name(refusal.code()));
+    co_await this->respond(response, outcome);
+}
+
+asio::awaitable<void> ForwardTask::respond(const HttpResponse& response, const std::string& outcome)
+{
     co_await this->caller->respond(response, this->keepAlive());
+    this->logOutcome(this->caller->disconnected() ? "caller-gone" : outcome, response.status);
 }
 
 void ForwardTask::logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -53,6 +53,8 @@
      * endpoint can have executed the request, otherwise EndpointFailed.
      * \param returnAfter Retry-After delay; retryAfterDelay() by default */
     boost::asio::awaitable<void> respondFailure(ErrorCode reason, std::optional<Duration> returnAfter = {});
+    /** \brief Sends a whole response, and logs and counts the outcome of the request. */
+    boost::asio::awaitable<void> respond(const HttpResponse&, const std::string& outcome);
     /** \brief Logs a decision about the request, with the configuration version, the revision of the endpoint registry and
      * the age of the other daemons' load reports on which it is based. */
     void logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -52,14 +52,17 @@
 
 void GatewayContext::applyConfiguration(const ConfigurationDocument& document, const std::string& source)
 {
+    const TimePoint startedAt = bootNow();
     auto decoded = this->codecs.store->decodeConfiguration({ document.key, document.text });
+    const Duration took = bootNow() - startedAt;
+    this->metrics.observeConfiguration(took);
     if (!decoded) {
         logLine(WriteLog::Level::Error, "configuration-unreadable", { { "key", document.key }, { "source", source }, { "reason", decoded.error().message() } });
         return;
     }
     if (!*decoded || (this->table && (*decoded)->version() <= this->table->version()))
         return;
-    logLine(WriteLog::Level::Info, "configuration-in-force", { { "version", std::to_string((*decoded)->version()) }, { "before", this->table ? std::to_string(this->table->version()) : "none" }, { "source", source } });
+    logLine(WriteLog::Level::Info, "configuration-in-force", { { "version", std::to_string((*decoded)->version()) }, { "before", this->table ? std::to_string(this->table->version()) : "none" }, { "source", source }, { "bytes", std::to_string(document.text.size()) }, { "decodeMs", milliseconds(took) } });
     internal::logEngineProfiles(this->table.get(), **decoded);
     this->table = std::make_shared<const ForwardingTable>(std::move(**decoded));
     this->document = document;
--- a/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
@@ -82,8 +82,8 @@
         co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-broken-off" };
     this->context.pool.giveBack(target, connection);
     this->caller->stopWatching();
-    this->logOutcome(reply.sealed ? "answered-elsewhere" : "refused-elsewhere", reply.status);
-    co_await this->caller->respond(response, this->keepAlive());
+    const std::string outcome = reply.sealed ? "answered-elsewhere" : "refused-elsewhere";
+    co_await this->respond(response, outcome);
     co_return AttemptResult {};
 }
 
