Answer the callers whose connections wait when a gateway stops listening

What callers saw: three seconds after the SIGTERM of their gateway, connections that the system had accepted for it are reset, with the requests that were sent on them. No log has a line about them. A connection on which a request is arriving is closed too, as long as its head has not been read whole.

Cause: which connections are closed went by what had been read, not by what had arrived.

Change: the connections in the queue are accepted before the listener is closed, and their requests are refused with 503. A connection counts as busy from the first byte of a request on; waiting for it consumes no bytes. Connections without a request yet have half a second more. The gateway ends when no connection is open, where it ended when no request that had been read was in progress. Requests that never arrive whole are logged as `request-incomplete` with their reason, and counted.

--- a/packages/Daemon/tests/Shutdown.cpp
+++ b/packages/Daemon/tests/Shutdown.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace filbertspoke;
 using namespace std::chrono_literals;
@@ -81,3 +82,18 @@
     BOOST_TEST(this->answer(*this->call("POST", "/book/x"), "served").starts_with("HTTP/1.1 200"));
     BOOST_TEST(eventIds(this->answer(*this->stream, endOfStream)) == "1 2 3 4 5 6 7 8 9 ");
 }
+
+// Guards against requests in the queue of connections that are reset when the gateway stops listening.
+BOOST_FIXTURE_TEST_CASE(requestsInTheQueueOfConnectionsAreRefusedWhenTheGatewayStopsListening, Fixture)
+{
+    constexpr std::size_t queued = 8;
+    this->awaitTimeAfterSignal(lastTaken - 300ms);
+    this->gateway->signal(SIGSTOP);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t call = 0; call < queued; ++call)
+        callers.push_back(this->call("POST", "/book/x"));
+    this->awaitTimeAfterSignal(lastTaken + 300ms);
+    this->gateway->signal(SIGCONT);
+    for (const auto& caller : callers)
+        BOOST_TEST(this->answer(*caller, endOfHead).starts_with("HTTP/1.1 503"));
+}
--- a/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.cpp
@@ -9,6 +9,8 @@
 // The signal and a request can reach the gateway with different delays. Requests are refused this long before connections are, so that none
 // that was sent after balancerRemovalTime is forwarded.
 constexpr Duration deliveryMargin = std::chrono::milliseconds(200);
+// Time in which a caller whose connection was accepted sends its request.
+constexpr Duration firstRequestTime = std::chrono::milliseconds(500);
 // The gateway ends this long before it would be killed.
 constexpr Duration killMargin = std::chrono::milliseconds(300);
 
@@ -24,6 +26,11 @@
     return now - this->signalledAt < balancerRemovalTime;
 }
 
+bool StopSchedule::closesUnusedConnections(TimePoint now) const
+{
+    return now - this->signalledAt >= balancerRemovalTime + firstRequestTime;
+}
+
 bool StopSchedule::isOver(TimePoint now) const
 {
     return now - this->signalledAt >= this->timeout - killMargin;
--- a/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.h
@@ -24,6 +24,8 @@
     bool takesRequests(TimePoint) const;
     /** \returns whether new connections are accepted at the time */
     bool acceptsConnections(TimePoint) const;
+    /** \returns whether connections on which no request has arrived yet are closed at the time */
+    bool closesUnusedConnections(TimePoint) const;
     /** \returns whether the gateway must have ended at the time, whatever is in progress */
     bool isOver(TimePoint) const;
 
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/Awaiting.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -28,15 +29,19 @@
 
 CallerReadFailure readFailure(const beast::error_code& error, bool headerRead)
 {
+    if (error == beast::error::timeout)
+        return CallerReadFailure::TimedOut;
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return headerRead ? CallerReadFailure::BodyTooLarge : CallerReadFailure::HeaderTooLarge;
     if (error == http::error::body_limit)
         return CallerReadFailure::BodyTooLarge;
-    if (error == http::error::end_of_stream || error == http::error::partial_message)
+    if (error == http::error::end_of_stream)
         return CallerReadFailure::Closed;
+    if (error == http::error::partial_message)
+        return CallerReadFailure::Incomplete;
     if (error.category() == http::make_error_code(http::error::bad_method).category())
         return CallerReadFailure::Malformed;
-    return CallerReadFailure::Closed;
+    return CallerReadFailure::Incomplete;
 }
 
 std::string headText(unsigned status, const std::vector<HttpHeader>& headers, bool keepAlive)
@@ -56,15 +61,19 @@
 public:
     explicit State(tcp::socket socket)
         : stream(std::move(socket))
+        , idleTimer(this->stream.get_executor())
     {
     }
 
     beast::tcp_stream stream;
+    asio::steady_timer idleTimer;
     beast::flat_buffer buffer;
     bool keepAlive = false;
     bool headRequest = false; ///< the current request has the method HEAD, so that its response has no body
     bool disconnected = false;
     bool busy = false;
+    bool reading = false;
+    bool used = false;
     std::uint64_t watchEpoch = 0; ///< incremented by watchDisconnect() and stopWatching(), so that outdated handlers do nothing
 };
 
@@ -80,25 +89,53 @@
 
 CallerConnection::~CallerConnection() = default;
 
+bool CallerConnection::hasUnread() const
+{
+    beast::error_code ignored;
+    return this->state->buffer.size() > 0 || this->state->stream.socket().available(ignored) > 0;
+}
+
+asio::awaitable<void> CallerConnection::awaitRequest(Duration idleTimeout)
+{
+    State& state = *this->state;
+    const auto self = this->shared_from_this();
+    // Waiting consumes no bytes, so that a request which arrives as the timeout expires is not lost with them.
+    const std::uint64_t epoch = ++state.watchEpoch;
+    state.idleTimer.expires_after(idleTimeout);
+    state.idleTimer.async_wait([self, epoch](beast::error_code error) {
+        beast::error_code ignored;
+        if (!error && epoch == self->state->watchEpoch)
+            self->state->stream.socket().cancel(ignored);
+    });
+    co_await state.stream.socket().async_wait(asio::socket_base::wait_read, asTuple);
+    ++state.watchEpoch;
+    state.idleTimer.cancel();
+}
+
 asio::awaitable<std::variant<HttpRequest, CallerReadFailure>> CallerConnection::read(const ConnectionLimits& limits)
 {
     State& state = *this->state;
     const auto self = this->shared_from_this();
+    if (!this->hasUnread())
+        co_await this->awaitRequest(limits.idleTimeout);
+    if (!this->hasUnread())
+        co_return CallerReadFailure::Closed;
+    state.busy = true;
+    state.reading = true;
+    state.used = true;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
-    state.stream.expires_after(limits.idleTimeout);
+    state.stream.expires_after(limits.headerTimeout);
     const auto [headError, headBytes] = co_await http::async_read_header(state.stream, state.buffer, parser, asTuple);
     if (headError)
         co_return readFailure(headError, false);
-    state.busy = true;
     state.stream.expires_after(limits.headerTimeout);
     const auto [bodyError, bodyBytes] = co_await http::async_read(state.stream, state.buffer, parser, asTuple);
-    if (bodyError) {
-        state.busy = false;
+    if (bodyError)
         co_return readFailure(bodyError, true);
-    }
     state.stream.expires_never();
+    state.reading = false;
     state.keepAlive = parser.get().keep_alive();
     state.headRequest = parser.get().method() == http::verb::head;
     HttpRequest request;
@@ -203,7 +240,17 @@
 
 bool CallerConnection::busy() const
 {
-    return this->state->busy;
+    return this->state->busy || this->hasUnread();
+}
+
+bool CallerConnection::reading() const
+{
+    return this->state->reading;
+}
+
+bool CallerConnection::used() const
+{
+    return this->state->used;
 }
 
 void CallerConnection::close()
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
@@ -18,7 +18,9 @@
 
 /** \brief Reason for which no request could be read. */
 enum class CallerReadFailure {
-    Closed, ///< the caller closed the connection or the idle timeout expired; no response is sent
+    Closed, ///< the connection ended between two requests
+    Incomplete, ///< the connection ended within a request
+    TimedOut, ///< the request did not arrive completely in time
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
@@ -32,6 +34,8 @@
     ~CallerConnection();
 
     /** \brief Reads the next request, including its body.
+     *
+     * The idle timeout applies until the first byte has arrived, so that no connection is closed as idle once the caller has begun to send.
      * \returns the request, or the reason for which it could not be read */
     boost::asio::awaitable<std::variant<HttpRequest, CallerReadFailure>> read(const ConnectionLimits&);
     /** \returns whether the most recently read request asks to keep the connection alive */
@@ -56,12 +60,21 @@
     /** \brief Sends the final chunk, which marks a started response as complete. */
     boost::asio::awaitable<void> endStream();
 
-    /** \returns whether a request is being read or its response has not been sent completely */
+    /** \returns whether bytes have arrived that belong to no request that was read */
+    bool hasUnread() const;
+    /** \returns whether a request has begun to arrive, or its response has not been sent completely */
     bool busy() const;
+    /** \returns whether a request has begun to arrive that has not been read completely */
+    bool reading() const;
+    /** \returns whether a request has begun to arrive since the connection was opened */
+    bool used() const;
     /** \brief Closes the connection without sending the final chunk, so that the caller detects a truncated response. */
     void close();
 
 private:
+    /** \brief Waits for the first byte of a request. */
+    boost::asio::awaitable<void> awaitRequest(Duration idleTimeout);
+
     class State;
     std::unique_ptr<State> state;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -22,6 +22,7 @@
 // Retry-After of refusals sent before a configuration is known, while it offers no service or while this daemon stops; a read of the store takes
 // about this long, and the caller's next attempt reaches another daemon.
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(500);
+
 // Delay after a failed accept, which is usually caused by a lack of file descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
@@ -46,17 +47,38 @@
 
 void CallerListener::stopListening()
 {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    // Closing the acceptor resets the connections in its queue, on which callers may have sent requests.
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error || error == asio::error::connection_aborted) {
+        tcp::socket socket(this->context.io);
+        this->acceptor.accept(socket, error);
+        if (!error)
+            this->admit(std::move(socket));
+    }
+    if (error != asio::error::would_block)
+        logLine(WriteLog::Level::Warning, "accept-failed", { { "reason", error.message() } });
+    this->acceptor.close(error);
+}
+
+void CallerListener::closeIdle(bool unused)
+{
     for (const auto& connection : this->connections) {
-        if (!connection->busy())
+        if (!connection->busy() && (unused || connection->used()))
             connection->close();
     }
 }
 
-asio::awaitable<void> CallerListener::listen()
+void CallerListener::admit(tcp::socket socket)
 {
     const ConnectionKind kind = this->source == RequestSource::Callers ? ConnectionKind::Caller : ConnectionKind::Handover;
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), kind);
+    this->connections.insert(connection);
+    asio::co_spawn(this->context.io, this->serve(std::move(connection)), asio::detached);
+}
+
+asio::awaitable<void> CallerListener::listen()
+{
     while (this->acceptor.is_open()) {
         auto [error, socket] = co_await this->acceptor.async_accept(asTuple);
         if (error && this->acceptor.is_open()) {
@@ -64,13 +86,12 @@
             co_await sleepFor(this->context.io, acceptRetryDelay);
         }
         if (!error)
-            asio::co_spawn(this->context.io, this->serve(std::make_shared<CallerConnection>(std::move(socket), kind)), asio::detached);
+            this->admit(std::move(socket));
     }
 }
 
 asio::awaitable<void> CallerListener::serve(std::shared_ptr<CallerConnection> connection)
 {
-    this->connections.insert(connection);
     bool open = true;
     while (open) {
         const ConnectionLimits limits = this->context.table ? this->context.table->limits() : ConnectionLimits {};
@@ -88,10 +109,21 @@
     this->connections.erase(connection);
 }
 
+std::string CallerListener::incompleteReason(CallerReadFailure failure) const
+{
+    return failure == CallerReadFailure::TimedOut ? "timeout" : "closed";
+}
+
 asio::awaitable<void> CallerListener::rejectUnread(std::shared_ptr<CallerConnection> connection, CallerReadFailure failure)
 {
     if (failure == CallerReadFailure::Closed)
         co_return;
+    if (failure == CallerReadFailure::Incomplete || failure == CallerReadFailure::TimedOut) {
+        const std::string reason = this->incompleteReason(failure);
+        logLine(WriteLog::Level::Info, "request-incomplete", { { "reason", reason } });
+        this->context.metrics.count({ "requests_incomplete_total", reason });
+        co_return;
+    }
     const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431
                                                                                                                          : 413;
     logLine(WriteLog::Level::Warning, "request-unreadable", { { "status", std::to_string(status) } });
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <set>
+#include <string>
 #include <string_view>
 
 namespace filbertspoke {
@@ -27,17 +28,25 @@
 
     /** \brief Starts to accept connections. */
     void start();
-    /** \brief Stops accepting connections and closes those without a request in progress. */
+    /** \brief Stops accepting connections. Those that callers have opened before are served. */
     void stopListening();
+    /** \brief Closes connections without a request in progress.
+     * \param unused whether to close those too on which no request has arrived yet */
+    void closeIdle(bool unused);
+    /** \returns whether all connections are closed */
+    bool idle() const { return this->connections.empty(); }
 
 private:
     boost::asio::awaitable<void> listen();
+    void admit(boost::asio::ip::tcp::socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>);
     boost::asio::awaitable<bool> handleRequest(std::shared_ptr<CallerConnection>, HttpRequest);
     boost::asio::awaitable<void> forward(std::shared_ptr<CallerConnection>, CallerRequest, TimePoint received);
     boost::asio::awaitable<void> refuse(std::shared_ptr<CallerConnection>, const Refusal&, const CallerRequest&);
     /** \brief Tells another gateway that this one does not serve the request that it hands over. */
     boost::asio::awaitable<void> declineHandover(std::shared_ptr<CallerConnection>, const CallerRequest&, std::string_view reason);
+    /** \returns why a request did not arrive completely, for the log */
+    std::string incompleteReason(CallerReadFailure) const;
     boost::asio::awaitable<void> rejectUnread(std::shared_ptr<CallerConnection>, CallerReadFailure);
 
     GatewayContext& context;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -7,9 +7,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace filbertspoke {
 
@@ -114,22 +116,36 @@
         this->context.stopSchedule = schedule;
         this->placement.stop();
         logLine(WriteLog::Level::Info, "stopping", { { "signal", std::to_string(signal) }, { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
+        std::vector<CallerListener*> listeners { &this->callers };
+        if (this->handovers)
+            listeners.push_back(&*this->handovers);
         bool listening = true;
-        while (!schedule.isOver(bootNow())) {
+        bool over = false;
+        while (!over) {
             co_await sleepFor(this->io, stopPollInterval);
-            if (listening && !schedule.acceptsConnections(bootNow())) {
+            const TimePoint now = bootNow();
+            over = schedule.isOver(now);
+            if (listening && !schedule.acceptsConnections(now)) {
                 listening = false;
-                this->callers.stopListening();
-                if (this->handovers)
-                    this->handovers->stopListening();
+                for (CallerListener* listener : listeners)
+                    listener->stopListening();
             }
-            if (!listening && this->context.requestsInProgress == 0)
-                break;
+            if (!listening)
+                over = closeIdle(listeners, schedule.closesUnusedConnections(now)) || over;
         }
         logLine(WriteLog::Level::Info, "stopped", { { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
         this->io.stop();
     }
 
+    /** \brief Closes connections without a request in progress.
+     * \returns whether none is open */
+    static bool closeIdle(const std::vector<CallerListener*>& listeners, bool unused)
+    {
+        for (CallerListener* listener : listeners)
+            listener->closeIdle(unused);
+        return std::all_of(listeners.begin(), listeners.end(), [](const CallerListener* listener) { return listener->idle(); });
+    }
+
     HandlerOwner io { 1 };
     GatewayContext context;
     StoreFollower follower;
--- /dev/null
+++ b/packages/Proxy/tests/CallerConnection.cpp
@@ -0,0 +1,107 @@
+// Tests CallerConnection against a caller in the same process.
+#include <filbertspoke/ProcessTesting>
+#include <filbertspoke/Proxy>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <exception>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+const std::string request = "POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+
+using ReadResult = std::variant<HttpRequest, CallerReadFailure>;
+
+struct Fixture {
+    Fixture()
+        : listener(this->context, { asio::ip::make_address(ownLoopbackAddress(1)), 0 })
+        , caller(this->context)
+    {
+        this->caller.connect(this->listener.local_endpoint());
+        this->connection = std::make_shared<CallerConnection>(this->listener.accept(), ConnectionKind::Caller);
+    }
+
+    void startReading()
+    {
+        asio::co_spawn(this->context, this->connection->read(this->limits), [this](std::exception_ptr, ReadResult read) { this->result = std::move(read); });
+        this->context.poll();
+    }
+
+    std::optional<CallerReadFailure> failure()
+    {
+        BOOST_TEST_REQUIRE(runUntil(this->context, [this] { return this->result.has_value(); }));
+        const auto* found = std::get_if<CallerReadFailure>(&*this->result);
+        return found ? std::optional(*found) : std::nullopt;
+    }
+
+    /** \brief Does nothing until the idle timeout is over, like a process without processor time. */
+    void holdUp() const
+    {
+        const auto until = std::chrono::steady_clock::now() + this->limits.idleTimeout;
+        while (std::chrono::steady_clock::now() <= until) { }
+    }
+
+    asio::io_context context;
+    tcp::acceptor listener;
+    tcp::socket caller;
+    std::shared_ptr<CallerConnection> connection;
+    std::optional<ReadResult> result;
+    ConnectionLimits limits { 1024, 1024, 3s, 50ms };
+};
+
+}
+
+BOOST_FIXTURE_TEST_CASE(requestThatArrivesBeforeALateIdleTimeoutIsRead, Fixture)
+{
+    this->startReading();
+    asio::write(this->caller, asio::buffer(request));
+    this->holdUp();
+    BOOST_TEST(!this->failure().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(connectionWithoutARequestIsClosedAsIdle, Fixture)
+{
+    this->startReading();
+    BOOST_TEST((this->failure() == CallerReadFailure::Closed));
+    BOOST_TEST(!this->connection->used());
+}
+
+BOOST_FIXTURE_TEST_CASE(requestInTheSocketKeepsTheConnectionBusy, Fixture)
+{
+    this->startReading();
+    BOOST_TEST(!this->connection->busy());
+    asio::write(this->caller, asio::buffer(request));
+    BOOST_TEST(runUntil(this->context, [this] { return this->connection->busy(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(requestThatEndsWithItsConnectionIsIncomplete, Fixture)
+{
+    asio::write(this->caller, asio::buffer(request.data(), request.size() - 1));
+    this->startReading();
+    BOOST_TEST(this->connection->reading());
+    this->caller.close();
+    BOOST_TEST((this->failure() == CallerReadFailure::Incomplete));
+}
+
+BOOST_FIXTURE_TEST_CASE(requestThatDoesNotArriveInTimeIsTimedOut, Fixture)
+{
+    this->limits.headerTimeout = 50ms;
+    asio::write(this->caller, asio::buffer(request.data(), request.size() - 1));
+    this->startReading();
+    BOOST_TEST((this->failure() == CallerReadFailure::TimedOut));
+}
