Keep a response whose request was not read whole from being lost

What callers may see: a reset in place of 400, 413 or 431, while they still send the body, and in place of a response behind which they have sent the next request on a connection that closes.

Cause: closing a connection with unread bytes resets it, and the reset overtakes the response.

Change: such a connection is closed for sending first, and read for up to a second.

Test: Proxy.CallerConnection.responseToARequestThatIsNotReadReachesTheCaller.

--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -26,6 +26,8 @@
 
 // A write that does not finish within this time marks the caller as disconnected.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
+// Time for which a connection is read after its last response; callers close it as soon as they have the response.
+constexpr Duration lingerTimeout = std::chrono::seconds(1);
 
 CallerReadFailure readFailure(const beast::error_code& error, bool headerRead)
 {
@@ -258,4 +260,20 @@
     this->state->stream.close();
 }
 
+asio::awaitable<void> CallerConnection::closeGracefully()
+{
+    State& state = *this->state;
+    const auto self = this->shared_from_this();
+    beast::error_code shutdownError;
+    state.stream.socket().shutdown(tcp::socket::shutdown_send, shutdownError);
+    std::array<char, 4096> dropped {};
+    state.stream.expires_after(lingerTimeout);
+    bool open = !shutdownError;
+    while (open) {
+        const auto [error, bytes] = co_await state.stream.async_read_some(asio::buffer(dropped), asTuple);
+        open = !error;
+    }
+    this->close();
+}
+
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
@@ -70,6 +70,9 @@
     bool used() const;
     /** \brief Closes the connection without sending the final chunk, so that the caller detects a truncated response. */
     void close();
+    /** \brief Closes the connection after its last response. Bytes that the caller still sends are read and dropped for a while before, because
+     * closing a connection with unread bytes resets it, and the caller may lose the response with it. */
+    boost::asio::awaitable<void> closeGracefully();
 
 private:
     /** \brief Waits for the first byte of a request. */
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -105,6 +105,9 @@
             open = false;
         }
     }
+    // Whatever the caller has sent behind its last request must not cost it the response.
+    if (connection->hasUnread())
+        co_await connection->closeGracefully();
     connection->close();
     this->connections.erase(connection);
 }
@@ -129,6 +132,7 @@
     logLine(WriteLog::Level::Warning, "request-unreadable", { { "status", std::to_string(status) } });
     const HttpResponse response = emptyResponse(status);
     co_await connection->respond(response, false);
+    co_await connection->closeGracefully();
 }
 
 asio::awaitable<bool> CallerListener::handleRequest(std::shared_ptr<CallerConnection> connection, HttpRequest http)
--- a/packages/Proxy/tests/CallerConnection.cpp
+++ b/packages/Proxy/tests/CallerConnection.cpp
@@ -66,6 +66,7 @@
 
 }
 
+// Guards against a connection that is closed as idle with the request that has arrived on it, without an answer and without a line in the log.
 BOOST_FIXTURE_TEST_CASE(requestThatArrivesBeforeALateIdleTimeoutIsRead, Fixture)
 {
     this->startReading();
@@ -105,3 +106,25 @@
     this->startReading();
     BOOST_TEST((this->failure() == CallerReadFailure::TimedOut));
 }
+
+// Guards against a refusal that is lost with the reset of a connection which is closed while the caller still sends its body.
+BOOST_FIXTURE_TEST_CASE(responseToARequestThatIsNotReadReachesTheCaller, Fixture)
+{
+    const std::string large = "POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x');
+    asio::co_spawn(this->context, asio::async_write(this->caller, asio::buffer(large), asio::use_awaitable), asio::detached);
+    this->startReading();
+    BOOST_TEST((this->failure() == CallerReadFailure::BodyTooLarge));
+    const HttpResponse response { 413, {}, "" };
+    bool closed = false;
+    asio::co_spawn(this->context, this->connection->respond(response, false), [&](std::exception_ptr) {
+        asio::co_spawn(this->context, this->connection->closeGracefully(), [&](std::exception_ptr) { closed = true; });
+    });
+    std::string received;
+    std::optional<boost::system::error_code> ended;
+    asio::async_read(this->caller, asio::dynamic_buffer(received), [&](boost::system::error_code error, std::size_t) { ended = error; });
+    BOOST_TEST_REQUIRE(runUntil(this->context, [&] { return ended.has_value(); }));
+    BOOST_TEST((*ended == asio::error::eof));
+    BOOST_TEST(received.starts_with("HTTP/1.1 413"));
+    this->caller.close();
+    BOOST_TEST(runUntil(this->context, [&] { return closed; }));
+}
