Close no connection that the caller was told stays open while requests are taken

What callers may see: a response with a kept connection, a stream's above all, whose connection the gateway closes with the response when it was told to stop meanwhile. A request that is sent on it right then gets no answer.

Cause: whether a connection stays open was decided twice, for the head of the response and again at its end. From reading; no case was seen.

Change: what the head said holds.

--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -72,6 +72,7 @@
     beast::flat_buffer buffer;
     bool keepAlive = false;
     bool headRequest = false; ///< the current request has the method HEAD, so that its response has no body
+    bool keptOpen = false;
     bool disconnected = false;
     bool busy = false;
     bool reading = false;
@@ -154,6 +155,11 @@
     return this->state->keepAlive;
 }
 
+bool CallerConnection::keptOpen() const
+{
+    return this->state->keptOpen;
+}
+
 void CallerConnection::watchDisconnect(std::function<void()> onDisconnect)
 {
     State& state = *this->state;
@@ -200,6 +206,7 @@
     text.append("\r\n");
     if (!state.headRequest)
         text.append(response.body);
+    state.keptOpen = keepAlive;
     state.stream.expires_after(writeTimeout);
     const auto [error, bytes] = co_await asio::async_write(state.stream, asio::buffer(text), asTuple);
     state.disconnected = state.disconnected || static_cast<bool>(error);
@@ -211,6 +218,7 @@
     State& state = *this->state;
     const auto self = this->shared_from_this();
     const std::string text = headText(status, headers, keepAlive) + "Transfer-Encoding: chunked\r\n\r\n";
+    state.keptOpen = keepAlive;
     state.stream.expires_after(writeTimeout);
     const auto [error, bytes] = co_await asio::async_write(state.stream, asio::buffer(text), asTuple);
     state.disconnected = state.disconnected || static_cast<bool>(error);
@@ -257,6 +265,7 @@
 
 void CallerConnection::close()
 {
+    this->state->disconnected = true;
     this->state->stream.close();
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
@@ -41,6 +41,9 @@
     /** \returns whether the most recently read request asks to keep the connection alive */
     bool keepAlive() const;
 
+    /** \returns whether the last response told the caller that the connection stays open */
+    bool keptOpen() const;
+
     /** \brief Calls \a onDisconnect when the caller closes the connection before stopWatching() is called. */
     void watchDisconnect(std::function<void()> onDisconnect);
     /** \brief Cancels watchDisconnect(). */
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -157,7 +157,7 @@
         co_return false;
     }
     co_await this->forward(connection, std::move(*decoded), received);
-    co_return connection->keepAlive() && !connection->disconnected() && !this->context.isStopping();
+    co_return connection->keptOpen() && !connection->disconnected();
 }
 
 asio::awaitable<void> CallerListener::refuse(std::shared_ptr<CallerConnection> connection, const Refusal& refusal, const CallerRequest& request)
