Answer the requests in progress when the time to stop is over

What callers saw: requests that are still in progress shortly before a gateway would be killed end with their connection, without an answer and without a line in the log.

Cause: the event loop was stopped with the requests in it. Nobody decided their end.

Change: StopSchedule ends requests 50 ms before the gateway ends. Each request then takes the way of a failed attempt that must not be retried: 503 if it certainly has not run, 502 if it may have, and for a stream that has begun a broken-off connection; `request-ended` has `draining`, `endpoint-failed` or `stopped`. Nothing that ends so counts against an endpoint or a part of a prompt. What is left after that, for callers that don't read, is logged as `unfinished`.

--- a/packages/Daemon/tests/Shutdown.cpp
+++ b/packages/Daemon/tests/Shutdown.cpp
@@ -37,6 +37,25 @@
     return script;
 }
 
+/** \returns nothing at all */
+ReplicaScript beSilent(const HttpRequest& request)
+{
+    return request.target.starts_with("/filbertspoke/") ? emptyReport() : ReplicaScript { {}, 5ms, ReplicaScript::End::Silence };
+}
+
+/** \brief Ends the process by SIGTERM.
+ * \returns the lines of its log that hold the text */
+std::vector<std::string> stopAndFind(GatewayScene& scene, const std::string& text)
+{
+    scene.gateway->signal(SIGTERM);
+    std::vector<std::string> found;
+    while (const auto line = scene.gateway->readLine()) {
+        if (line->find(text) != std::string::npos)
+            found.push_back(*line);
+    }
+    return found;
+}
+
 struct Fixture : GatewayScene {
     Fixture()
     {
@@ -83,6 +102,41 @@
     BOOST_TEST(eventIds(this->answer(*this->stream, endOfStream)) == "1 2 3 4 5 6 7 8 9 ");
 }
 
+// Guards against requests that got neither an answer nor a refusal, nor a line in the log, when the time for the stop of their gateway was over.
+BOOST_AUTO_TEST_CASE(requestsInProgressAtTheEndOfTheStopAreAnswered)
+{
+    GatewayScene scene;
+    scene.stopTimeout = 1500ms;
+    scene.start();
+    for (auto& [id, replica] : scene.replicas)
+        replica->setAnswer(beSilent);
+    const auto booking = scene.call("POST", "/book/x");
+    const auto generation = scene.call("POST", "/chat/x");
+    BOOST_TEST_REQUIRE(scene.await([&] { return scene.replicas.at("engine-a1")->requests().size() + scene.replicas.at("engine-b1")->requests().size() > 0; }));
+    BOOST_TEST_REQUIRE(scene.await([&] { return scene.replicas.at("app-1")->requests().size() + scene.replicas.at("app-2")->requests().size() > 0; }));
+    const auto ended = stopAndFind(scene, "request-ended");
+    BOOST_TEST(ended.size() == 2U);
+    BOOST_TEST(scene.answer(*booking, endOfHead).starts_with("HTTP/1.1 502"));
+    BOOST_TEST(scene.answer(*generation, endOfHead).starts_with("HTTP/1.1 502"));
+}
+
+// Guards against streams that were broken off at the end of a stop without a line in the log.
+BOOST_AUTO_TEST_CASE(streamThatOutlastsTheStopIsLogged)
+{
+    GatewayScene scene;
+    scene.stopTimeout = 1500ms;
+    scene.start();
+    for (const char* id : { "engine-a1", "engine-b1" })
+        scene.replicas.at(id)->setAnswer(longStream);
+    const auto stream = scene.call("POST", "/chat/x");
+    BOOST_TEST_REQUIRE(scene.await([&] { return !eventIds(stream->received()).empty(); }));
+    const auto ended = stopAndFind(scene, "request-ended");
+    BOOST_TEST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST(ended.front().find("\"stopped\"") != std::string::npos, ended.front());
+    BOOST_TEST(scene.await([&] { return stream->closed(); }));
+    BOOST_TEST(!stream->received().ends_with(endOfStream));
+}
+
 // Guards against requests in the queue of connections that are reset when the gateway stops listening.
 BOOST_FIXTURE_TEST_CASE(requestsInTheQueueOfConnectionsAreRefusedWhenTheGatewayStopsListening, Fixture)
 {
--- a/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.cpp
@@ -12,18 +12,20 @@
 // Time in which a caller whose connection was accepted sends its request.
 constexpr Duration firstRequestTime = std::chrono::milliseconds(500);
 // The gateway ends this long before it would be killed.
-constexpr Duration killMargin = std::chrono::milliseconds(300);
+constexpr Duration killMargin = std::chrono::milliseconds(250);
+// Time for the responses to the requests that are ended with the gateway.
+constexpr Duration responseTime = std::chrono::milliseconds(50);
 
 }
 
 bool StopSchedule::takesRequests(TimePoint now) const
 {
-    return now - this->signalledAt < balancerRemovalTime - deliveryMargin;
+    return now - this->signalledAt < balancerRemovalTime - deliveryMargin && !this->endsRequests(now);
 }
 
 bool StopSchedule::acceptsConnections(TimePoint now) const
 {
-    return now - this->signalledAt < balancerRemovalTime;
+    return now - this->signalledAt < balancerRemovalTime && !this->endsRequests(now);
 }
 
 bool StopSchedule::closesUnusedConnections(TimePoint now) const
@@ -31,6 +33,11 @@
     return now - this->signalledAt >= balancerRemovalTime + firstRequestTime;
 }
 
+bool StopSchedule::endsRequests(TimePoint now) const
+{
+    return now - this->signalledAt >= this->timeout - killMargin - responseTime;
+}
+
 bool StopSchedule::isOver(TimePoint now) const
 {
     return now - this->signalledAt >= this->timeout - killMargin;
--- a/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/StopSchedule.h
@@ -26,6 +26,8 @@
     bool acceptsConnections(TimePoint) const;
     /** \returns whether connections on which no request has arrived yet are closed at the time */
     bool closesUnusedConnections(TimePoint) const;
+    /** \returns whether the requests that are in progress at the time are ended, so that their callers still learn of it */
+    bool endsRequests(TimePoint) const;
     /** \returns whether the gateway must have ended at the time, whatever is in progress */
     bool isOver(TimePoint) const;
 
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -19,10 +19,6 @@
 // Response to a gateway that hands over a request which this one can't serve either.
 constexpr unsigned misdirectedStatus = 421;
 
-// Retry-After of refusals sent before a configuration is known, while it offers no service or while this daemon stops; a read of the store takes
-// about this long, and the caller's next attempt reaches another daemon.
-constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(500);
-
 // Delay after a failed accept, which is usually caused by a lack of file descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
@@ -69,6 +65,14 @@
     }
 }
 
+void CallerListener::closeUnread()
+{
+    for (const auto& connection : this->connections) {
+        if (connection->reading())
+            connection->close();
+    }
+}
+
 void CallerListener::admit(tcp::socket socket)
 {
     const ConnectionKind kind = this->source == RequestSource::Callers ? ConnectionKind::Caller : ConnectionKind::Handover;
@@ -114,6 +118,8 @@
 
 std::string CallerListener::incompleteReason(CallerReadFailure failure) const
 {
+    if (this->context.stopSchedule && this->context.stopSchedule->endsRequests(bootNow()))
+        return "stopped";
     return failure == CallerReadFailure::TimedOut ? "timeout" : "closed";
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
@@ -33,6 +33,8 @@
     /** \brief Closes connections without a request in progress.
      * \param unused whether to close those too on which no request has arrived yet */
     void closeIdle(bool unused);
+    /** \brief Closes connections on which a request is still arriving. */
+    void closeUnread();
     /** \returns whether all connections are closed */
     bool idle() const { return this->connections.empty(); }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -60,7 +60,7 @@
     if (!delay || *delay <= Duration::zero() || *delay > left || task.rateLimitQueueIsFull(waiting, left))
         co_return false;
     ++waiting;
-    co_await sleepFor(task.context.io, *delay);
+    co_await task.pause(*delay);
     --waiting;
     co_return true;
 }
@@ -176,7 +176,7 @@
     const WorkInProgress load { 1, 0 };
     const TimePoint latestStart = bootNow() + scaled(task.timeLeft(), rateLimitWaitFraction);
     std::optional<Duration> refusalTime;
-    while (!task.caller->disconnected()) {
+    while (!task.caller->disconnected() && !task.abandoned) {
         if ((refusalTime = task.context.refusalTime(task.traits())))
             break;
         if (const auto target = task.handoverTarget()) {
@@ -205,7 +205,7 @@
             task.context.registry.noteSuccess(endpoint.id, startedAt);
             co_return;
         }
-        if (result.connectionBroken && !task.caller->disconnected())
+        if (result.connectionBroken && !task.caller->disconnected() && !task.abandoned)
             asio::co_spawn(task.context.io, noteCrash(task.context, task.traits(), endpoint.address, { endpoint.id, endpoint.startedAtMs }, startedAt), asio::detached);
         if (task.caller->disconnected() || !task.noteFailure(result, endpoint.id))
             break;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -32,7 +32,7 @@
     std::uint64_t seen = this->task.context.capacityChanges - 1;
     TimePoint plannedAt;
     bool rateLimited = false;
-    while (!this->task.caller->disconnected() && !this->task.handoverTarget()) {
+    while (!this->task.caller->disconnected() && !this->task.abandoned && !this->task.handoverTarget()) {
         const std::optional<Duration> delay = this->task.rateLimitDelay();
         const bool delayed = delay != Duration::zero();
         // Planning again can only succeed after capacity was released, a report of other daemons' work arrived, a first stage accepts requests
@@ -87,7 +87,7 @@
     }
     this->logBreakOff();
     // The caller must be able to detect that the stream is incomplete.
-    this->task.logOutcome("broken-off", 0);
+    this->task.logOutcome(this->task.abandoned ? "stopped" : "broken-off", 0);
     this->task.caller->close();
 }
 
@@ -143,7 +143,7 @@
 asio::awaitable<void> StreamForwarder::run()
 {
     bool retry = true;
-    while (retry && !this->task.caller->disconnected()) {
+    while (retry && !this->task.caller->disconnected() && !this->task.abandoned) {
         if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
             break;
         if (auto moved = std::exchange(this->acceptedMove, std::nullopt)) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -67,11 +67,20 @@
     , deadline(deadlineOf(this->request, this->route, received))
     , handoverDraw(context.randomFraction())
     , history(this->route)
+    , pauseTimer(context.io)
 {
+    this->context.tasks.insert(this);
+}
+
+ForwardTask::~ForwardTask()
+{
+    this->context.tasks.erase(this);
 }
 
 bool ForwardTask::canRetry(const AttemptHistory& attempts, AttemptEnd end) const
 {
+    if (this->abandoned)
+        return false;
     const bool affordable = this->retryCharged || !attempts.isRepeat() || this->context.retryBudget(this->service).hasRetry();
     return affordable && mayRetry(attempts.state(this->timeLeft()), end);
 }
@@ -93,9 +102,8 @@
     return this->retryCharged;
 }
 
-bool ForwardTask::noteFailure(const AttemptResult& result, const EndpointId& first)
+void ForwardTask::noteFault(const AttemptResult& result, const EndpointId& first, const EndpointId& blamed)
 {
-    const EndpointId blamed = result.blamed.value_or(first);
     // A pushback excludes the endpoint for exactly the time that it named; that is no sign of a defect.
     if (!result.pushedBack || blamed != first)
         this->context.registry.noteFault(blamed, result.fault, bootNow());
@@ -103,13 +111,21 @@
         this->context.noteUnreachable(first);
     if (result.fault == EndpointFault::Unreachable)
         this->context.streams.notifySuspected(blamed, "request " + this->request.id.str() + ": " + result.reason);
+}
+
+bool ForwardTask::noteFailure(const AttemptResult& result, const EndpointId& first)
+{
+    const EndpointId blamed = result.blamed.value_or(first);
+    if (!this->abandoned)
+        this->noteFault(result, first, blamed);
     this->history.noteFailure({ *result.failure, first, blamed, result.fault });
     const bool retry = this->canRetry(this->history, *result.failure);
+    const std::string reason = this->abandoned ? "stopped" : result.reason;
     const AttemptState state = this->history.state(this->timeLeft());
     const double saved = this->context.retryBudget(this->service).saved();
     const auto gateways = this->context.siteGateways();
-    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "service", this->service.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", result.reason }, { "evidence", result.evidence }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
-    this->context.metrics.count({ "attempts_failed_total", result.reason });
+    logLine(WriteLog::Level::Warning, "attempt-failed", { { "request", this->request.id.str() }, { "service", this->service.str() }, { "endpoint", first.str() }, { "blamed", blamed.str() }, { "reason", reason }, { "evidence", result.evidence }, { "events", std::to_string(result.events) }, { "fingerprint", this->fingerprint.str() }, { "sharedPromptParts", joined(this->request.sharedPromptParts) }, { "sends", std::to_string(state.sends) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "retry", retry ? "yes" : "no" }, { "charged", retry && this->history.isRepeat() ? "yes" : "no" }, { "retriesSaved", std::to_string(saved) }, { "gateways", gateways ? std::to_string(*gateways) : "unknown" } });
+    this->context.metrics.count({ "attempts_failed_total", reason });
     this->context.metrics.observeRetryBudget(this->service, saved, gateways.value_or(0));
     return retry;
 }
@@ -185,6 +201,10 @@
         this->logOutcome("caller-gone", 0);
         co_return;
     }
+    if (this->abandoned) {
+        reason = ErrorCode::Draining;
+        returnAfter = unavailableRetryAfter;
+    }
     const AttemptState state = this->history.state(this->timeLeft());
     const bool notRun = certainlyNotRun(state);
     Refusal refusal(notRun ? reason : ErrorCode::EndpointFailed, notRun ? Ran::No : Ran::Unknown);
@@ -203,6 +223,12 @@
     this->logOutcome(this->caller->disconnected() ? "caller-gone" : outcome, response.status);
 }
 
+asio::awaitable<void> ForwardTask::pause(Duration duration)
+{
+    this->pauseTimer.expires_after(duration);
+    co_await this->pauseTimer.async_wait(asTuple);
+}
+
 void ForwardTask::logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const
 {
     fields.insert(fields.begin(), { { "request", this->request.id.str() }, { "service", this->service.str() } });
@@ -223,6 +249,13 @@
     this->context.metrics.count({ "requests_total", outcome });
 }
 
+void ForwardTask::abandon()
+{
+    this->abandoned = true;
+    this->pauseTimer.cancel();
+    this->closeConnections();
+}
+
 void ForwardTask::closeConnections()
 {
     for (const UpstreamPointer& connection : { this->upstream, this->offered }) {
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -5,6 +5,7 @@
 #include "GatewayContext.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <optional>
@@ -33,6 +34,9 @@
 class ForwardTask {
 public:
     ForwardTask(GatewayContext&, std::shared_ptr<CallerConnection>, CallerRequest, const Route&, ServiceId, std::optional<AccountId>, TimePoint received);
+    ~ForwardTask();
+    ForwardTask(const ForwardTask&) = delete;
+    ForwardTask& operator=(const ForwardTask&) = delete;
 
     /** \returns the time until the deadline; negative after it */
     Duration timeLeft() const { return this->deadline - bootNow(); }
@@ -55,6 +59,8 @@
     boost::asio::awaitable<void> respondFailure(ErrorCode reason, std::optional<Duration> returnAfter = {});
     /** \brief Sends a whole response, and logs and counts the outcome of the request. */
     boost::asio::awaitable<void> respond(const HttpResponse&, const std::string& outcome);
+    /** \brief Suspends the request for the duration, but not after abandon(). */
+    boost::asio::awaitable<void> pause(Duration);
     /** \brief Logs a decision about the request, with the configuration version, the revision of the endpoint registry and
      * the age of the other daemons' load reports on which it is based. */
     void logDecision(const std::string& event, std::vector<std::pair<std::string, std::string>> fields) const;
@@ -120,6 +126,8 @@
 
     /** \brief Closes the connections on which the request is in progress. */
     void closeConnections();
+    /** \brief Ends the request because the gateway stops: the caller gets a response, or a stream that has begun is broken off. */
+    void abandon();
 
     /** \returns whether the caller's connection stays open after the response */
     bool keepAlive() const { return this->caller->keepAlive() && !this->context.isStopping(); }
@@ -141,8 +149,11 @@
     AttemptHistory history;
     std::set<SocketAddress> triedGateways; ///< to which the request was handed over without success
     bool retryCharged = false; ///< whether the retry budget was charged for a send that has not happened yet
+    bool abandoned = false; ///< whether abandon() was called
 
 private:
+    /** \brief Records the fault of an endpoint that ended an attempt. */
+    void noteFault(const AttemptResult&, const EndpointId& first, const EndpointId& blamed);
     /** \brief Sends a message on a connection that the request was not sent on before, unless the caller has disconnected.
      * \param endpoint at the address, or another name for a receiver that is no endpoint
      * \param slot gets the connection as soon as there is one, so that it can be closed
@@ -152,6 +163,8 @@
     std::uint32_t modelLayers() const;
     /** \returns the endpoints to which the request may be sent, whatever their rate limits */
     std::vector<EndpointId> receivingEndpoints() const;
+
+    boost::asio::steady_timer pauseTimer;
 };
 
 /** \brief Forwards a call to a replica of a plain service and returns the complete response to the caller. */
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -18,13 +18,19 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace filbertspoke {
 
+class ForwardTask;
+
 /** \brief Timeout of requests to the store, in addition to the time for which a read waits for records: a hundred times the
  * usual response time of 4 ms. */
 constexpr Duration storeTimeout = std::chrono::milliseconds(400);
+/** \brief Retry-After of refusals sent before a configuration is known, while it offers no service or while this daemon stops; a read of the
+ * store takes about this long, and the caller's next attempt reaches another daemon. */
+constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(500);
 
 /** \brief The codecs for the protocols that a gateway uses. */
 struct GatewayCodecs {
@@ -117,6 +123,7 @@
     Metrics metrics;
     std::optional<StopSchedule> stopSchedule; ///< set once the gateway was told to stop
     unsigned requestsInProgress = 0; ///< requests of callers without a complete response
+    std::set<ForwardTask*> tasks; ///< requests that are being forwarded
 
 private:
     void noteReachabilityChange(const ServiceId&, Reachability before);
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -120,19 +120,27 @@
         if (this->handovers)
             listeners.push_back(&*this->handovers);
         bool listening = true;
+        bool ending = false;
         bool over = false;
         while (!over) {
             co_await sleepFor(this->io, stopPollInterval);
             const TimePoint now = bootNow();
-            over = schedule.isOver(now);
+            // A gateway that was held up ends its requests late, and leaves time for their responses all the same.
+            over = ending && schedule.isOver(now);
             if (listening && !schedule.acceptsConnections(now)) {
                 listening = false;
                 for (CallerListener* listener : listeners)
                     listener->stopListening();
             }
+            if (!ending && schedule.endsRequests(now)) {
+                ending = true;
+                this->endRequests(listeners);
+            }
             if (!listening)
                 over = closeIdle(listeners, schedule.closesUnusedConnections(now)) || over;
         }
+        for (const ForwardTask* task : this->context.tasks)
+            task->logOutcome("unfinished", 0);
         logLine(WriteLog::Level::Info, "stopped", { { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
         this->io.stop();
     }
@@ -146,6 +154,17 @@
         return std::all_of(listeners.begin(), listeners.end(), [](const CallerListener* listener) { return listener->idle(); });
     }
 
+    /** \brief Ends the requests in progress, so that their callers get a response as far as they can still get one. */
+    void endRequests(const std::vector<CallerListener*>& listeners)
+    {
+        logLine(WriteLog::Level::Info, "requests-ended", { { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
+        for (ForwardTask* task : this->context.tasks)
+            task->abandon();
+        this->context.waiters.wakeAll();
+        for (CallerListener* listener : listeners)
+            listener->closeUnread();
+    }
+
     HandlerOwner io { 1 };
     GatewayContext context;
     StoreFollower follower;
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -244,7 +244,7 @@
 void StreamForwarder::noteCrashAfter(const AttemptResult& result, const ForwardMetadata& metadata, const std::vector<EndpointRun>& runs, TimePoint sentAt)
 {
     const auto lost = lostStage(metadata, result);
-    if (!lost || result.events > 0 || this->task.caller->disconnected())
+    if (!lost || result.events > 0 || this->task.caller->disconnected() || this->task.abandoned)
         return;
     asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.traits(), metadata.stages[*lost], runs[*lost], sentAt, result.connectionBroken || *lost == 0), asio::detached);
 }
