Don't break off a stream whose rest has begun to arrive from elsewhere

What callers may see: a stream that has found its next chain is broken off, since a part of its prompt was quarantined in the same moment.

Cause: the quarantine was asked before an accepted move was served. The request had been sent by then, so that nothing was spared. From reading; no case was seen.

Change: an accepted move is served first. No test: the moment lies between two steps of one coroutine.

--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -144,12 +144,13 @@
 {
     bool retry = true;
     while (retry && !this->task.caller->disconnected() && !this->task.abandoned) {
-        if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
-            break;
+        // The rest of the stream is arriving already.
         if (auto moved = std::exchange(this->acceptedMove, std::nullopt)) {
             retry = co_await this->serveMoved(std::move(*moved));
             continue;
         }
+        if ((this->refusalTime = this->task.context.refusalTime(this->task.traits())))
+            break;
         if (const auto target = this->task.handoverTarget()) {
             if (!this->task.chargeRetryBudget())
                 break;
