Test when a stop ends the requests in progress

Bounds of StopSchedule::endsRequests() in virtual time: requests are ended before the gateway ends, none is taken and no connection accepted after that, also when the time to stop is shorter than the load balancer takes to notice.

--- a/packages/Gateway/tests/StopSchedule.cpp
+++ b/packages/Gateway/tests/StopSchedule.cpp
@@ -42,6 +42,24 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(requestsAreEndedBeforeTheGatewayEnds)
+{
+    TimePoint ended = signalledAt;
+    while (!schedule.endsRequests(ended))
+        ended += 1ms;
+    BOOST_TEST(!schedule.isOver(ended));
+    BOOST_TEST(!schedule.takesRequests(ended));
+    BOOST_TEST(!schedule.acceptsConnections(ended));
+}
+
+BOOST_AUTO_TEST_CASE(requestsAreNotTakenWhenAShortStopEndsThem)
+{
+    const StopSchedule shortStop(signalledAt, 1s);
+    BOOST_TEST(shortStop.takesRequests(signalledAt));
+    BOOST_TEST(!shortStop.takesRequests(signalledAt + 900ms));
+    BOOST_TEST(!shortStop.acceptsConnections(signalledAt + 900ms));
+}
+
 BOOST_AUTO_TEST_CASE(gatewayEndsBeforeItIsKilled)
 {
     BOOST_TEST(!schedule.isOver(signalledAt + lastExcused));
