--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -19,9 +19,6 @@
 // Response to a gateway that hands over a request which this one can't serve either.
 constexpr unsigned misdirectedStatus = 421;
 
-// Retry-After of refusals sent before a configuration is known, while it offers no service or while this daemon stops; a read of the store takes
-// about this long, and the caller's next attempt reaches another daemon.
-constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(500);
 // Delay after a failed accept, which is usually caused by a lack of file descriptors.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
@@ -46,17 +43,46 @@
 
 void CallerListener::stopListening()
 {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    // Closing the acceptor resets the connections in its queue, on which callers may have sent requests.
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error || error == asio::error::connection_aborted) {
+        tcp::socket socket(this->context.io);
+        this->acceptor.accept(socket, error);
+        if (!error)
+            this->admit(std::move(socket));
+    }
+    if (error != asio::error::would_block)
+        logLine(WriteLog::Level::Warning, "accept-failed", { { "reason", error.message() } });
+    this->acceptor.close(error);
+}
+
+void CallerListener::closeIdle(bool unused)
+{
     for (const auto& connection : this->connections) {
-        if (!connection->busy())
+        if (!connection->busy() && (unused || connection->used()))
             connection->close();
     }
 }
 
-asio::awaitable<void> CallerListener::listen()
+void CallerListener::closeUnread()
+{
+    for (const auto& connection : this->connections) {
+        if (connection->reading())
+            connection->close();
+    }
+}
+
+void CallerListener::admit(tcp::socket socket)
 {
     const ConnectionKind kind = this->source == RequestSource::Callers ? ConnectionKind::Caller : ConnectionKind::Handover;
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), kind);
+    this->connections.insert(connection);
+    asio::co_spawn(this->context.io, this->serve(std::move(connection)), asio::detached);
+}
+
+asio::awaitable<void> CallerListener::listen()
+{
     while (this->acceptor.is_open()) {
         auto [error, socket] = co_await this->acceptor.async_accept(asTuple);
         if (error && this->acceptor.is_open()) {
@@ -64,13 +90,12 @@
             co_await sleepFor(this->context.io, acceptRetryDelay);
         }
         if (!error)
-            asio::co_spawn(this->context.io, this->serve(std::make_shared<CallerConnection>(std::move(socket), kind)), asio::detached);
+            this->admit(std::move(socket));
     }
 }
 
 asio::awaitable<void> CallerListener::serve(std::shared_ptr<CallerConnection> connection)
 {
-    this->connections.insert(connection);
     bool open = true;
     while (open) {
         const ConnectionLimits limits = this->context.table ? this->context.table->limits() : ConnectionLimits {};
@@ -84,19 +109,36 @@
             open = false;
         }
     }
+    // Whatever the caller has sent behind its last request must not cost it the response.
+    if (connection->hasUnread())
+        co_await connection->closeGracefully();
     connection->close();
     this->connections.erase(connection);
 }
 
+std::string CallerListener::incompleteReason(CallerReadFailure failure) const
+{
+    if (this->context.stopSchedule && this->context.stopSchedule->endsRequests(bootNow()))
+        return "stopped";
+    return failure == CallerReadFailure::TimedOut ? "timeout" : "closed";
+}
+
 asio::awaitable<void> CallerListener::rejectUnread(std::shared_ptr<CallerConnection> connection, CallerReadFailure failure)
 {
     if (failure == CallerReadFailure::Closed)
         co_return;
+    if (failure == CallerReadFailure::Incomplete || failure == CallerReadFailure::TimedOut) {
+        const std::string reason = this->incompleteReason(failure);
+        logLine(WriteLog::Level::Info, "request-incomplete", { { "reason", reason } });
+        this->context.metrics.count({ "requests_incomplete_total", reason });
+        co_return;
+    }
     const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431
                                                                                                                          : 413;
     logLine(WriteLog::Level::Warning, "request-unreadable", { { "status", std::to_string(status) } });
     const HttpResponse response = emptyResponse(status);
     co_await connection->respond(response, false);
+    co_await connection->closeGracefully();
 }
 
 asio::awaitable<bool> CallerListener::handleRequest(std::shared_ptr<CallerConnection> connection, HttpRequest http)
@@ -121,7 +163,7 @@
         co_return false;
     }
     co_await this->forward(connection, std::move(*decoded), received);
-    co_return connection->keepAlive() && !connection->disconnected() && !this->context.isStopping();
+    co_return connection->keptOpen() && !connection->disconnected();
 }
 
 asio::awaitable<void> CallerListener::refuse(std::shared_ptr<CallerConnection> connection, const Refusal& refusal, const CallerRequest& request)
@@ -131,8 +173,9 @@
     co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
 }
 
-asio::awaitable<void> CallerListener::declineHandover(std::shared_ptr<CallerConnection> connection)
+asio::awaitable<void> CallerListener::declineHandover(std::shared_ptr<CallerConnection> connection, const CallerRequest& request, std::string_view reason)
 {
+    logLine(WriteLog::Level::Info, "handover-declined", { { "request", request.id.str() }, { "reason", std::string(reason) } });
     const HttpResponse response = emptyResponse(misdirectedStatus);
     co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
 }
@@ -141,8 +184,7 @@
 {
     if (this->context.stopSchedule && !this->context.stopSchedule->takesRequests(received)) {
         if (request.endpointsUsed) {
-            logLine(WriteLog::Level::Info, "handover-declined", { { "request", request.id.str() }, { "reason", std::string(name(ErrorCode::Draining)) } });
-            co_await this->declineHandover(connection);
+            co_await this->declineHandover(connection, request, name(ErrorCode::Draining));
             co_return;
         }
         const Refusal refusal = Refusal(ErrorCode::Draining, Ran::No).retryAfter(unavailableRetryAfter);
@@ -180,8 +222,9 @@
     Route permitted = *route;
     if (request.endpointsUsed) {
         logLine(WriteLog::Level::Info, "request-taken-over", { { "request", request.id.str() }, { "endpointsUsed", std::to_string(*request.endpointsUsed) }, { "state", std::string(name(this->context.reachability(*service).state())) } });
-        if (this->context.reachability(*service).state() == Reachability::CutOff || *request.endpointsUsed >= route->attempts) {
-            co_await this->declineHandover(connection);
+        const bool cutOff = this->context.reachability(*service).state() == Reachability::CutOff;
+        if (cutOff || *request.endpointsUsed >= route->attempts) {
+            co_await this->declineHandover(connection, request, cutOff ? name(Reachability::CutOff) : "attempts-exhausted");
             co_return;
         }
         permitted.attempts -= *request.endpointsUsed;
