Test that fails: a request after a stream that ends while its gateway stops

What callers see: a stream begins before SIGTERM, so that its head doesn't say that the connection ends. It ends well while the gateway still takes requests. The caller sends its next request on the connection at once, and the connection ends: no answer, no refusal, no line in the log. No replica gets the request.

Cause: CallerListener::handleRequest() returns `keepAlive() && !disconnected() && !isStopping()`, whatever the head of the answer has said, and serve() then closes the connection. The answers of calls are encoded after SIGTERM and say that the connection ends; those of streams may have been begun before. Ruled out: a request that was read (nothing is logged of it; `requestsInProgress` never counts it), and the close of idle connections when listening stops, 2.8 s after SIGTERM, which comes later.

No rule of the users counts such a request; it is a cause of ends that no log names.

--- a/packages/Daemon/tests/WholeRequests.cpp
+++ b/packages/Daemon/tests/WholeRequests.cpp
@@ -323,3 +323,30 @@
 {
     playAll([](Play& play) { play.terminate(); });
 }
+
+// Guards against requests that end without an answer on a connection whose last answer, begun before SIGTERM, did not say that it ends.
+BOOST_AUTO_TEST_CASE(requestAfterAStreamThatEndsWhileTheGatewayStopsIsAnswered)
+{
+    constexpr int pauses = 20;
+    GatewayScene scene;
+    scene.start();
+    for (const char* id : { "engine-a1", "engine-b1" }) {
+        scene.replicas.at(id)->setAnswer([](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return emptyReport();
+            ReplicaScript script { { streamHead(request) + eventChunk(1) }, step, ReplicaScript::End::Keep };
+            script.pieces.insert(script.pieces.end(), pauses, "");
+            script.pieces.push_back(eventChunk(2) + lastChunk());
+            return script;
+        });
+    }
+    const auto caller = scene.call("POST", "/chat/x");
+    BOOST_TEST_REQUIRE(scene.await([&] { return !eventIds(caller->received()).empty(); }));
+    scene.gateway->signal(SIGTERM);
+    BOOST_TEST_REQUIRE(scene.await([&] { return readAnswer(caller->received()).has_value(); }));
+    const auto stream = readAnswer(caller->received());
+    BOOST_TEST(stream->eventIds == "1 2 ");
+    BOOST_TEST(!stream->closes);
+    caller->send(callText({ "POST", "/book/x", "request-after-stream", 4s, "key-1", {} }));
+    BOOST_TEST(scene.answer(*caller, "served").ends_with("served"));
+}
