Log a completion that ends early

What operators saw: a completion of the product's own wire that had begun ended with an error event; `completions_refused_total` rose and `explain` told of the lost stage as long as the trace was kept, but no line of the log named the request, its refusal or the endpoints that had failed it.

Change: `completion-ended-early` with the request, the refusal's code, the tokens that were sent and the endpoints that failed it. Requests that are refused before a step was sent are only counted, as before; those that a stop abandons have `request-abandoned`. Daemon.Leaving shows the body of an answer that is not whole.

--- a/packages/Daemon/tests/Leaving.cpp
+++ b/packages/Daemon/tests/Leaving.cpp
@@ -30,7 +30,7 @@
     for (int request = 0; request < 10; ++request) {
         const auto completion = cluster.complete(request % 2, 3);
         BOOST_TEST_REQUIRE(cluster.await([&] { return completion->done(); }));
-        BOOST_TEST(readStream(completion->body()).whole);
+        BOOST_TEST(readStream(completion->body()).whole, completion->body());
     }
     BOOST_TEST(cluster.runs(cluster.engine(1, 0).address).size() == before);
 }
--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -22,11 +22,25 @@
     return text.str();
 }
 
+std::string join(const std::vector<EndpointId>& endpoints)
+{
+    std::string text;
+    for (const EndpointId& endpoint : endpoints)
+        text += (text.empty() ? "" : " ") + endpoint.str();
+    return text;
+}
+
 Ran ranState(const PipelineRun& run)
 {
     return run.started() ? Ran::Yes : Ran::No;
 }
 
+WriteLog endedEarly(const RequestId& request, ErrorCode code, std::uint32_t tokens, const std::vector<EndpointId>& lost)
+{
+    return { WriteLog::Level::Warning, "completion-ended-early",
+        { { "request", request.str() }, { "code", std::string(name(code)) }, { "tokens", std::to_string(tokens) }, { "lost", join(lost) } } };
+}
+
 CompletionSpec specOf(const CompletionReceived& event, const ModelConfiguration& model)
 {
     return CompletionSpec::Builder(event.request)
@@ -322,6 +336,9 @@
 // The id is passed by value because it may be a member of the completion that end() erases.
 void CompletionHandler::refuse(RequestId request, const Refusal& refusal, const Now& now, Actions& actions)
 {
+    const Completion* completion = this->find(request);
+    if (completion && completion->run.started() && refusal.code() != ErrorCode::Draining) // DrainHandler logs abandoned requests
+        actions.push_back(endedEarly(request, refusal.code(), completion->run.tokenCount(), completion->excluded));
     actions.push_back(RefuseRequest { request, refusal });
     actions.push_back(count("completions_refused_total", std::string(name(refusal.code()))));
     this->context.traces.add(request, now, "refused", std::string(name(refusal.code())));
--- a/packages/Router/tests/Completions.cpp
+++ b/packages/Router/tests/Completions.cpp
@@ -101,6 +101,21 @@
     BOOST_TEST(collect<CompleteRequest>(last).size() == 1u);
 }
 
+// Guards against a stream that ends early without a line that tells why.
+BOOST_FIXTURE_TEST_CASE(completionThatEndsEarlyIsLogged, Fixture)
+{
+    const SendStep first = onlyStep(this->sendRequest(2));
+    const SendStep failed = onlyStep(this->answer(first, "x"));
+    const auto fail = [this](const SendStep& sent) { return this->handle(StepFailed { sent.endpoint, RequestId("r"), sent.step.generation(), sent.step.sequence(), true }); };
+    const SendStep failedAgain = onlyStep(this->answer(onlyStep(fail(failed)), "y"));
+
+    const Actions last = fail(failedAgain);
+    BOOST_TEST((refusalCode(last) == ErrorCode::NoPipeline));
+    const WriteLog expected { WriteLog::Level::Warning, "completion-ended-early",
+        { { "request", "r" }, { "code", "no-pipeline" }, { "tokens", "0" }, { "lost", failed.endpoint.str() + " " + failedAgain.endpoint.str() } } };
+    BOOST_TEST((collect<WriteLog>(last) == std::vector<WriteLog> { expected }));
+}
+
 BOOST_FIXTURE_TEST_CASE(unresponsiveEngineTimesOutAndIsReplaced, Fixture)
 {
     const SendStep first = onlyStep(this->sendRequest(1));
