Read what arrived during a hold-up before time limits end

What callers saw: a stream of the product's own wire ended with an error event, "no-pipeline", after the daemon had stood still, though every engine had answered.

The time limit of a step is 150 ms to 2 s. Timers are served before what has arrived is read, so the daemon counts a step as unanswered and excludes its engine for the rest of the completion. Without another engine for these layers the stream ends. Ruled out by reading: the limits of the caller's connection (none applies while an answer is sent) and of the test (60 s for the exchange, 30 s for each wait).

Change: a wake that comes over 20 ms late writes `held-up`, is counted in `hold_ups_total` and takes effect 50 ms later, once what arrived has been read; a wake that is late again in this time takes effect at once, so that limits end on a host that is always slow.

Test: Daemon.StageFailure.completionGoesOnWhenTheDaemonWasHeldUp, a daemon stopped for a second beside one engine per stage.

--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.cpp
@@ -1,5 +1,6 @@
 #include "DaemonLoop.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <random>
@@ -16,6 +17,8 @@
 
 // Time for responses that are already written to leave the send buffers before the process exits.
 constexpr Duration exitDelay = 200ms;
+constexpr Duration usualDelay = 20ms; // of timers while the process gets processor time
+constexpr Duration readingTime = 50ms; // for what arrived while the process was held up
 
 Now readClocks()
 {
@@ -144,7 +147,9 @@
 
 void DaemonLoop::updateWakeTimer()
 {
-    const std::optional<TimePoint> next = this->router.nextWake();
+    std::optional<TimePoint> next = this->router.nextWake();
+    if (next && this->readUntil)
+        next = std::max(*next, *this->readUntil);
     if (next == this->wakeTime)
         return;
     this->wakeTime = next;
@@ -154,13 +159,28 @@
     }
     this->wakeTimer.expires_at(*next);
     this->wakeTimer.async_wait([this](boost::system::error_code error) {
-        if (error)
-            return;
-        this->wakeTime.reset();
-        this->dispatch(Tick {});
+        if (!error)
+            this->wake();
     });
 }
 
+// Timers are served before sockets. After a hold-up, time limits would end although what they wait for has arrived.
+void DaemonLoop::wake()
+{
+    const TimePoint now = readClocks().monotonic();
+    const Duration late = now - *std::exchange(this->wakeTime, std::nullopt);
+    const bool wasReading = std::exchange(this->readUntil, std::nullopt).has_value();
+    if (late <= usualDelay || wasReading) {
+        this->dispatch(Tick {});
+        return;
+    }
+    LogWriter::write({ WriteLog::Level::Warning, "held-up",
+        { { "lateMs", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(late).count()) }, { "requestsInProgress", std::to_string(this->router.status().requestsInProgress) } } });
+    this->metrics.count({ "hold_ups_total", "" });
+    this->readUntil = now + readingTime;
+    this->updateWakeTimer();
+}
+
 void DaemonLoop::waitForSignal()
 {
     this->signals.async_wait([this](boost::system::error_code error, int) {
--- a/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
+++ b/packages/Daemon/filbertspoke/src/Daemon/internal/DaemonLoop.h
@@ -39,6 +39,7 @@
     void dispatch(Event);
     void execute(const Actions&);
     void updateWakeTimer();
+    void wake();
     void waitForSignal();
     void requestStop();
     void startDrainTimer();
@@ -60,6 +61,7 @@
     boost::asio::steady_timer drainTimer;
     boost::asio::steady_timer exitTimer;
     std::optional<TimePoint> wakeTime;
+    std::optional<TimePoint> readUntil; ///< set after a hold-up: until then, what arrived meanwhile is read and no time limit ends
     std::deque<Event> pendingEvents;
     bool dispatching = false;
     bool shuttingDown = false;
--- a/packages/Daemon/tests/StageFailure.cpp
+++ b/packages/Daemon/tests/StageFailure.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <memory>
 #include <string>
@@ -17,10 +18,12 @@
 
 constexpr std::uint32_t completionTokens = 200;
 constexpr std::size_t stepsBeforeFailure = 40; ///< steps run by the middle stage before a failure is injected
+constexpr std::chrono::seconds holdUp { 1 }; ///< longer than a daemon waits for the answer to a step of an engine that it knows
 
 /** \brief A cluster in which daemon 0 serves a long completion. */
 struct CompletionInProgress {
-    CompletionInProgress()
+    explicit CompletionInProgress(const ClusterOptions& options = {})
+        : cluster(options)
     {
         this->completion = this->cluster.complete(0, completionTokens);
         BOOST_TEST_REQUIRE(this->cluster.await([this] { return this->stepCount(this->cluster.busiestReplica(1)) >= stepsBeforeFailure; }));
@@ -49,6 +52,14 @@
     std::uint32_t replica = 0; ///< replica of the middle stage that serves the completion
 };
 
+/** \brief Like CompletionInProgress, without a spare engine for any stage. */
+struct CompletionWithoutSpares : CompletionInProgress {
+    CompletionWithoutSpares()
+        : CompletionInProgress(ClusterOptions { .replicas = 1 })
+    {
+    }
+};
+
 /** \brief Like CompletionInProgress, with the engines of the middle stage reached through relays. */
 struct RelayedCompletionInProgress {
     RelayedCompletionInProgress()
@@ -120,6 +131,17 @@
     this->failLink("black-hole");
 }
 
+// Guards against streams that end because their daemon was held up and had not read the answers of its engines.
+BOOST_FIXTURE_TEST_CASE(completionGoesOnWhenTheDaemonWasHeldUp, CompletionWithoutSpares)
+{
+    this->cluster.daemon(0).process.signal(SIGSTOP);
+    const auto heldUpUntil = std::chrono::steady_clock::now() + holdUp;
+    this->cluster.await([&] { return std::chrono::steady_clock::now() >= heldUpUntil; });
+    this->cluster.daemon(0).process.signal(SIGCONT);
+
+    this->checkCompletes();
+}
+
 // No engine of the middle stage runs, so the stream ends early: it must contain a prefix of the expected tokens and be marked incomplete.
 BOOST_FIXTURE_TEST_CASE(completionWithoutAnyEngineForAStageIsIncompleteAndCanBeResumed, CompletionInProgress)
 {
