--- a/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
+++ b/packages/Router/filbertspoke/src/Router/CompletionHandler.cpp
@@ -22,11 +22,25 @@
     return text.str();
 }
 
+std::string join(const std::vector<EndpointId>& endpoints)
+{
+    std::string text;
+    for (const EndpointId& endpoint : endpoints)
+        text += (text.empty() ? "" : " ") + endpoint.str();
+    return text;
+}
+
 Ran ranState(const PipelineRun& run)
 {
     return run.started() ? Ran::Yes : Ran::No;
 }
 
+WriteLog endedEarly(const RequestId& request, ErrorCode code, std::uint32_t tokens, const std::vector<EndpointId>& lost)
+{
+    return { WriteLog::Level::Warning, "completion-ended-early",
+        { { "request", request.str() }, { "code", std::string(name(code)) }, { "tokens", std::to_string(tokens) }, { "lost", join(lost) } } };
+}
+
 CompletionSpec specOf(const CompletionReceived& event, const ModelConfiguration& model)
 {
     return CompletionSpec::Builder(event.request)
@@ -52,7 +66,7 @@
     }
     const ModelConfiguration& model = *this->context.configuration->configuration.findModel(event.model);
     const TimePoint deadline = now.monotonic() + event.deadline.value_or(model.deadline);
-    this->completions.emplace(event.request, Completion { PipelineRun(specOf(event, model)), {}, 0, {} });
+    this->completions.emplace(event.request, Completion { PipelineRun(specOf(event, model)), {}, {}, 0, {} });
     if (event.received.size() >= event.maximumTokens) {
         actions.push_back(CompleteRequest { event.request, "length" });
         this->completions.erase(event.request);
@@ -130,16 +144,36 @@
     }
 }
 
-void CompletionHandler::plan(Completion& completion, const Now& now, Actions& actions)
+Result<Chain> CompletionHandler::findChain(const Completion& completion, const std::vector<EndpointId>& excluded, const Now& now)
 {
     const CompletionSpec& spec = completion.run.spec();
     PlanRequest::Builder builder(spec.model(), spec.version());
     builder.layers(spec.layers());
     builder.tokens(static_cast<std::uint32_t>(spec.promptTokens().size()) + completion.run.tokenCount(), spec.maximumTokens() - completion.run.tokenCount());
-    for (const EndpointId& endpoint : completion.excluded)
+    for (const EndpointId& endpoint : excluded)
         builder.exclude(endpoint);
+    return this->context.planner.plan(builder.build(), this->context.endpoints, this->context.random, now.monotonic());
+}
 
-    const Result<Chain> chain = this->context.planner.plan(builder.build(), this->context.endpoints, this->context.random, now.monotonic());
+Result<Chain> CompletionHandler::findChainWithLate(Completion& completion, const Now& now)
+{
+    std::vector<EndpointId> excluded = completion.excluded;
+    for (const EndpointId& late : completion.late)
+        std::erase(excluded, late);
+    Result<Chain> chain = this->findChain(completion, excluded, now);
+    if (chain) {
+        completion.excluded = std::move(excluded);
+        completion.late.clear();
+    }
+    return chain;
+}
+
+void CompletionHandler::plan(Completion& completion, const Now& now, Actions& actions)
+{
+    const CompletionSpec& spec = completion.run.spec();
+    Result<Chain> chain = this->findChain(completion, completion.excluded, now);
+    if (!chain && !completion.late.empty())
+        chain = this->findChainWithLate(completion, now);
     if (!chain) {
         const Refusal refusal(ErrorCode::NoPipeline, ranState(completion.run));
         this->refuse(spec.request(), refusal.retryAfter(planningRetryDelay), now, actions);
@@ -242,6 +276,7 @@
     const StepDue lost = *completion.run.outstanding();
     actions.push_back(count("step_timeouts_total"));
     this->context.endpoints.workFailed(lost.endpoint, now.monotonic());
+    completion.late.push_back(lost.endpoint);
     this->carryOut(completion, completion.run.stepFailed(lost.endpoint, lost.step.sequence()), now, actions);
 }
 
@@ -322,6 +357,9 @@
 // The id is passed by value because it may be a member of the completion that end() erases.
 void CompletionHandler::refuse(RequestId request, const Refusal& refusal, const Now& now, Actions& actions)
 {
+    const Completion* completion = this->find(request);
+    if (completion && completion->run.started() && refusal.code() != ErrorCode::Draining) // DrainHandler logs abandoned requests
+        actions.push_back(endedEarly(request, refusal.code(), completion->run.tokenCount(), completion->excluded));
     actions.push_back(RefuseRequest { request, refusal });
     actions.push_back(count("completions_refused_total", std::string(name(refusal.code()))));
     this->context.traces.add(request, now, "refused", std::string(name(refusal.code())));
