Count a crash in the first events of a stream against its request

Cause: forwardEvents() counted a request as served with its first event, which cleared its own part, and noteCrashAfter() took a crash for evidence only before any event.

Events of earlier attempts don't count: the request gets one further with each engine.

--- a/packages/Daemon/tests/PromptQuarantine.cpp
+++ b/packages/Daemon/tests/PromptQuarantine.cpp
@@ -26,6 +26,11 @@
     return findHeader(request.headers, "Prompt-Prefix").find(crashingPart) != std::string_view::npos;
 }
 
+int nextEvent(const HttpRequest& request)
+{
+    return readForwarded(request).lastEvent + 1;
+}
+
 struct Fixture : CrashScene {
     Fixture() { this->crashUnder(firstEngines, isCrashing); }
 
@@ -130,6 +135,16 @@
     BOOST_TEST(this->serveSound());
 }
 
+// Guards against a crash that counts for nothing, because the request has got its first event just before.
+BOOST_FIXTURE_TEST_CASE(crashAfterTheFirstEventCounts, Fixture)
+{
+    this->setLastAnswer([](const HttpRequest& request) { return ReplicaScript { { streamHead(request), eventChunk(nextEvent(request)) }, 5ms, ReplicaScript::End::Reset }; });
+    const std::string answer = this->crashAgainAndAgain();
+    BOOST_TEST(this->crashes <= crashLimit + requestsAfterLimit);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(this->serveSound());
+}
+
 // Guards against a part that crashes the later engines of chains, whose first engines answer that the request has not run.
 BOOST_FIXTURE_TEST_CASE(requestsThatCrashLaterEnginesAreRefused, LaterEngineFixture)
 {
--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
@@ -40,19 +40,19 @@
  * Load pattern 2: one request crashes each engine or replica that begins to run it. It is sent again with the same body, by its caller and by
  * the daemons, at once and for as long as it fails.
  *
- * Every request at the crashed endpoint without an event makes its traits suspect: the parts of its prompt that other requests may have, and
- * its fingerprint, which only its repeats have. A request that is served clears its traits, which the repeats of sound requests do within a
- * fraction of a second. A trait is quarantined after crashes of several endpoints at different times without a request in between that was
+ * Every request at the crashed endpoint that is not past its start (isPastStart()) makes its traits suspect: the parts of its prompt that
+ * other requests may have, and its fingerprint, which only its repeats have. A request that is served clears its traits, which the repeats of
+ * sound requests do within a fraction of a second. A trait is quarantined after crashes of several endpoints at different times without a request in between that was
  * served, while requests without the trait are served. Of traits that were at the same crashes, only the one is quarantined whose requests
  * were served least recently or never. Where that doesn't tell them apart, only requests with all of them are refused: the next request with
  * one of them is served and clears it, or adds a crash to it.
  */
 class RequestQuarantine {
 public:
-    /** \brief Records that an endpoint crashed before the first event of a request with these traits, or before the answer to it.
+    /** \brief Records that an endpoint crashed before a request with these traits was past the start of its stream, or before the answer to it.
      * \param held time for which the endpoint had the request */
     void noteCrash(const std::vector<RequestTraitId>&, const EndpointRun&, TimePoint now, Duration held = std::chrono::seconds(1));
-    /** \brief Records that a request gave its first event, or was answered.
+    /** \brief Records that a request got past the start of its stream, or was answered.
      * \param shared traits that other requests have too; remembered, in case that they become suspect
      * \param fingerprint of the request; empty for none */
     void noteServed(const std::vector<RequestTraitId>& shared, TimePoint now, const RequestTraitId& fingerprint = {});
--- a/packages/Gateway/tests/CrashingPromptParts.cpp
+++ b/packages/Gateway/tests/CrashingPromptParts.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -30,6 +31,7 @@
 constexpr Duration storeInterval = 100ms;
 constexpr Duration dayLength = 40s;
 constexpr int subjects = 40;
+constexpr Duration eventGap = 25ms;
 
 struct SiteShape {
     int domains = 2;
@@ -38,6 +40,8 @@
     double requestsPerSecond = 40;
     double crashingShare = 0.05;
     int position = 1; ///< of the crashing part, the last part excluded
+    int eventsBeforeCrash = 0; ///< of a request with the part, at each engine
+    int longestAnswer = 1; ///< in events
     bool apart = false; ///< gateways of different domains don't reach each other
     std::vector<Duration> restartsInTurn; ///< when all gateways begin to restart one after the other
     std::vector<Duration> lossesOfAll; ///< when all gateways are killed
@@ -47,6 +51,7 @@
     std::vector<RequestTraitId> traits; ///< shared ones
     RequestTraitId fingerprint;
     bool crashing = false;
+    int events = 1; ///< of the whole answer
 };
 
 class Site {
@@ -110,6 +115,7 @@
         unsigned start; ///< of the gateway
         TimePoint sentAt;
         int attempt;
+        int events = 0; ///< so far
     };
     struct Gateway {
         RequestQuarantine quarantine;
@@ -122,7 +128,7 @@
     struct Engine {
         int run = 1;
         TimePoint upFrom;
-        std::map<int, Running> withoutEvent;
+        std::map<int, Running> running;
     };
 
     void at(Duration delay, std::function<void()> action) { this->events.emplace(this->now + delay, std::move(action)); }
@@ -140,6 +146,7 @@
         if (request.crashing)
             request.traits.insert(request.traits.begin() + this->shape.position, part("crashing"));
         request.fingerprint = RequestTraitId("request:" + std::to_string(++this->drawn));
+        request.events = 1 + this->drawn * 7 % this->shape.longestAnswer;
         return request;
     }
 
@@ -169,38 +176,47 @@
             this->crashingSends.push_back(this->now);
         const std::size_t engine = up[this->below(up.size())];
         const int id = ++this->sent;
-        this->engines[engine].withoutEvent.emplace(id, Running { request, gateway, sender.start, this->now, attempt });
-        this->at(this->between(100ms, 400ms), [this, engine, id] { this->beginAnswer(engine, id); });
+        this->engines[engine].running.emplace(id, Running { request, gateway, sender.start, this->now, attempt });
+        this->at(this->between(100ms, 400ms), [this, engine, id] { this->writeEvent(engine, id); });
     }
 
-    void beginAnswer(std::size_t number, int id)
+    void writeEvent(std::size_t number, int id)
     {
         Engine& engine = this->engines[number];
-        const auto entry = engine.withoutEvent.find(id);
-        if (entry == engine.withoutEvent.end())
+        const auto entry = engine.running.find(id);
+        if (entry == engine.running.end())
             return;
-        const Running running = entry->second;
-        if (running.request.crashing) {
+        Running& running = entry->second;
+        if (running.request.crashing && running.events == this->shape.eventsBeforeCrash) {
             this->crash(number);
             return;
         }
-        engine.withoutEvent.erase(entry);
-        if (Gateway& gateway = this->gateways[running.gateway]; gateway.start == running.start)
+        const bool wasPastStart = hasPassedStart(running);
+        ++running.events;
+        if (Gateway& gateway = this->gateways[running.gateway]; gateway.start == running.start && hasPassedStart(running) && !wasPastStart)
             gateway.quarantine.noteServed(running.request.traits, this->now, running.request.fingerprint);
+        if (hasEnded(running))
+            engine.running.erase(entry);
+        else
+            this->at(eventGap, [this, number, id] { this->writeEvent(number, id); });
     }
 
+    static bool hasEnded(const Running& running) { return !running.request.crashing && running.events >= running.request.events; }
+    static bool hasPassedStart(const Running& running) { return isPastStart(static_cast<std::uint32_t>(running.events)) || hasEnded(running); }
+
     void crash(std::size_t number)
     {
         Engine& engine = this->engines[number];
         const EndpointRun run { EndpointId("e" + std::to_string(number)), engine.run };
         this->crashes.push_back(this->now);
-        for (const auto& [id, running] : std::exchange(engine.withoutEvent, {})) {
+        for (const auto& [id, running] : std::exchange(engine.running, {})) {
             Gateway& gateway = this->gateways[running.gateway];
             if (gateway.start != running.start)
                 continue;
             std::vector<RequestTraitId> traits = running.request.traits;
             traits.push_back(running.request.fingerprint);
-            gateway.quarantine.noteCrash(traits, run, this->now, this->now - running.sentAt);
+            if (!hasPassedStart(running))
+                gateway.quarantine.noteCrash(traits, run, this->now, this->now - running.sentAt);
             if (running.attempt < 3)
                 this->at(this->between(1ms, 100ms), [this, repeated = running] { this->send(repeated.request, repeated.gateway, repeated.attempt + 1); });
         }
@@ -257,7 +273,7 @@
                 Gateway& restarted = this->gateways[gateway];
                 restarted = { {}, {}, restarted.domain, restarted.start + 1, this->now, false };
                 for (Engine& engine : this->engines)
-                    std::erase_if(engine.withoutEvent, [gateway](const auto& entry) { return entry.second.gateway == gateway; });
+                    std::erase_if(engine.running, [gateway](const auto& entry) { return entry.second.gateway == gateway; });
             });
         }
     }
@@ -304,6 +320,18 @@
     testing::checkProperty([] { checkSite(drawShape()); }, 60);
 }
 
+// Guards against a request that clears its own part by the first events that it gets before it crashes its engine.
+BOOST_AUTO_TEST_CASE(partThatCrashesAfterTheFirstEventsIsRefused)
+{
+    testing::checkProperty([] {
+        SiteShape shape = drawShape();
+        shape.eventsBeforeCrash = *rc::gen::inRange(1, 4);
+        shape.longestAnswer = *rc::gen::inRange(1, 100);
+        checkSite(shape);
+    },
+        40);
+}
+
 BOOST_AUTO_TEST_CASE(partIsRefusedWhileGatewaysRestartInTurn)
 {
     testing::checkProperty([] {
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -86,10 +86,10 @@
             continue;
         this->lastEventId = event.id;
         this->lastProgress = bootNow();
-        if (this->eventsInAttempt == 0)
-            this->task.noteServed();
         if (this->eventsInAttempt++ % eventsPerHealthReport == 0)
             this->reportChainHealthy();
+        if (isPastStart(this->eventsInAttempt) && !isPastStart(this->eventsInAttempt - 1))
+            this->task.noteServed();
     }
     // The next attempt resumes after lastEventId, so the events up to it must reach the caller even if the attempt fails.
     if (!text.empty()) {
@@ -139,6 +139,8 @@
     // The caller would take a stream that its engine left before the first event for a whole one.
     if (this->eventsInAttempt == 0 && !this->lastEventId && connection->endsWithConnection())
         co_return brokenOff("ended-without-event");
+    if (this->eventsInAttempt > 0 && !isPastStart(this->eventsInAttempt))
+        this->task.noteServed();
     if (this->eventsInAttempt > 1)
         logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", expectedPerEvent ? std::to_string(expectedPerEvent->count()) : "" } });
     co_return AttemptResult {};
@@ -244,7 +246,7 @@
 void StreamForwarder::noteCrashAfter(const AttemptResult& result, const ForwardMetadata& metadata, const std::vector<EndpointRun>& runs, TimePoint sentAt)
 {
     const auto lost = lostStage(metadata, result);
-    if (!lost || result.events > 0 || this->task.caller->disconnected())
+    if (!lost || isPastStart(result.events) || this->task.caller->disconnected())
         return;
     asio::co_spawn(this->task.context.io, noteCrash(this->task.context, this->task.traits(), metadata.stages[*lost], runs[*lost], sentAt, result.connectionBroken || *lost == 0), asio::detached);
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -122,7 +122,7 @@
     bool hasReply(const Result<EndpointReply>&, const UpstreamPointer&, AttemptResult& result) const;
     AttemptResult readFailure(const std::error_code&, const std::string& timeoutReason, const std::string& brokenReason) const;
     std::uint64_t subscribeToSuspicions(const LayerChain&, std::shared_ptr<AttemptMonitor>);
-    /** \brief Records a crash of the engine at which an attempt without events has failed. */
+    /** \brief Records a crash of the engine at which an attempt has failed during the start of its answer. */
     void noteCrashAfter(const AttemptResult&, const ForwardMetadata&, const std::vector<EndpointRun>&, TimePoint sentAt);
     std::vector<EndpointRun> runsOf(const ForwardMetadata&) const;
     boost::asio::awaitable<void> finish();
