Soak: endpoints write their entries once a second

Cause: the soak's own endpoints. A gateway reads the list of a peer that had read the store while it lacked the entries after a restart from a copy, and removes its endpoints. Such an entry counts again with a higher heartbeat only, since one with the same heartbeat may have been read before the removal (EndpointRegistry::update, isOfRemovedRun). Endpoints write every heartbeat interval; those of the soak wrote once, and never again after writeAgain. In the log of a failing run, gateway-1 removed four engines by the list of gateway-3, read their entries again 30 ms later with the same heartbeats 12 to 15, and its list stayed at the same revision to the end. A retry budget, faults and pushbacks were ruled out: the refusal names no avoided endpoint.

Change: the endpoints of the soak write their entries each second while the store takes them. A restart of the store from a copy loses the heartbeats besides the records that it lost before, so that as many entries are missing as before.

--- a/packages/Soak/app/main.cpp
+++ b/packages/Soak/app/main.cpp
@@ -4,10 +4,30 @@
 
 #include <cstdint>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <string>
+#include <vector>
 
 using namespace filbertspoke;
 
+namespace {
+
+void keepLog(const std::string& folder, const std::string& name, const std::vector<std::string>& lines)
+{
+    if (folder.empty())
+        return;
+    std::filesystem::create_directories(folder);
+    std::ofstream file(std::filesystem::path(folder) / name);
+    for (const std::string& line : lines)
+        file << line << '\n';
+    if (!file.flush())
+        std::cerr << "can't write the log " << name << " to " << folder << std::endl;
+}
+
+}
+
 int main(int argc, char** argv)
 {
     CLI::App app("filbertspoke-soak: real gateways under random faults; 0 when every promise was kept", "filbertspoke-soak");
@@ -16,10 +36,12 @@
     unsigned seconds = 10;
     bool verbose = false;
     bool cutOffs = false;
+    std::string logs;
     app.add_option("--seed", seed, "the first seed");
     app.add_option("--seeds", seeds, "how many seeds, one after the other");
     app.add_option("--seconds", seconds, "how long faults come in each run");
     app.add_flag("--cut-offs", cutOffs, "also cut gateways off from all endpoints");
+    app.add_option("--logs", logs, "folder for the whole logs of the gateways of a run that broke a promise");
     app.add_flag("--verbose", verbose, "print the faults of each run");
     CLI11_PARSE(app, argc, argv);
 
@@ -36,6 +58,8 @@
             std::cout << "    broken: " << violation << '\n';
         for (const std::string& line : outcome.log)
             std::cout << "    log: " << line << '\n';
+        for (const auto& [gateway, lines] : outcome.logs)
+            keepLog(logs, "seed-" + std::to_string(current) + "-" + gateway + ".log", lines);
         failed += outcome.violations.empty() ? 0 : 1;
     }
     return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.cpp
@@ -31,6 +31,8 @@
 constexpr auto drainLimit = 2s;
 constexpr auto drainWatch = 1s;
 constexpr auto pollPause = 20ms;
+// At which endpoints write their entries; that of the gateways' settings.
+constexpr auto heartbeatInterval = 1s;
 // Before the loader has handed over to the program, a signal meets the system's default, which ends the process. The pause is far shorter
 // than the loading, so that the signal still meets the first statements.
 constexpr auto loaderPollPause = 1ms;
@@ -73,19 +75,22 @@
     for (const auto& caller : this->callers)
         asio::co_spawn(this->context, caller->run(this->callersStop), asio::detached);
     asio::co_spawn(this->context, this->watchProcesses(), asio::detached);
+    asio::co_spawn(this->context, this->keepHeartbeats(), asio::detached);
     asio::co_spawn(this->context, this->inject(), asio::detached);
     asio::co_spawn(this->context, this->injectSignals(), asio::detached);
     if (this->paths == SoakPaths::ByDomain)
         asio::co_spawn(this->context, this->injectCutOffs(), asio::detached);
     while (!this->over)
         this->context.run_one_for(pollPause);
-    SoakOutcome outcome { this->record.count(), this->record.answered(), this->faults, this->record.violations(), {} };
+    SoakOutcome outcome { this->record.count(), this->record.answered(), this->faults, this->record.violations(), {}, {} };
     if (!outcome.violations.empty()) {
         const std::string& first = outcome.violations.front();
         const auto at = first.find("caller-");
         const std::string request = at == std::string::npos ? "\"started\"" : first.substr(at, first.find(' ', at) - at);
-        for (SoakGateway& gateway : this->site.gateways)
-            std::ranges::move(this->site.logOf(gateway, "\"" + request + "\""), std::back_inserter(outcome.log));
+        for (SoakGateway& gateway : this->site.gateways) {
+            const auto& lines = outcome.logs[gateway.text.name] = SoakSite::logOf(gateway);
+            std::ranges::copy_if(lines, std::back_inserter(outcome.log), [&request](const std::string& line) { return line.find("\"" + request + "\"") != std::string::npos; });
+        }
     }
     return outcome;
 }
@@ -316,25 +321,33 @@
     }
 }
 
-asio::awaitable<bool> SoakRun::servesEverything(SoakCaller& caller)
+SoakRun::Task SoakRun::keepHeartbeats()
+{
+    while (!this->over) {
+        co_await this->sleep(heartbeatInterval);
+        this->site.renewEndpoints();
+    }
+}
+
+asio::awaitable<std::optional<CallRecord>> SoakRun::firstUnserved(SoakCaller& caller)
 {
     for (std::size_t gateway = 0; gateway < this->site.gateways.size(); ++gateway) {
         for (const CallKind kind : { CallKind::Booking, CallKind::LookUp, CallKind::Generation, CallKind::Probe }) {
             const CallRecord call = co_await caller.callOnce(kind, gateway);
             if (call.status != 200 || !call.whole)
-                co_return false;
+                co_return call;
         }
     }
-    co_return true;
+    co_return std::nullopt;
 }
 
 SoakRun::Task SoakRun::checkRecovery()
 {
     SoakCaller caller(this->context, this->site, this->record, "caller-last", 1);
     const auto limit = Clock::now() + recoveryLimit;
-    while (!co_await this->servesEverything(caller)) {
+    while (const auto unserved = co_await this->firstUnserved(caller)) {
         if (Clock::now() > limit) {
-            this->record.breach("not everything is served " + std::to_string(recoveryLimit.count()) + " s after the last fault");
+            this->record.breach("not everything is served " + std::to_string(recoveryLimit.count()) + " s after the last fault, as " + unserved->id + " at gateway " + std::to_string(unserved->gateway) + ", status " + std::to_string(unserved->status));
             co_return;
         }
         co_await this->sleep(pollPause);
--- a/packages/Soak/filbertspoke/src/Soak/SoakRun.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakRun.h
@@ -11,7 +11,9 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -25,6 +27,7 @@
     std::vector<std::string> faults; ///< injected, in order
     std::vector<std::string> violations; ///< of promises; empty for a run that kept all
     std::vector<std::string> log; ///< lines of the gateways on the first violation's request
+    std::map<std::string, std::vector<std::string>> logs; ///< all lines of a run with violations, by gateway
 
     bool operator==(const SoakOutcome&) const = default;
 };
@@ -50,6 +53,7 @@
     Task injectCutOffs();
     Task cutOff(std::string domain, std::string mode, std::chrono::milliseconds);
     Task watchProcesses();
+    Task keepHeartbeats();
     Task finish();
     /** \brief Carries a fault out, and counts it as in progress meanwhile. */
     Task runFault(std::string name, Task);
@@ -73,7 +77,8 @@
     Task pushBack(std::string endpoint, std::chrono::milliseconds duration, std::chrono::milliseconds pushback);
     Task changeConfigurations(int count);
     Task sleep(std::chrono::milliseconds);
-    boost::asio::awaitable<bool> servesEverything(SoakCaller&);
+    /** \returns the first request that is not served, of one of each kind at each gateway */
+    boost::asio::awaitable<std::optional<CallRecord>> firstUnserved(SoakCaller&);
     Task checkRecovery();
     Task checkDraining();
 
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -41,6 +41,12 @@
     return { ownLoopbackAddress(index), 0 };
 }
 
+void collectLog(SoakGateway& gateway)
+{
+    while (auto line = gateway.process->readLine())
+        gateway.log.push_back(std::move(*line));
+}
+
 HttpAddress reservedPort(std::uint32_t index)
 {
     return { ownLoopbackAddress(index), freePort(ownLoopbackAddress(index)) };
@@ -102,20 +108,18 @@
 {
     const std::string file = this->folder + "/" + gateway.text.name + ".yaml";
     std::ofstream(file) << settingsText(gateway.text);
+    if (gateway.process)
+        collectLog(gateway);
     gateway.process.emplace("filbertspoked", std::vector<std::string> { "gateway", "--settings", file });
     ++gateway.starts;
     gateway.disturbedAt = Clock::now();
 }
 
-std::vector<std::string> SoakSite::logOf(SoakGateway& gateway, const std::string& request)
+std::vector<std::string> SoakSite::logOf(SoakGateway& gateway)
 {
     gateway.process->kill();
-    std::vector<std::string> lines;
-    while (const auto line = gateway.process->readLine()) {
-        if (line->find(request) != std::string::npos)
-            lines.push_back(*line);
-    }
-    return lines;
+    collectLog(gateway);
+    return gateway.log;
 }
 
 void SoakSite::changeConfiguration()
@@ -143,15 +147,30 @@
 void SoakSite::putEndpoint(const std::string& id, const std::string& state)
 {
     this->states[id] = state;
-    const auto plan = std::find_if(endpointPlans.begin(), endpointPlans.end(), [&](const EndpointPlan& candidate) { return candidate.id == id; });
     ++this->heartbeat;
-    for (const auto& view : this->views) {
-        EndpointText entry { id, view->links.at(id)->address(), plan->domain, state, plan->layers, this->heartbeat };
-        entry.startedAtMs += this->starts[id];
-        view->store.putEndpoint(id, endpointText(entry));
+    for (const auto& view : this->views)
+        view->store.putEndpoint(id, this->entryOf(id, *view));
+}
+
+void SoakSite::renewEndpoints()
+{
+    if (this->storeAway || this->entriesLost)
+        return;
+    for (const auto& [id, state] : this->states) {
+        ++this->heartbeat;
+        for (const auto& view : this->views)
+            view->store.renewEndpoint(id, this->entryOf(id, *view));
     }
 }
 
+std::string SoakSite::entryOf(const std::string& id, const View& view)
+{
+    const auto plan = std::find_if(endpointPlans.begin(), endpointPlans.end(), [&](const EndpointPlan& candidate) { return candidate.id == id; });
+    EndpointText entry { id, view.links.at(id)->address(), plan->domain, this->states.at(id), plan->layers, this->heartbeat };
+    entry.startedAtMs += this->starts[id];
+    return endpointText(entry);
+}
+
 SoakSite::View& SoakSite::viewOf(const std::string& domain)
 {
     const auto view = std::find_if(this->views.begin(), this->views.end(), [&](const auto& candidate) { return candidate->domain.empty() || candidate->domain == domain; });
@@ -162,10 +181,12 @@
 {
     for (const auto& view : this->views)
         view->store.restartFromCopy(lost);
+    this->entriesLost = true;
 }
 
 void SoakSite::setStoreAway(bool value)
 {
+    this->storeAway = value;
     for (const auto& view : this->views)
         view->store.setAway(value);
 }
@@ -184,6 +205,7 @@
 
 void SoakSite::writeAgain()
 {
+    this->entriesLost = false;
     this->putConfiguration();
     for (const auto& [id, state] : std::map<std::string, std::string>(this->states))
         this->putEndpoint(id, state);
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.h
@@ -26,6 +26,7 @@
     GatewayText text;
     std::unique_ptr<RelayStandIn> storeLink;
     std::optional<Process> process;
+    std::vector<std::string> log; ///< of the processes that have ended
     unsigned starts = 0;
     bool handled = false; ///< a fault is stopping, pausing or starting the process
     Clock::time_point disturbedAt; ///< when it was last stopped, paused or killed, or went on from that
@@ -59,6 +60,8 @@
     void controlPaths(const std::string& domain, const boost::json::object& order);
     /** \brief Writes the configuration and the entries of all endpoints again, as the operator and the endpoints do. */
     void writeAgain();
+    /** \brief Writes the entries of all endpoints again, as their heartbeats do while the store takes them. */
+    void renewEndpoints();
     /** \brief Makes an endpoint say in all answers that it is leaving. */
     void announceLeaving(const std::string& endpoint) { this->leaving.insert(endpoint); }
     /** \brief Restarts an endpoint that said it was leaving. */
@@ -68,8 +71,8 @@
     /** \brief Makes endpoints answer some requests wrongly, or not at all. */
     void setTrouble(bool value) { this->trouble = value; }
 
-    /** \returns what the process wrote on the request; ends the process */
-    std::vector<std::string> logOf(SoakGateway&, const std::string& request);
+    /** \returns what the gateway wrote since its first start; ends the process */
+    static std::vector<std::string> logOf(SoakGateway&);
 
     std::vector<SoakGateway> gateways;
     std::vector<std::string> endpointNames;
@@ -92,6 +95,8 @@
     ReplicaScript answerWell(const HttpRequest&) const;
     void spoil(ReplicaScript&);
     void putEndpoint(const std::string& id, const std::string& state);
+    /** \returns the endpoint's entry in a store */
+    std::string entryOf(const std::string& id, const View&);
     void putConfiguration();
     double draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
 
@@ -106,6 +111,8 @@
     std::set<std::string> leaving;
     std::uint64_t heartbeat = 0;
     bool trouble = false;
+    bool storeAway = false;
+    bool entriesLost = false; ///< since the store's restart; the endpoints have not written them again yet
     std::string folder;
 };
 
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.cpp
@@ -59,6 +59,12 @@
     this->topics[topic].emplace_back(key, std::move(value));
 }
 
+void StoreStandIn::renewEndpoint(const std::string& id, const std::string& text)
+{
+    this->putEndpoint(id, text);
+    ++this->heartbeats;
+}
+
 void StoreStandIn::setAway(bool value)
 {
     this->away = value;
@@ -68,10 +74,12 @@
 {
     std::map<std::string, std::vector<Record>> lostRecords;
     for (auto& [topic, records] : this->topics) {
-        const auto begin = records.end() - static_cast<std::ptrdiff_t>(std::min(lost, records.size()));
+        const std::size_t all = lost + (topic == "keyed.servers" ? this->heartbeats : 0);
+        const auto begin = records.end() - static_cast<std::ptrdiff_t>(std::min(all, records.size()));
         lostRecords[topic].assign(begin, records.end());
         records.erase(begin, records.end());
     }
+    this->heartbeats = 0;
     this->holder.clear();
     this->heldUntil = {};
     this->generation = 0;
--- a/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/StoreStandIn.h
@@ -26,11 +26,13 @@
     void put(const std::string& topic, const std::string& key, std::optional<std::string> value);
     void putConfiguration(const std::string& text) { this->put("keyed.op", "config", text); }
     void putEndpoint(const std::string& id, const std::string& text) { this->put("keyed.servers", id, text); }
+    /** \brief Writes an endpoint's entry as its heartbeat does. */
+    void renewEndpoint(const std::string& id, const std::string& text);
     /** \brief Answers 503 to everything while it is away. */
     void setAway(bool);
     /** \brief Answers nothing while it is silent. */
     void setSilent(bool value) { this->silent = value; }
-    /** \brief Restarts from a copy that lacks the last \a lost records of each topic, and raises the era. The group forgets its owner and
+    /** \brief Restarts from a copy that lacks the last \a lost records of each topic, and raises the era. Heartbeats are lost besides. The group forgets its owner and
      * counts its generations from 0 again.
      * \returns the lost records by topic, which their writers may write again */
     std::map<std::string, std::vector<std::pair<std::string, std::optional<std::string>>>> restartFromCopy(std::size_t lost);
@@ -51,6 +53,7 @@
     static HttpResponse read(const std::vector<Record>&, std::size_t from);
 
     std::map<std::string, std::vector<Record>> topics;
+    std::size_t heartbeats = 0; ///< records since the last restart
     std::uint64_t era = 1;
     bool away = false;
     bool silent = false;
