Read again: what a stop and a graceful close can still cut

Found by reading the change of the stop, by one who had not written it: - a request that has been read, but not yet handled, was closed as still arriving when the requests are ended; it is now refused with 503, or logged as `stopped` if it never arrives whole; - closing idle connections cut a connection that is read after its last response; - a gateway could end with a connection that it had accepted and not yet served; - a request that arrives between the idle timeout and the close of its connection was dropped without a line; - a stream whose rest had been requested elsewhere got 503 (not run) if the gateway ended it just then; - a call that waits for a rate limit didn't end when its caller left.

--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -131,14 +131,15 @@
     parser.body_limit(limits.bodyBytes);
     state.stream.expires_after(limits.headerTimeout);
     const auto [headError, headBytes] = co_await http::async_read_header(state.stream, state.buffer, parser, asTuple);
+    state.reading = !headError;
     if (headError)
         co_return readFailure(headError, false);
     state.stream.expires_after(limits.headerTimeout);
     const auto [bodyError, bodyBytes] = co_await http::async_read(state.stream, state.buffer, parser, asTuple);
+    state.reading = false;
     if (bodyError)
         co_return readFailure(bodyError, true);
     state.stream.expires_never();
-    state.reading = false;
     state.keepAlive = parser.get().keep_alive();
     state.headRequest = parser.get().method() == http::verb::head;
     HttpRequest request;
@@ -273,6 +274,7 @@
 {
     State& state = *this->state;
     const auto self = this->shared_from_this();
+    state.busy = true;
     beast::error_code shutdownError;
     state.stream.socket().shutdown(tcp::socket::shutdown_send, shutdownError);
     std::array<char, 4096> dropped {};
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -65,11 +65,11 @@
     }
 }
 
-void CallerListener::closeUnread()
+void CallerListener::logUnread() const
 {
     for (const auto& connection : this->connections) {
         if (connection->reading())
-            connection->close();
+            this->noteIncomplete("stopped");
     }
 }
 
@@ -83,6 +83,7 @@
 
 asio::awaitable<void> CallerListener::listen()
 {
+    this->accepting = true;
     while (this->acceptor.is_open()) {
         auto [error, socket] = co_await this->acceptor.async_accept(asTuple);
         if (error && this->acceptor.is_open()) {
@@ -92,6 +93,7 @@
         if (!error)
             this->admit(std::move(socket));
     }
+    this->accepting = false;
 }
 
 asio::awaitable<void> CallerListener::serve(std::shared_ptr<CallerConnection> connection)
@@ -105,8 +107,10 @@
             open = co_await this->handleRequest(connection, std::move(*request));
             --this->context.requestsInProgress;
         } else {
-            co_await this->rejectUnread(connection, std::get<CallerReadFailure>(read));
-            open = false;
+            const auto failure = std::get<CallerReadFailure>(read);
+            co_await this->rejectUnread(connection, failure);
+            // A request may have arrived since the idle timeout.
+            open = failure == CallerReadFailure::Closed && connection->hasUnread();
         }
     }
     // Whatever the caller has sent behind its last request must not cost it the response.
@@ -116,11 +120,10 @@
     this->connections.erase(connection);
 }
 
-std::string CallerListener::incompleteReason(CallerReadFailure failure) const
+void CallerListener::noteIncomplete(const std::string& reason) const
 {
-    if (this->context.stopSchedule && this->context.stopSchedule->endsRequests(bootNow()))
-        return "stopped";
-    return failure == CallerReadFailure::TimedOut ? "timeout" : "closed";
+    logLine(WriteLog::Level::Info, "request-incomplete", { { "reason", reason } });
+    this->context.metrics.count({ "requests_incomplete_total", reason });
 }
 
 asio::awaitable<void> CallerListener::rejectUnread(std::shared_ptr<CallerConnection> connection, CallerReadFailure failure)
@@ -128,9 +131,7 @@
     if (failure == CallerReadFailure::Closed)
         co_return;
     if (failure == CallerReadFailure::Incomplete || failure == CallerReadFailure::TimedOut) {
-        const std::string reason = this->incompleteReason(failure);
-        logLine(WriteLog::Level::Info, "request-incomplete", { { "reason", reason } });
-        this->context.metrics.count({ "requests_incomplete_total", reason });
+        this->noteIncomplete(failure == CallerReadFailure::TimedOut ? "timeout" : "closed");
         co_return;
     }
     const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
@@ -33,10 +33,10 @@
     /** \brief Closes connections without a request in progress.
      * \param unused whether to close those too on which no request has arrived yet */
     void closeIdle(bool unused);
-    /** \brief Closes connections on which a request is still arriving. */
-    void closeUnread();
-    /** \returns whether all connections are closed */
-    bool idle() const { return this->connections.empty(); }
+    /** \brief Logs the requests that are still arriving when the gateway ends. */
+    void logUnread() const;
+    /** \returns whether no connection is open and none can be opened any more */
+    bool idle() const { return !this->accepting && this->connections.empty(); }
 
 private:
     boost::asio::awaitable<void> listen();
@@ -47,13 +47,13 @@
     boost::asio::awaitable<void> refuse(std::shared_ptr<CallerConnection>, const Refusal&, const CallerRequest&);
     /** \brief Tells another gateway that this one does not serve the request that it hands over. */
     boost::asio::awaitable<void> declineHandover(std::shared_ptr<CallerConnection>, const CallerRequest&, std::string_view reason);
-    /** \returns why a request did not arrive completely, for the log */
-    std::string incompleteReason(CallerReadFailure) const;
+    void noteIncomplete(const std::string& reason) const;
     boost::asio::awaitable<void> rejectUnread(std::shared_ptr<CallerConnection>, CallerReadFailure);
 
     GatewayContext& context;
     RequestSource source;
     boost::asio::ip::tcp::acceptor acceptor;
+    bool accepting = false; ///< whether a connection may still be accepted, also one whose handler is pending
     std::set<std::shared_ptr<CallerConnection>> connections;
 };
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -170,6 +170,9 @@
         this->logChain(*chain);
         retry = co_await this->serveByChain(*metadata, std::move(*chain), std::nullopt);
     }
+    // A request whose rest was requested elsewhere may have run there.
+    if (const auto moved = std::exchange(this->acceptedMove, std::nullopt))
+        this->withdrawMove(moved->target, moved->begun);
     if (this->task.caller->disconnected())
         this->task.logOutcome("caller-gone", 0);
     else
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -252,12 +252,12 @@
 void ForwardTask::abandon()
 {
     this->abandoned = true;
-    this->pauseTimer.cancel();
     this->closeConnections();
 }
 
 void ForwardTask::closeConnections()
 {
+    this->pauseTimer.cancel();
     for (const UpstreamPointer& connection : { this->upstream, this->offered }) {
         if (connection)
             connection->close();
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -59,7 +59,7 @@
     boost::asio::awaitable<void> respondFailure(ErrorCode reason, std::optional<Duration> returnAfter = {});
     /** \brief Sends a whole response, and logs and counts the outcome of the request. */
     boost::asio::awaitable<void> respond(const HttpResponse&, const std::string& outcome);
-    /** \brief Suspends the request for the duration, but not after abandon(). */
+    /** \brief Suspends the request for the duration, or until closeConnections(). */
     boost::asio::awaitable<void> pause(Duration);
     /** \brief Logs a decision about the request, with the configuration version, the revision of the endpoint registry and
      * the age of the other daemons' load reports on which it is based. */
@@ -124,7 +124,7 @@
     /** \brief Records that the request was served, so that it crashes no endpoint. */
     void noteServed();
 
-    /** \brief Closes the connections on which the request is in progress. */
+    /** \brief Closes the connections on which the request is in progress, and ends a pause(). */
     void closeConnections();
     /** \brief Ends the request because the gateway stops: the caller gets a response, or a stream that has begun is broken off. */
     void abandon();
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayDaemon.cpp
@@ -134,13 +134,15 @@
             }
             if (!ending && schedule.endsRequests(now)) {
                 ending = true;
-                this->endRequests(listeners);
+                this->endRequests();
             }
             if (!listening)
                 over = closeIdle(listeners, schedule.closesUnusedConnections(now)) || over;
         }
         for (const ForwardTask* task : this->context.tasks)
             task->logOutcome("unfinished", 0);
+        for (const CallerListener* listener : listeners)
+            listener->logUnread();
         logLine(WriteLog::Level::Info, "stopped", { { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
         this->io.stop();
     }
@@ -155,14 +157,12 @@
     }
 
     /** \brief Ends the requests in progress, so that their callers get a response as far as they can still get one. */
-    void endRequests(const std::vector<CallerListener*>& listeners)
+    void endRequests()
     {
         logLine(WriteLog::Level::Info, "requests-ended", { { "requestsInProgress", std::to_string(this->context.requestsInProgress) } });
         for (ForwardTask* task : this->context.tasks)
             task->abandon();
         this->context.waiters.wakeAll();
-        for (CallerListener* listener : listeners)
-            listener->closeUnread();
     }
 
     HandlerOwner io { 1 };
