Limit the trailer section and the chunk headers of requests

What operators saw: callers that sent trailers without end behind a chunked body ended a process, which ran out of memory.

Cause: Beast's parser keeps a trailer section, or a chunk header with its extension, in the read buffer until it is complete. Its limits for the header section and the body do not apply to either, and the buffers of callers' connections had no limit. Ruled out: answers of endpoints and peers, whose buffers hold at most 128 KB (Daemon.EndlessAnswers).

Change: the buffers are limited. A caller's connection holds the header limit of the configuration and 1 KB for the chunk header, both in the gateway and on the product's own wire; the server for readiness checks, metrics and peers holds 64 KB. More is answered with 413, and the connection is closed. A caller within MaxHeaderBytes meets none of these limits.

--- a/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
+++ b/packages/Caller/filbertspoke/src/Caller/internal/CallerSession.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -25,6 +26,8 @@
 
 constexpr unsigned statusOk = 200;
 constexpr std::size_t readBytes = 4096;
+// Longest chunk header without an extension, in addition to the trailer section, to which the limit of the header section applies.
+constexpr std::size_t chunkHeaderBytes = 1024;
 constexpr Duration lingeringCloseTimeout = std::chrono::seconds(1);
 
 std::string encodeChunk(const std::string& data)
@@ -72,7 +75,7 @@
     }
     // The connection is idle until the first byte of the next request arrives, which starts the header timeout.
     this->startTimer(this->server->limits().idleTimeout);
-    this->socket.async_read_some(this->buffer.prepare(readBytes), [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+    this->socket.async_read_some(this->buffer.prepare(std::min(readBytes, this->buffer.max_size())), [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
         if (error) {
             self->close();
             return;
@@ -105,6 +108,8 @@
     this->parser.emplace();
     this->parser->body_limit(this->server->limits().bodyBytes);
     this->parser->header_limit(this->server->limits().headerBytes);
+    // The parser keeps a trailer section or a chunk header in the buffer until it is complete, and applies none of its own limits to it.
+    this->buffer.max_size(std::max(this->server->limits().headerBytes + chunkHeaderBytes, this->buffer.size()));
     http::async_read_header(this->socket, this->buffer, *this->parser,
         [self = this->shared_from_this()](boost::system::error_code error, std::size_t) { self->handleHeader(error); });
 }
@@ -136,7 +141,7 @@
     this->stopTimer();
     if (this->timedOut)
         this->refuseUnread(ErrorCode::HeaderTimeout);
-    else if (error == http::error::body_limit)
+    else if (error == http::error::body_limit || error == http::error::buffer_overflow)
         this->refuseUnread(ErrorCode::BodyTooLarge);
     else if (error)
         this->close();
@@ -328,7 +333,7 @@
 
 void CallerSession::discardInput()
 {
-    this->socket.async_read_some(this->buffer.prepare(readBytes), [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
+    this->socket.async_read_some(this->buffer.prepare(std::min(readBytes, this->buffer.max_size())), [self = this->shared_from_this()](boost::system::error_code error, std::size_t) {
         if (error)
             self->close();
         else
--- a/packages/Caller/tests/BadInput.cpp
+++ b/packages/Caller/tests/BadInput.cpp
@@ -140,3 +140,18 @@
         this->server.carryOut(EmitToken { event.request, index, megabyte });
     BOOST_TEST(this->expectEvent<CallerDisconnected>().request == event.request);
 }
+
+// Guards against a daemon that runs out of memory because it keeps all of a trailer section.
+BOOST_FIXTURE_TEST_CASE(trailersOverTheHeaderLimit, LowLimitsFixture)
+{
+    std::string fields;
+    while (fields.size() < 64 * 1024)
+        fields += "Filler: value\r\n";
+    this->expectRefused("POST /v1/completions HTTP/1.1\r\nHost: h\r\nFilbertspoke-Account: acme\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + fields, "413", "body-too-large");
+}
+
+// Guards against a daemon that runs out of memory because it keeps all of a chunk's extension.
+BOOST_FIXTURE_TEST_CASE(chunkExtensionOverTheHeaderLimit, LowLimitsFixture)
+{
+    this->expectRefused("POST /v1/completions HTTP/1.1\r\nHost: h\r\nFilbertspoke-Account: acme\r\nTransfer-Encoding: chunked\r\n\r\n4;name=" + std::string(64 * 1024, 'x'), "413", "body-too-large");
+}
--- a/packages/Http/filbertspoke/src/Http/HttpServer.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpServer.cpp
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr std::size_t maximumBodyBytes = 256 * 1024 * 1024;
+// Limit of unparsed request bytes: a header section, or a chunk header or trailer section, to which the parser applies no limit.
+constexpr std::size_t maximumBufferBytes = 64 * 1024;
 
 HttpRequest toRequest(http::request<http::string_body> message)
 {
@@ -93,7 +95,7 @@
 asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<tcp::socket> socket)
 {
     const auto self = this->shared_from_this();
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maximumBufferBytes };
     bool open = true;
     while (open) {
         http::request_parser<http::string_body> parser;
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -26,6 +27,8 @@
 
 // A write that does not finish within this time marks the caller as disconnected.
 constexpr Duration writeTimeout = std::chrono::seconds(10);
+// Longest chunk header without an extension, in addition to the trailer section, to which the limit of the header section applies.
+constexpr std::size_t chunkHeaderBytes = 1024;
 // Time for which a connection is read after its last response; callers close it as soon as they have the response.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
 
@@ -126,6 +129,8 @@
     state.busy = true;
     state.reading = true;
     state.used = true;
+    // The parser keeps a trailer section or a chunk header in the buffer until it is complete, and applies none of its own limits to it.
+    state.buffer.max_size(std::max(limits.headerBytes + chunkHeaderBytes, state.buffer.size()));
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
