--- a/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.cpp
@@ -24,6 +24,12 @@
     return account == this->accountsByKey.end() ? nullptr : &account->second;
 }
 
+std::optional<std::uint32_t> ForwardingTable::accountPriority(const AccountId& account) const
+{
+    const auto priority = this->accountPriorities.find(account);
+    return priority == this->accountPriorities.end() ? std::nullopt : std::optional(priority->second);
+}
+
 const ForwardedService* ForwardingTable::findService(const ServiceId& name) const
 {
     const auto service = this->servicesByName.find(name);
@@ -44,11 +50,13 @@
     return *this;
 }
 
-ForwardingTable::Builder& ForwardingTable::Builder::account(const AccountId& account, const std::vector<std::string>& keys)
+ForwardingTable::Builder& ForwardingTable::Builder::account(const AccountId& account, const std::vector<std::string>& keys, std::optional<std::uint32_t> priority)
 {
     this->table.accountsListed = true;
     for (const std::string& key : keys)
         this->table.accountsByKey.insert_or_assign(key, account);
+    if (priority)
+        this->table.accountPriorities.insert_or_assign(account, *priority);
     return *this;
 }
 
--- a/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.h
@@ -47,6 +47,8 @@
     const Route* findRoute(std::string_view host, std::string_view path) const;
     /** \returns the account to which the API key \a key belongs, or nullptr */
     const AccountId* findAccount(std::string_view key) const;
+    /** \returns the priority of the account's requests, which goes before that of their route; nothing when the configuration names none */
+    std::optional<std::uint32_t> accountPriority(const AccountId&) const;
     /** \returns the service, or nullptr */
     const ForwardedService* findService(const ServiceId&) const;
     /** \returns whether requests need an API key */
@@ -59,6 +61,7 @@
     std::map<std::string, std::vector<Route>, std::less<>> routesByHost; ///< longest prefix first
     std::map<ServiceId, ForwardedService> servicesByName;
     std::map<std::string, AccountId, std::less<>> accountsByKey;
+    std::map<AccountId, std::uint32_t> accountPriorities;
     bool accountsListed = false; ///< whether any account is configured, with or without keys
     ConnectionLimits connectionLimits;
 };
@@ -71,7 +74,7 @@
     Builder& route(Route);
     Builder& service(ForwardedService);
     /** \brief Adds an account. Requests then need an API key, also when the account has none. */
-    Builder& account(const AccountId&, const std::vector<std::string>& keys);
+    Builder& account(const AccountId&, const std::vector<std::string>& keys, std::optional<std::uint32_t> priority = {});
     Builder& limits(const ConnectionLimits&);
     ForwardingTable build();
 
--- a/packages/Gateway/filbertspoke/src/Gateway/Route.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/Route.h
@@ -6,6 +6,7 @@
 #include <filbertspoke/Core>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,7 @@
     std::vector<WeightedService> services;
     bool keyExempt = false; ///< whether requests need no API key
     bool resumable = false; ///< whether a broken stream may be resumed by running it again
+    std::optional<std::uint32_t> priority; ///< rank of its requests, 0 is the most urgent; nothing when the configuration names none
 
     auto operator<=>(const Route&) const = default;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -47,6 +47,12 @@
     return RequestTraitId("request:" + digest.substr(0, fingerprintDigits));
 }
 
+std::optional<std::uint32_t> priorityOf(const GatewayContext& context, const Route& route, const std::optional<AccountId>& account)
+{
+    const auto ofAccount = account && context.table ? context.table->accountPriority(*account) : std::nullopt;
+    return ofAccount ? ofAccount : route.priority;
+}
+
 TimePoint deadlineOf(const CallerRequest& request, const Route& route, TimePoint received)
 {
     return received + std::min(request.timeLimit.value_or(route.timeout), route.timeout);
@@ -62,6 +68,7 @@
     , service(std::move(service))
     , account(std::move(account))
     , promptTraits(promptTraitsOf(this->request))
+    , priority(priorityOf(context, this->route, this->account))
     , fingerprint(fingerprintOf(this->request, this->account))
     , received(received)
     , deadline(deadlineOf(this->request, this->route, received))
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -139,6 +139,7 @@
     const ServiceId service;
     const std::optional<AccountId> account;
     const std::vector<RequestTraitId> promptTraits; ///< shared parts of the prompt
+    const std::optional<std::uint32_t> priority; ///< of the account, or else of the route; 0 is the most urgent
     const RequestTraitId fingerprint; ///< the same for all requests of the account with the same method, host, target and body
     const TimePoint received;
     const TimePoint deadline;
