--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -93,7 +93,10 @@
 
 void StreamForwarder::logChain(const LayerChain& chain) const
 {
-    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
+    std::string engines;
+    for (const LayerStage& stage : chain.stages)
+        engines += (engines.empty() ? "" : ",") + stage.endpoint.str();
+    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "engines", engines }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
 }
 
 void StreamForwarder::logBreakOff() const
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -85,7 +85,10 @@
         if (!event.id)
             continue;
         this->lastEventId = event.id;
-        this->lastProgress = bootNow();
+        const TimePoint now = bootNow();
+        if (this->firstEventSent)
+            this->longestGap = std::max(this->longestGap, now - this->lastProgress);
+        this->lastProgress = now;
         if (this->eventsInAttempt++ % eventsPerHealthReport == 0)
             this->reportChainHealthy();
         if (isPastStart(this->eventsInAttempt) && !isPastStart(this->eventsInAttempt - 1))
@@ -142,7 +145,7 @@
     if (this->eventsInAttempt > 0 && !isPastStart(this->eventsInAttempt))
         this->task.noteServed();
     if (this->eventsInAttempt > 1)
-        logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", expectedPerEvent ? std::to_string(expectedPerEvent->count()) : "" } });
+        logLine(WriteLog::Level::Info, "stream-pace", { { "request", this->task.request.id.str() }, { "events", std::to_string(this->eventsInAttempt) }, { "perEventUs", std::to_string((bootNow() - firstEventAt).count() / (this->eventsInAttempt - 1)) }, { "expectedUs", expectedPerEvent ? std::to_string(expectedPerEvent->count()) : "" }, { "longestGapMs", milliseconds(this->longestGap) } });
     co_return AttemptResult {};
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -145,6 +145,7 @@
     std::vector<EndpointId> engines; ///< engines of the chain in use
     std::uint32_t eventsInAttempt = 0;
     TimePoint attemptStartedAt = bootNow();
+    Duration longestGap {}; ///< between two events that the caller received, resumed or not
     TimePoint lastProgress = bootNow(); ///< time of the last event, or of the request's arrival
 };
 
