Let a stalled stream leave an engine that refuses other requests

Cause: a stream leaves its chain on the evidence of a report, which is taken from the first engine after twice the target gap, or of an unreachable engine. That an engine of the chain refuses new requests, which the gateway learns at once, was no evidence, because an engine that is short of memory refuses requests too and goes on with its streams.

Change: a refusal counts once the stream has paused for 150 ms and for twice its longest pause so far, if the refusal falls into the pause.

Daemon.StageRefusal.streamStaysAtAnEngineThatRefusesOtherRequests failed with a first form without the comparison to the stream's own pauses, and passes.

--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -88,6 +88,8 @@
         const TimePoint now = bootNow();
         if (this->firstEventSent)
             this->longestGap = std::max(this->longestGap, now - this->lastProgress);
+        if (this->eventsInAttempt > 0)
+            this->longestGapInAttempt = std::max(this->longestGapInAttempt, now - this->lastProgress);
         this->lastProgress = now;
         if (this->eventsInAttempt++ % eventsPerHealthReport == 0)
             this->reportChainHealthy();
@@ -220,6 +222,7 @@
     this->failedEngine.reset();
     this->abandonedStalledChain = false;
     this->eventsInAttempt = 0;
+    this->longestGapInAttempt = {};
     this->attemptStartedAt = bootNow();
     AttemptResult result;
     if (begun)
@@ -260,6 +263,7 @@
     this->failedEngine.reset();
     this->abandonedStalledChain = false;
     this->eventsInAttempt = 0;
+    this->longestGapInAttempt = {};
     this->attemptStartedAt = bootNow();
     const std::vector<EndpointRun> runs = this->runsOf(metadata);
     const auto monitor = std::make_shared<AttemptMonitor>(this->task.context.io);
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
@@ -23,9 +23,11 @@
 // Interval of checks for another chain while a stream is stalled beyond its limit; planning a chain takes one or two milliseconds
 // of CPU time on a slow host.
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(250);
-// A stream without events for at least this time attributes the stall to an engine of its chain that is reported as suspect.
-// The value is well above the usual time between two events.
-constexpr Duration suspectedStallTimeout = std::chrono::milliseconds(150);
+// Interval of checks for an engine that refuses requests while a stream is stalled; half of suspectedStallTimeout, so that a stream leaves a crashed
+// engine before its pause exceeds the usual target of 250 ms.
+constexpr Duration refusalCheckInterval = std::chrono::milliseconds(75);
+// Events of an attempt after which its longest pause counts as usual for the stream.
+constexpr std::uint32_t eventsThatShowPace = 3;
 // Time in which a daemon that was held up reads what has arrived meanwhile, before it judges a stall.
 constexpr Duration catchUpTime = std::chrono::milliseconds(50);
 
@@ -72,6 +74,19 @@
     }
 }
 
+std::optional<EndpointId> StreamForwarder::refusingEngine() const
+{
+    const TimePoint now = bootNow();
+    // The first pause of an attempt alone does not tell how fast the stream is.
+    const auto usualPause = this->eventsInAttempt >= eventsThatShowPace ? std::optional(this->longestGapInAttempt) : std::nullopt;
+    for (const EndpointId& engine : this->engines) {
+        const EndpointRecord* record = this->task.context.registry.find(engine);
+        if (record && record->refusedAt && isStalledByRefusingEngine(this->stallDuration(), usualPause, now - *record->refusedAt))
+            return engine;
+    }
+    return std::nullopt;
+}
+
 asio::awaitable<void> StreamForwarder::monitorAttempt(std::shared_ptr<AttemptMonitor> monitor, ForwardMetadata metadata)
 {
     while (!monitor->finished) {
@@ -83,12 +98,15 @@
         }
         if (this->stallDuration() >= this->stallLimit() && this->beginMove(monitor, metadata.stages.front().endpoint, {}))
             continue;
+        if (const auto refusing = this->refusingEngine(); refusing && this->beginMove(monitor, metadata.stages.front().endpoint, { *refusing, EndpointFault::Failed, "refuses other requests" }))
+            continue;
         const Duration untilAbandoning = std::max<Duration>(this->stallLimit() - this->stallDuration(), stallCheckInterval);
         if (this->lastProgress > monitor->checkedAt)
             monitor->checksSinceEvent = 0;
         const TimePoint due = std::max(this->lastProgress, monitor->checkedAt) + monitor->checkInterval(this->eventsInAttempt == 0 ? monitor->firstEventLimit : monitor->gapLimit);
         if (bootNow() < due) {
-            co_await pauseMonitor(context, std::min<Duration>(due - bootNow(), untilAbandoning));
+            const Duration pause = std::min(std::min<Duration>(due - bootNow(), untilAbandoning), refusalCheckInterval);
+            co_await pauseMonitor(context, pause);
             continue;
         }
         // A report request would be another request to an engine that wants none now.
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -97,6 +97,8 @@
     boost::asio::awaitable<void> monitorAttempt(std::shared_ptr<AttemptMonitor>, ForwardMetadata);
     Duration stallDuration() const { return bootNow() - std::max(this->lastProgress, this->attemptStartedAt); }
     Duration stallLimit() const;
+    /** \returns an engine of the chain to which the pause of the stream is due, as it refused another request meanwhile */
+    std::optional<EndpointId> refusingEngine() const;
     /** \brief Reserves another chain for the rest of the stream and charges the retry budget, if a chain or another gateway could serve the rest now.
      * \param historyAfter as it will be when the attempt in progress has been aborted */
     std::optional<MoveTarget> planMove(const AttemptHistory& historyAfter);
@@ -145,6 +147,7 @@
     std::vector<EndpointId> engines; ///< engines of the chain in use
     std::uint32_t eventsInAttempt = 0;
     TimePoint attemptStartedAt = bootNow();
+    Duration longestGapInAttempt {}; ///< between two events of the current attempt
     Duration longestGap {}; ///< between two events that the caller received, resumed or not
     TimePoint lastProgress = bootNow(); ///< time of the last event, or of the request's arrival
 };
