Send the priority of generations to engines as Request-Urgency

Engines admit more urgent requests first and treat a request without the header as 5. The gateway dropped the header of callers and sent none, so that engines admitted all priorities alike, although the configuration names them for routes and accounts.

ForwardMetadata carries the priority of a generation, and the platform's codec encodes it, at most 9. Without a priority in the configuration no header is sent, and a request that is handed over carries none: the receiver determines it from route and account.

--- a/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerCodec.h
@@ -44,6 +44,7 @@
     std::vector<ForwardStage> stages; ///< in order; the request is sent to the first one. A plain service has a single stage
     std::optional<AccountId> account;
     std::optional<std::uint64_t> lastEventId; ///< event after which a resumed stream continues
+    std::optional<std::uint32_t> priority; ///< of a generation, 0 is the most urgent; nothing when the configuration names none
 
     auto operator<=>(const ForwardMetadata&) const = default;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -62,6 +62,7 @@
     metadata.timeLeft = this->task.timeLeft();
     metadata.account = this->task.account;
     metadata.lastEventId = this->lastEventId;
+    metadata.priority = this->task.priority;
     for (const LayerStage& stage : chain.stages) {
         const EndpointRecord* record = this->task.context.registry.find(stage.endpoint);
         if (!record)
