--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -127,11 +127,13 @@
     {
         const StageCandidate& candidate = this->candidates[index];
         const double need = (this->request.promptTokens + this->request.outputTokens) * (to - from);
-        if (need > candidate.freeTokenLayers || (from == 0 && this->profile.slots > 0 && candidate.sequences >= this->profile.slots))
-            return;
-        const StageTimes times = stageTimes(this->profile, candidate, this->request.promptTokens, this->request.outputTokens, to - from);
         const double capacity = candidate.accelerator.memoryMegabytes - candidate.layers.size() * this->profile.layerMegabytes;
         const double capacityTokenLayers = std::max(1.0, capacity / this->profile.kvMegabytesPerTokenLayer());
+        if (requiredTokenLayers(need, capacityTokenLayers, this->request.reservedShare) > candidate.freeTokenLayers)
+            return;
+        if (from == 0 && this->profile.slots > 0 && candidate.sequences >= usableSlots(this->profile.slots, this->request.reservedShare))
+            return;
+        const StageTimes times = stageTimes(this->profile, candidate, this->request.promptTokens, this->request.outputTokens, to - from);
         const double used = 1 - std::min(1.0, (candidate.freeTokenLayers - need) / capacityTokenLayers);
         const double crowding = 1 + crowdingFactor * std::pow(used, crowdingExponent);
         for (const auto& [domain, label] : this->labels[from]) {
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
@@ -57,6 +57,7 @@
     double outputTokens = 0; ///< expected
     std::set<DomainLink> fullLinks; ///< links at capacity, which the chain must not use
     std::set<EndpointId> firstStages; ///< engines that may run the first stage; empty to allow any engine
+    double reservedShare = 0; ///< of each engine's KV capacity and slots, which the chain must leave free, from 0 to 1
 
     auto operator<=>(const ChainRequest&) const = default;
 };
--- a/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.cpp
@@ -30,6 +30,13 @@
     return priority == this->accountPriorities.end() ? std::nullopt : std::optional(priority->second);
 }
 
+const std::set<std::uint32_t>& ForwardingTable::streamPriorities(const ServiceId& service) const
+{
+    static const std::set<std::uint32_t> none;
+    const auto priorities = this->prioritiesOfStreams.find(service);
+    return priorities == this->prioritiesOfStreams.end() ? none : priorities->second;
+}
+
 const ForwardedService* ForwardingTable::findService(const ServiceId& name) const
 {
     const auto service = this->servicesByName.find(name);
@@ -38,6 +45,10 @@
 
 ForwardingTable::Builder& ForwardingTable::Builder::route(Route route)
 {
+    for (const WeightedService& target : route.services) {
+        if (route.kind == RouteKind::Stream && target.weight > 0)
+            this->table.prioritiesOfStreams[target.service].insert(route.priority.value_or(unnamedPriority));
+    }
     auto& routes = this->table.routesByHost[route.host];
     routes.push_back(std::move(route));
     return *this;
--- a/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ForwardingTable.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,8 @@
     const AccountId* findAccount(std::string_view key) const;
     /** \returns the priority of the account's requests, which goes before that of their route; nothing when the configuration names none */
     std::optional<std::uint32_t> accountPriority(const AccountId&) const;
+    /** \returns the priorities of the stream routes that send requests to the service; a route without one counts with unnamedPriority */
+    const std::set<std::uint32_t>& streamPriorities(const ServiceId&) const;
     /** \returns the service, or nullptr */
     const ForwardedService* findService(const ServiceId&) const;
     /** \returns whether requests need an API key */
@@ -62,6 +65,7 @@
     std::map<ServiceId, ForwardedService> servicesByName;
     std::map<std::string, AccountId, std::less<>> accountsByKey;
     std::map<AccountId, std::uint32_t> accountPriorities;
+    std::map<ServiceId, std::set<std::uint32_t>> prioritiesOfStreams;
     bool accountsListed = false; ///< whether any account is configured, with or without keys
     ConnectionLimits connectionLimits;
 };
