Plan generations by their rank, log it, and count generations by priority

Nothing set the share of capacity that a less urgent generation has to leave free.

planStream() passes the share of the task's rank to the planner. A stream whose caller has events has rank 0, because a broken stream costs more than a refusal; this includes streams that a caller resumes with the last event that it has. Tokens of generations are counted for each account and service when they are first sent to a chain. `chain-chosen` has `rank`, `request-given-up` has `priority` and `rank`, and generations_started_total and generations_refused_total have the label `priority`; so far all labels were named `kind`.

With one priority among the stream routes to a service and no account beyond its share, the rank is 0 and the planner decides as before. Observability.Metrics fails without the name of the label.

--- a/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
+++ b/packages/Observability/filbertspoke/src/Observability/Metrics.cpp
@@ -56,7 +56,7 @@
         auto [entry, added] = this->counters.try_emplace({ action.metric, action.label }, nullptr);
         if (added) {
             auto& family = prometheus::BuildCounter().Name(metricPrefix + action.metric).Help("See docs/OPERATORS.md").Register(this->registry);
-            const prometheus::Labels labels = action.label.empty() ? prometheus::Labels {} : prometheus::Labels { { "kind", action.label } };
+            const prometheus::Labels labels = action.label.empty() ? prometheus::Labels {} : prometheus::Labels { { action.labelName, action.label } };
             entry->second = &family.Add(labels);
         }
         return *entry->second;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -94,7 +94,7 @@
 
 void StreamForwarder::logChain(const LayerChain& chain) const
 {
-    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
+    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) }, { "rank", std::to_string(this->task.rank()) } });
 }
 
 void StreamForwarder::logBreakOff() const
@@ -169,6 +169,7 @@
             break;
         this->task.context.rateLimits.noteSent(chain->stages.front().endpoint, bootNow());
         this->logChain(*chain);
+        this->task.noteGenerationStarted(chain->tokens);
         retry = co_await this->serveByChain(*metadata, std::move(*chain), std::nullopt);
     }
     // A request whose rest was requested elsewhere may have run there.
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -74,6 +74,7 @@
     , deadline(deadlineOf(this->request, this->route, received))
     , handoverDraw(context.randomFraction())
     , history(this->route)
+    , streamBegun(this->request.lastEventId.has_value())
     , pauseTimer(context.io)
 {
     this->context.tasks.insert(this);
@@ -169,6 +170,28 @@
     this->context.requestQuarantine.noteServed(this->promptTraits, bootNow(), this->fingerprint);
 }
 
+std::string ForwardTask::priorityText(const std::string& none) const
+{
+    return this->priority ? std::to_string(*this->priority) : none;
+}
+
+std::uint32_t ForwardTask::rank() const
+{
+    if (this->streamBegun || !this->context.table)
+        return 0;
+    const bool beyondShare = this->account && this->context.accountShares[this->service].isBeyondShare(*this->account, bootNow());
+    return generationRank(this->context.table->streamPriorities(this->service), this->priority, beyondShare);
+}
+
+void ForwardTask::noteGenerationStarted(double tokens)
+{
+    if (std::exchange(this->generationStarted, true))
+        return;
+    if (this->account)
+        this->context.accountShares[this->service].noteStarted(*this->account, tokens, bootNow());
+    this->context.metrics.count({ "generations_started_total", this->priorityText("none"), "priority" });
+}
+
 std::vector<EndpointId> ForwardTask::receivingEndpoints() const
 {
     std::vector<EndpointId> endpoints;
@@ -218,8 +241,11 @@
     if (notRun)
         refusal = refusal.retryAfter(returnAfter ? *returnAfter : this->retryAfterDelay());
     const auto rateDelay = this->rateLimitDelay();
+    const bool generation = this->route.kind == RouteKind::Stream;
+    if (generation && notRun)
+        this->context.metrics.count({ "generations_refused_total", this->priorityText("none"), "priority" });
     const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, this->request.id);
-    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "rateLimitMs", rateDelay ? milliseconds(*rateDelay) : "others" }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
+    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "rateLimitMs", rateDelay ? milliseconds(*rateDelay) : "others" }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" }, { "priority", this->priorityText("") }, { "rank", generation ? std::to_string(this->rank()) : "" } });
     const std::string outcome(name(refusal.code()));
     co_await this->respond(response, outcome);
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -124,6 +124,13 @@
     /** \brief Records that the request was served, so that it crashes no endpoint. */
     void noteServed();
 
+    /** \returns the rank of the generation among those that compete for the service's engines, by generationRank(); 0 once its caller has events,
+     * because a broken stream costs more than a refusal */
+    std::uint32_t rank() const;
+    /** \brief Records that the generation is sent to a chain; repeated calls count once.
+     * \param tokens of its prompt and its expected output */
+    void noteGenerationStarted(double tokens);
+
     /** \brief Closes the connections on which the request is in progress, and ends a pause(). */
     void closeConnections();
     /** \brief Ends the request because the gateway stops: the caller gets a response, or a stream that has begun is broken off. */
@@ -151,6 +158,7 @@
     std::set<SocketAddress> triedGateways; ///< to which the request was handed over without success
     bool retryCharged = false; ///< whether the retry budget was charged for a send that has not happened yet
     bool abandoned = false; ///< whether abandon() was called
+    bool streamBegun; ///< whether the caller has events of the stream, of this daemon or of the attempt that it resumes
 
 private:
     /** \brief Records the fault of an endpoint that ended an attempt. */
@@ -164,6 +172,10 @@
     std::uint32_t modelLayers() const;
     /** \returns the endpoints to which the request may be sent, whatever their rate limits */
     std::vector<EndpointId> receivingEndpoints() const;
+    /** \returns the priority for log lines and metrics */
+    std::string priorityText(const std::string& none) const;
+
+    bool generationStarted = false; ///< whether noteGenerationStarted() was called
 
     boost::asio::steady_timer pauseTimer;
 };
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -85,6 +85,7 @@
         if (!event.id)
             continue;
         this->lastEventId = event.id;
+        this->task.streamBegun = true;
         this->lastProgress = bootNow();
         if (this->eventsInAttempt++ % eventsPerHealthReport == 0)
             this->reportChainHealthy();
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
@@ -72,6 +72,7 @@
     request.outputTokens = expectedOutput(task.request, engine);
     if (history.attemptsExhausted())
         request.firstStages = history.used();
+    request.reservedShare = reservedShare(task.rank());
     request.fullLinks = fullLinks(task.context.loads, candidates, linkCapacity(engine));
     return planLayerChain(engine, candidates, request);
 }
--- a/packages/Router/filbertspoke/src/Router/Action.h
+++ b/packages/Router/filbertspoke/src/Router/Action.h
@@ -161,7 +161,8 @@
 /** \brief Increments a counter of the metrics page. */
 struct CountMetric {
     std::string metric; ///< without the prefix "filbertspoke_"
-    std::string label; ///< value of the label "kind", or empty
+    std::string label; ///< value of the label, or empty for none
+    std::string labelName = "kind";
 
     bool operator==(const CountMetric&) const = default;
 };
