--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -62,6 +62,7 @@
     metadata.timeLeft = this->task.timeLeft();
     metadata.account = this->task.account;
     metadata.lastEventId = this->lastEventId;
+    metadata.priority = this->task.priority;
     for (const LayerStage& stage : chain.stages) {
         const EndpointRecord* record = this->task.context.registry.find(stage.endpoint);
         if (!record)
@@ -96,7 +97,7 @@
     std::string engines;
     for (const LayerStage& stage : chain.stages)
         engines += (engines.empty() ? "" : ",") + stage.endpoint.str();
-    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "engines", engines }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
+    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "engines", engines }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) }, { "rank", std::to_string(this->task.rank()) } });
 }
 
 void StreamForwarder::logBreakOff() const
@@ -171,6 +172,7 @@
             break;
         this->task.context.rateLimits.noteSent(chain->stages.front().endpoint, bootNow());
         this->logChain(*chain);
+        this->task.noteGenerationStarted(chain->tokens);
         retry = co_await this->serveByChain(*metadata, std::move(*chain), std::nullopt);
     }
     // A request whose rest was requested elsewhere may have run there.
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -85,6 +85,7 @@
         if (!event.id)
             continue;
         this->lastEventId = event.id;
+        this->task.streamBegun = true;
         const TimePoint now = bootNow();
         if (this->firstEventSent)
             this->longestGap = std::max(this->longestGap, now - this->lastProgress);
