Let waiting generations plan in the order of the capacity queue

Need: each waiting generation looked for a chain every 40 ms while other gateways reported their work, and a new one planned ahead of those that waited. The cost grew with the number of waiters.

Change: awaitChain() takes a place in the CapacityQueue and plans only when the queue says so. CapacityWaiters keeps the timers: only the head looks for changes every 40 ms; the others are woken when it is their turn, and check every 200 ms whether they can still be served, without a plan. A generation that ends, is abandoned or is handed over leaves the queue at once and wakes the next. A begun stream whose wait limit has passed when it enters plans once, as before. The wait limits are unchanged. `request-given-up` has `queued`.

--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -1,6 +1,7 @@
 // The way of a stream: which chains and gateways get it, one after the other, and how it ends.
 #include <filbertspoke/Proxy>
 
+#include "internal/QueuePlace.h"
 #include "internal/StreamForwarder.h"
 
 #include <algorithm>
@@ -16,42 +17,55 @@
 
 // Fraction of the route's target latency for which a generation may wait for free capacity; the rest is left for the prefill.
 constexpr double queueingFraction = 0.6;
-// Waiting generations look for changes of capacity this often, because this daemon is not notified when other daemons' work ends.
-constexpr Duration capacityPollInterval = std::chrono::milliseconds(40);
-// Waiting generations plan again at least this often, because nothing notifies them when an engine is no longer avoided.
-constexpr Duration planningInterval = std::chrono::milliseconds(200);
 // Callers abandon a stream without events after two seconds; a started stream is resumed on another chain until shortly before that.
 constexpr Duration callerStallLimit = std::chrono::milliseconds(1900);
 
+// Prompt and expected output of the task's generation, in tokens.
+double tokensOf(const ForwardTask& task)
+{
+    const ForwardedService* service = task.context.table ? task.context.table->findService(task.service) : nullptr;
+    const double usual = service && service->engine ? service->engine->usualOutputTokens : 0;
+    const double output = task.request.expectedOutputTokens.value_or(usual);
+    return task.request.promptTokens + (task.request.maximumOutputTokens > 0 ? std::min(output, task.request.maximumOutputTokens) : output);
+}
+
+}
+
+WaitingGeneration StreamForwarder::waitingGeneration() const
+{
+    return { this->task.service, this->task.account.value_or(AccountId()), this->task.priority, tokensOf(this->task), this->headSent, this->task.history.attemptCount() > 0 };
 }
 
 asio::awaitable<std::optional<LayerChain>> StreamForwarder::awaitChain()
 {
     const TimePoint latestStart = this->headSent ? this->lastProgress + callerStallLimit : bootNow() + scaled(this->task.route.targetLatency, queueingFraction);
     const TimePoint limit = std::min(this->task.deadline, latestStart);
-    std::uint64_t seen = this->task.context.capacityChanges - 1;
-    TimePoint plannedAt;
+    CapacityWaiters& waiters = this->task.context.waiters;
+    QueuePlace place(waiters, this->waitingGeneration());
     bool rateLimited = false;
+    bool planned = false;
     while (!this->task.caller->disconnected() && !this->task.abandoned && !this->task.handoverTarget()) {
         const std::optional<Duration> delay = this->task.rateLimitDelay();
         const bool delayed = delay != Duration::zero();
-        // Planning again can only succeed after capacity was released, a report of other daemons' work arrived, a first stage accepts requests
-        // again, or an engine has been avoided for long enough.
-        if (!delayed && (rateLimited || seen != this->task.context.capacityChanges || bootNow() - plannedAt >= planningInterval)) {
-            seen = this->task.context.capacityChanges;
-            plannedAt = bootNow();
-            if (auto chain = planStream(this->task, this->task.history))
+        waiters.setPaused(place.ticket(), delayed);
+        // A stream whose failure was noticed late plans once before it is broken off, whichever place it has.
+        const bool last = this->headSent && !planned && bootNow() >= limit;
+        if (!delayed && (waiters.mayPlan(place.ticket(), this->task.context.capacityChanges, bootNow()) || last)) {
+            planned = true;
+            if (auto chain = planStream(this->task, this->task.history)) {
+                place.start();
                 co_return chain;
+            }
+            waiters.notePlanFailed(place.ticket());
         }
         const Duration left = limit - bootNow();
         if (left <= Duration::zero() || this->task.pushbackRemaining().value_or(Duration::zero()) > left)
             break;
         const bool begins = !rateLimited && delayed;
-        if (delayed && (!delay || *delay > left || (begins && this->task.rateLimitQueueIsFull(this->task.context.waiters.size(), left))))
+        if (delayed && (!delay || *delay > left || (begins && this->task.rateLimitQueueIsFull(waiters.size() - 1, left))))
             break;
         rateLimited = delayed;
-        const Duration pause = std::min(left, delayed ? *delay : left);
-        co_await this->task.context.waiters.wait(std::min(pause, capacityPollInterval));
+        co_await waiters.wait(place.ticket(), std::min(left, delayed ? *delay : left), bootNow());
     }
     co_return std::nullopt;
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -219,7 +219,7 @@
         refusal = refusal.retryAfter(returnAfter ? *returnAfter : this->retryAfterDelay());
     const auto rateDelay = this->rateLimitDelay();
     const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, this->request.id);
-    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "rateLimitMs", rateDelay ? milliseconds(*rateDelay) : "others" }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" } });
+    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "rateLimitMs", rateDelay ? milliseconds(*rateDelay) : "others" }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" }, { "queued", std::to_string(this->context.waiters.size()) } });
     const std::string outcome(name(refusal.code()));
     co_await this->respond(response, outcome);
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StoreFollower.cpp
@@ -261,7 +261,7 @@
     this->context.registry.expire(now);
     ++this->context.capacityChanges;
     if (!records.empty())
-        this->context.waiters.wakeOne();
+        this->context.waiters.wakeHeads();
 }
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/ChainReservation.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/ChainReservation.h
@@ -27,7 +27,7 @@
         for (const auto& [resource, work] : this->reservations)
             this->context.loads.end(resource, work);
         ++this->context.capacityChanges;
-        this->context.waiters.wakeOne();
+        this->context.waiters.wakeHeads();
     }
 
     ChainReservation(const ChainReservation&) = delete;
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -67,6 +67,10 @@
     boost::asio::awaitable<void> run();
 
 private:
+    /** \returns the generation as it waits for a chain now */
+    WaitingGeneration waitingGeneration() const;
+    /** \brief Waits in the queue for capacity until a chain can serve the stream, as long as its caller can wait.
+     * \returns nothing when the stream can't be served or is to be handed over */
     boost::asio::awaitable<std::optional<LayerChain>> awaitChain();
     std::optional<ForwardMetadata> metadataFor(const LayerChain&) const;
     /** \brief Serves the stream by a chain.
