--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -245,7 +245,7 @@
     if (generation && notRun)
         this->context.metrics.count({ "generations_refused_total", this->priorityText("none"), "priority" });
     const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, this->request.id);
-    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "rateLimitMs", rateDelay ? milliseconds(*rateDelay) : "others" }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" }, { "priority", this->priorityText("") }, { "rank", generation ? std::to_string(this->rank()) : "" } });
+    this->logDecision("request-given-up", { { "reason", std::string(name(reason)) }, { "possibleRuns", std::to_string(state.possibleRuns) }, { "avoided", std::to_string(this->history.faultyEndpoints()) }, { "rateLimitMs", rateDelay ? milliseconds(*rateDelay) : "others" }, { "timeLeftMs", milliseconds(state.timeLeft) }, { "returnAfterMs", refusal.retryAfter() ? milliseconds(*refusal.retryAfter()) : "" }, { "priority", this->priorityText("") }, { "rank", generation ? std::to_string(this->rank()) : "" }, { "queued", std::to_string(this->context.waiters.size()) } });
     const std::string outcome(name(refusal.code()));
     co_await this->respond(response, outcome);
 }
