--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -16,9 +16,6 @@
 constexpr double faultRateSmoothing = 0.1;
 // Fault rate from which on an endpoint is avoided although it responds in between.
 constexpr double faultRateThreshold = 0.25;
-// Time for which an endpoint gets no new work after a refusal. Its registry entry shows the layers that it gives up about a second later; its
-// memory becomes free with each generation that ends.
-constexpr Duration refusalPause = std::chrono::milliseconds(500);
 // A failure domain counts as unreachable when this many of its endpoints were unreachable within the window and none has responded
 // since.
 constexpr std::size_t unreachableDomainThreshold = 3;
@@ -90,6 +87,8 @@
     before.heartbeat = merged.heartbeat;
     const bool changed = before != merged || record.removedAt;
     this->changes += changed ? 1 : 0;
+    if (before.layers != merged.layers)
+        record.refusals = {};
     record.endpoint = merged;
     record.removedAt.reset();
     return changed;
@@ -241,7 +240,7 @@
         return;
     EndpointRecord& record = entry->second;
     if (fault == EndpointFault::Refused) {
-        record.refusedAt = now;
+        this->noteRefusal(id, now, 0, now);
         return;
     }
     const bool alreadyAvoided = record.avoidedUntil && now < *record.avoidedUntil;
@@ -269,8 +268,7 @@
     EndpointRecord& record = entry->second;
     record.faultRate -= faultRateSmoothing * record.faultRate;
     this->unreachable.erase(record.endpoint.failureDomain);
-    if (record.refusedAt && begun >= *record.refusedAt)
-        record.refusedAt.reset();
+    record.refusals.noteSuccess(begun);
     if (record.unreachableAt && begun < *record.unreachableAt)
         return;
     record.consecutiveFaults = 0;
@@ -280,6 +278,30 @@
     record.remoteAvoidedUntil.reset();
 }
 
+std::optional<Duration> EndpointRegistry::noteRefusal(const EndpointId& id, TimePoint sentAt, double draw, TimePoint now)
+{
+    const auto entry = this->byId.find(id);
+    return entry == this->byId.end() ? std::nullopt : entry->second.refusals.noteRefusal(sentAt, draw, now);
+}
+
+std::optional<Duration> EndpointRegistry::noteRemoteRefusal(const RefusingEndpoint& refusing, double draw, TimePoint now)
+{
+    const auto entry = this->byId.find(refusing.run.endpoint);
+    if (entry == this->byId.end() || entry->second.endpoint.startedAtMs != refusing.run.startedAtMs)
+        return std::nullopt;
+    return entry->second.refusals.noteReport(refusing.remaining, draw, now);
+}
+
+std::vector<RefusingEndpoint> EndpointRegistry::ownRefusals(TimePoint now) const
+{
+    std::vector<RefusingEndpoint> refusing;
+    for (const auto& [id, record] : this->byId) {
+        if (const auto remaining = record.refusals.ownRemaining(now))
+            refusing.push_back({ { id, record.endpoint.startedAtMs }, *remaining });
+    }
+    return refusing;
+}
+
 void EndpointRegistry::noteRemoteAvoidance(const EndpointId& id, Duration remaining, TimePoint now)
 {
     const auto entry = this->byId.find(id);
@@ -322,11 +344,6 @@
     return ownAvoidance(record, now) || (record.remoteAvoidedUntil && now < *record.remoteAvoidedUntil);
 }
 
-bool EndpointRegistry::isRefusing(const EndpointRecord& record, TimePoint now)
-{
-    return record.refusedAt && now - *record.refusedAt < refusalPause;
-}
-
 std::optional<Duration> EndpointRegistry::ownAvoidance(const EndpointRecord& record, TimePoint now)
 {
     if (!record.avoidedUntil || *record.avoidedUntil <= now)
@@ -364,14 +381,15 @@
     return !record.endpoint.draining && (!record.removedAt || now - *record.removedAt < reregistrationGrace);
 }
 
-std::vector<const EndpointRecord*> EndpointRegistry::candidates(const ServiceId& service, TimePoint now) const
+std::vector<const EndpointRecord*> EndpointRegistry::candidates(const ServiceId& service, TimePoint now, RefusingCandidates refusing) const
 {
     std::vector<const EndpointRecord*> healthy;
     std::vector<const EndpointRecord*> avoided;
     for (const auto& [id, record] : this->byId) {
         if (record.endpoint.service != service || !takesWork(record, now) || isPushedBack(record, now))
             continue;
-        (this->isAvoided(record, now) || isRefusing(record, now) ? avoided : healthy).push_back(&record);
+        const bool refuses = refusing == RefusingCandidates::Excluded ? isRefusing(record, now) : record.refusals.hasJustRefused(now);
+        (this->isAvoided(record, now) || refuses ? avoided : healthy).push_back(&record);
     }
     return healthy.empty() ? avoided : healthy;
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.h
@@ -2,6 +2,7 @@
 #define FILBERTSPOKE_ENDPOINT_REGISTRY_H
 
 #include "EndpointSignals.h"
+#include "RefusalBackoff.h"
 #include "RegisteredEndpoint.h"
 
 #include <filbertspoke/Core>
@@ -30,7 +31,7 @@
     std::optional<TimePoint> remoteAvoidedUntil; ///< avoided until then because of reports of other daemons
     std::optional<EndpointFault> lastFault; ///< since the last success
     std::optional<TimePoint> unreachableAt; ///< last seen or reported unreachable, since new work last succeeded
-    std::optional<TimePoint> refusedAt; ///< time of the last refusal, since new work last succeeded
+    RefusalBackoff refusals; ///< of this run of the endpoint with its present layers
     std::optional<TimePoint> pushbackUntil; ///< the endpoint refuses the requests of this daemon until then
     bool leavingReported = false; ///< its leaving is known from its answers or from other daemons, but not from its entry yet
     std::uint32_t consecutiveFaults = 0;
@@ -45,6 +46,20 @@
     auto operator<=>(const EndpointRun&) const = default;
 };
 
+/** \brief An endpoint that refuses the requests of a gateway. */
+struct RefusingEndpoint {
+    EndpointRun run;
+    Duration remaining {}; ///< time for which the gateway does not use it
+
+    auto operator<=>(const RefusingEndpoint&) const = default;
+};
+
+/** \brief Whether endpoints that refuse work are among the candidates for it. */
+enum class RefusingCandidates {
+    Excluded, ///< unless there are no others
+    Included, ///< unless they have just refused
+};
+
 /** \brief Effect of a removal on an endpoint. */
 enum class Removal {
     Unknown, ///< the endpoint was not known
@@ -95,8 +110,16 @@
     std::optional<Duration> pushbackRemaining(const ServiceId&, std::uint32_t layers, TimePoint now) const;
 
     /** \brief Records a fault; the endpoint is avoided for a while when it is unreachable or silent, or after several faults. A refusal is no
-     * sign of a defect: it only keeps new work away for a moment. */
+     * sign of a defect; it counts as that of a request sent now, see noteRefusal(). */
     void noteFault(const EndpointId&, EndpointFault, TimePoint now);
+    /** \brief Records a refusal, which keeps new work away for a while; see RefusalBackoff::noteRefusal().
+     * \returns the pause that begins now, or nothing */
+    std::optional<Duration> noteRefusal(const EndpointId&, TimePoint sentAt, double draw, TimePoint now);
+    /** \brief Records that this run of an endpoint refuses the requests of another daemon; see RefusalBackoff::noteReport().
+     * \returns the pause that begins now, or nothing */
+    std::optional<Duration> noteRemoteRefusal(const RefusingEndpoint&, double draw, TimePoint now);
+    /** \returns the endpoints that refuse this daemon's own requests; those reported by other daemons are left out */
+    std::vector<RefusingEndpoint> ownRefusals(TimePoint now) const;
     /** \brief Records a successful exchange, which ends the avoidance of the endpoint.
      * \param begun when the exchange began; an exchange that began before the endpoint was last unreachable does not end the
      * avoidance, because an endpoint that refuses new work may continue older work */
@@ -114,14 +137,15 @@
     std::optional<EndpointId> findByAddress(const SocketAddress&) const;
     /** \returns whether the endpoint itself is avoided, because of observed faults or of reports of other daemons */
     static bool isSuspected(const EndpointRecord&, TimePoint now);
-    /** \returns whether the endpoint has just refused new work, so that it gets none for a moment */
-    static bool isRefusing(const EndpointRecord&, TimePoint now);
+    /** \returns whether the endpoint has refused new work, so that it gets none for a while if others can take it */
+    static bool isRefusing(const EndpointRecord& record, TimePoint now) { return record.refusals.isPausing(now); }
     /** \returns the remaining time for which faults observed by this daemon exclude the endpoint, or nothing */
     static std::optional<Duration> ownAvoidance(const EndpointRecord&, TimePoint now);
     /** \returns whether the endpoint is not draining, and is registered or may be written again; does not consider avoidance */
     static bool takesWork(const EndpointRecord&, TimePoint now);
-    /** \returns the service's endpoints that take new work and don't push back; avoided and refusing ones only when there are no others */
-    std::vector<const EndpointRecord*> candidates(const ServiceId&, TimePoint now) const;
+    /** \returns the service's endpoints that take new work and don't push back; avoided ones, and refusing ones that are excluded, only when
+     * there are no others */
+    std::vector<const EndpointRecord*> candidates(const ServiceId&, TimePoint now, RefusingCandidates = RefusingCandidates::Excluded) const;
 
     /** \returns a number that changes whenever an entry changes in more than its heartbeat */
     std::uint64_t revision() const { return this->changes; }
--- a/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/GossipMessage.h
@@ -51,6 +51,7 @@
     std::optional<SocketAddress> handover; ///< at which the sender takes requests that other gateways can't serve
     std::vector<ServiceId> unreachableServices; ///< from whose endpoints the sender is cut off
     std::vector<EndpointRun> leaving; ///< endpoints that are leaving although their entries don't say so yet
+    std::vector<RefusingEndpoint> refusing; ///< endpoints that refuse the sender's own requests
     std::vector<RateLimitReport> rateLimits; ///< that endpoints named in their answers
     std::vector<RequestTraitEvidence> requestTraits; ///< whose requests were at endpoints that crashed
     std::uint64_t peersDigest = 0; ///< of the gateways that the sender can reach
--- a/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
+++ b/packages/Peer/filbertspoke/src/Peer/GossipMessageFrame.cpp
@@ -136,6 +136,8 @@
         gossip.storeEra = static_cast<StoreEra>(message.storeEra);
     for (const wire::LeavingEndpoint& run : message.leaving)
         gossip.leaving.push_back({ EndpointId(run.endpoint), run.startedAtMs });
+    for (const wire::RefusingEndpoint& refusing : message.refusing)
+        gossip.refusing.push_back({ { EndpointId(refusing.endpoint), refusing.startedAtMs }, Duration(refusing.remainingMicroseconds) });
     if (message.__isset.handoverAddress)
         gossip.handover = parseSocketAddress(message.handoverAddress);
     for (const std::string& service : message.unreachableServices)
@@ -195,6 +197,14 @@
         entry.startedAtMs = run.startedAtMs;
         message.leaving.push_back(std::move(entry));
     }
+    message.__isset.refusing = !gossip.refusing.empty();
+    for (const RefusingEndpoint& refusing : gossip.refusing) {
+        wire::RefusingEndpoint entry;
+        entry.endpoint = refusing.run.endpoint.str();
+        entry.startedAtMs = refusing.run.startedAtMs;
+        entry.remainingMicroseconds = refusing.remaining.count();
+        message.refusing.push_back(std::move(entry));
+    }
     if (gossip.handover)
         message.__set_handoverAddress(formatSocketAddress(*gossip.handover));
     message.__isset.unreachableServices = !gossip.unreachableServices.empty();
--- a/packages/Peer/gen-cpp/peer_types.cpp
+++ b/packages/Peer/gen-cpp/peer_types.cpp
@@ -4325,6 +4325,155 @@
 }
 
 
+RefusingEndpoint::~RefusingEndpoint() noexcept {
+}
+
+
+void RefusingEndpoint::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void RefusingEndpoint::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+
+void RefusingEndpoint::__set_remainingMicroseconds(const int64_t val) {
+  this->remainingMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const RefusingEndpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RefusingEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_endpoint = false;
+  bool isset_startedAtMs = false;
+  bool isset_remainingMicroseconds = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          isset_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          isset_startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingMicroseconds);
+          isset_remainingMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_endpoint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_startedAtMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_remainingMicroseconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RefusingEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RefusingEndpoint");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMicroseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->remainingMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RefusingEndpoint &a, RefusingEndpoint &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.remainingMicroseconds, b.remainingMicroseconds);
+}
+
+RefusingEndpoint::RefusingEndpoint(const RefusingEndpoint& other124) {
+  endpoint = other124.endpoint;
+  startedAtMs = other124.startedAtMs;
+  remainingMicroseconds = other124.remainingMicroseconds;
+}
+RefusingEndpoint::RefusingEndpoint(RefusingEndpoint&& other125) noexcept {
+  endpoint = std::move(other125.endpoint);
+  startedAtMs = other125.startedAtMs;
+  remainingMicroseconds = other125.remainingMicroseconds;
+}
+RefusingEndpoint& RefusingEndpoint::operator=(const RefusingEndpoint& other126) {
+  endpoint = other126.endpoint;
+  startedAtMs = other126.startedAtMs;
+  remainingMicroseconds = other126.remainingMicroseconds;
+  return *this;
+}
+RefusingEndpoint& RefusingEndpoint::operator=(RefusingEndpoint&& other127) noexcept {
+  endpoint = std::move(other127.endpoint);
+  startedAtMs = other127.startedAtMs;
+  remainingMicroseconds = other127.remainingMicroseconds;
+  return *this;
+}
+void RefusingEndpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RefusingEndpoint(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ", " << "remainingMicroseconds=" << to_string(remainingMicroseconds);
+  out << ")";
+}
+
+
 RateLimit::~RateLimit() noexcept {
 }
 
@@ -4462,34 +4611,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RateLimit::RateLimit(const RateLimit& other124) {
-  endpoint = other124.endpoint;
-  startedAtMs = other124.startedAtMs;
-  requestsPerSecond = other124.requestsPerSecond;
-  ageMicroseconds = other124.ageMicroseconds;
-  __isset = other124.__isset;
+RateLimit::RateLimit(const RateLimit& other128) {
+  endpoint = other128.endpoint;
+  startedAtMs = other128.startedAtMs;
+  requestsPerSecond = other128.requestsPerSecond;
+  ageMicroseconds = other128.ageMicroseconds;
+  __isset = other128.__isset;
 }
-RateLimit::RateLimit(RateLimit&& other125) noexcept {
-  endpoint = std::move(other125.endpoint);
-  startedAtMs = other125.startedAtMs;
-  requestsPerSecond = other125.requestsPerSecond;
-  ageMicroseconds = other125.ageMicroseconds;
-  __isset = other125.__isset;
+RateLimit::RateLimit(RateLimit&& other129) noexcept {
+  endpoint = std::move(other129.endpoint);
+  startedAtMs = other129.startedAtMs;
+  requestsPerSecond = other129.requestsPerSecond;
+  ageMicroseconds = other129.ageMicroseconds;
+  __isset = other129.__isset;
 }
-RateLimit& RateLimit::operator=(const RateLimit& other126) {
-  endpoint = other126.endpoint;
-  startedAtMs = other126.startedAtMs;
-  requestsPerSecond = other126.requestsPerSecond;
-  ageMicroseconds = other126.ageMicroseconds;
-  __isset = other126.__isset;
+RateLimit& RateLimit::operator=(const RateLimit& other130) {
+  endpoint = other130.endpoint;
+  startedAtMs = other130.startedAtMs;
+  requestsPerSecond = other130.requestsPerSecond;
+  ageMicroseconds = other130.ageMicroseconds;
+  __isset = other130.__isset;
   return *this;
 }
-RateLimit& RateLimit::operator=(RateLimit&& other127) noexcept {
-  endpoint = std::move(other127.endpoint);
-  startedAtMs = other127.startedAtMs;
-  requestsPerSecond = other127.requestsPerSecond;
-  ageMicroseconds = other127.ageMicroseconds;
-  __isset = other127.__isset;
+RateLimit& RateLimit::operator=(RateLimit&& other131) noexcept {
+  endpoint = std::move(other131.endpoint);
+  startedAtMs = other131.startedAtMs;
+  requestsPerSecond = other131.requestsPerSecond;
+  ageMicroseconds = other131.ageMicroseconds;
+  __isset = other131.__isset;
   return *this;
 }
 void RateLimit::printTo(std::ostream& out) const {
@@ -4640,30 +4789,30 @@
   swap(a.heldMicroseconds, b.heldMicroseconds);
 }
 
-EndpointCrash::EndpointCrash(const EndpointCrash& other128) {
-  endpoint = other128.endpoint;
-  startedAtMs = other128.startedAtMs;
-  ageMicroseconds = other128.ageMicroseconds;
-  heldMicroseconds = other128.heldMicroseconds;
+EndpointCrash::EndpointCrash(const EndpointCrash& other132) {
+  endpoint = other132.endpoint;
+  startedAtMs = other132.startedAtMs;
+  ageMicroseconds = other132.ageMicroseconds;
+  heldMicroseconds = other132.heldMicroseconds;
 }
-EndpointCrash::EndpointCrash(EndpointCrash&& other129) noexcept {
-  endpoint = std::move(other129.endpoint);
-  startedAtMs = other129.startedAtMs;
-  ageMicroseconds = other129.ageMicroseconds;
-  heldMicroseconds = other129.heldMicroseconds;
+EndpointCrash::EndpointCrash(EndpointCrash&& other133) noexcept {
+  endpoint = std::move(other133.endpoint);
+  startedAtMs = other133.startedAtMs;
+  ageMicroseconds = other133.ageMicroseconds;
+  heldMicroseconds = other133.heldMicroseconds;
 }
-EndpointCrash& EndpointCrash::operator=(const EndpointCrash& other130) {
-  endpoint = other130.endpoint;
-  startedAtMs = other130.startedAtMs;
-  ageMicroseconds = other130.ageMicroseconds;
-  heldMicroseconds = other130.heldMicroseconds;
+EndpointCrash& EndpointCrash::operator=(const EndpointCrash& other134) {
+  endpoint = other134.endpoint;
+  startedAtMs = other134.startedAtMs;
+  ageMicroseconds = other134.ageMicroseconds;
+  heldMicroseconds = other134.heldMicroseconds;
   return *this;
 }
-EndpointCrash& EndpointCrash::operator=(EndpointCrash&& other131) noexcept {
-  endpoint = std::move(other131.endpoint);
-  startedAtMs = other131.startedAtMs;
-  ageMicroseconds = other131.ageMicroseconds;
-  heldMicroseconds = other131.heldMicroseconds;
+EndpointCrash& EndpointCrash::operator=(EndpointCrash&& other135) noexcept {
+  endpoint = std::move(other135.endpoint);
+  startedAtMs = other135.startedAtMs;
+  ageMicroseconds = other135.ageMicroseconds;
+  heldMicroseconds = other135.heldMicroseconds;
   return *this;
 }
 void EndpointCrash::printTo(std::ostream& out) const {
@@ -4740,14 +4889,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->crashes.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->crashes.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->crashes[_i136].read(iprot);
+              xfer += this->crashes[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4802,10 +4951,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<EndpointCrash> ::const_iterator _iter137;
-    for (_iter137 = this->crashes.begin(); _iter137 != this->crashes.end(); ++_iter137)
+    std::vector<EndpointCrash> ::const_iterator _iter141;
+    for (_iter141 = this->crashes.begin(); _iter141 != this->crashes.end(); ++_iter141)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4834,34 +4983,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestTraitEvidence::RequestTraitEvidence(const RequestTraitEvidence& other138) {
-  trait = other138.trait;
-  crashes = other138.crashes;
-  servedAgeMicroseconds = other138.servedAgeMicroseconds;
-  quarantined = other138.quarantined;
-  __isset = other138.__isset;
-}
-RequestTraitEvidence::RequestTraitEvidence(RequestTraitEvidence&& other139) noexcept {
-  trait = std::move(other139.trait);
-  crashes = std::move(other139.crashes);
-  servedAgeMicroseconds = other139.servedAgeMicroseconds;
-  quarantined = other139.quarantined;
-  __isset = other139.__isset;
-}
-RequestTraitEvidence& RequestTraitEvidence::operator=(const RequestTraitEvidence& other140) {
-  trait = other140.trait;
-  crashes = other140.crashes;
-  servedAgeMicroseconds = other140.servedAgeMicroseconds;
-  quarantined = other140.quarantined;
-  __isset = other140.__isset;
+RequestTraitEvidence::RequestTraitEvidence(const RequestTraitEvidence& other142) {
+  trait = other142.trait;
+  crashes = other142.crashes;
+  servedAgeMicroseconds = other142.servedAgeMicroseconds;
+  quarantined = other142.quarantined;
+  __isset = other142.__isset;
+}
+RequestTraitEvidence::RequestTraitEvidence(RequestTraitEvidence&& other143) noexcept {
+  trait = std::move(other143.trait);
+  crashes = std::move(other143.crashes);
+  servedAgeMicroseconds = other143.servedAgeMicroseconds;
+  quarantined = other143.quarantined;
+  __isset = other143.__isset;
+}
+RequestTraitEvidence& RequestTraitEvidence::operator=(const RequestTraitEvidence& other144) {
+  trait = other144.trait;
+  crashes = other144.crashes;
+  servedAgeMicroseconds = other144.servedAgeMicroseconds;
+  quarantined = other144.quarantined;
+  __isset = other144.__isset;
   return *this;
 }
-RequestTraitEvidence& RequestTraitEvidence::operator=(RequestTraitEvidence&& other141) noexcept {
-  trait = std::move(other141.trait);
-  crashes = std::move(other141.crashes);
-  servedAgeMicroseconds = other141.servedAgeMicroseconds;
-  quarantined = other141.quarantined;
-  __isset = other141.__isset;
+RequestTraitEvidence& RequestTraitEvidence::operator=(RequestTraitEvidence&& other145) noexcept {
+  trait = std::move(other145.trait);
+  crashes = std::move(other145.crashes);
+  servedAgeMicroseconds = other145.servedAgeMicroseconds;
+  quarantined = other145.quarantined;
+  __isset = other145.__isset;
   return *this;
 }
 void RequestTraitEvidence::printTo(std::ostream& out) const {
@@ -5011,6 +5160,11 @@
   this->unreachableServices = val;
 __isset.unreachableServices = true;
 }
+
+void GatewayWord::__set_refusing(const std::vector<RefusingEndpoint> & val) {
+  this->refusing = val;
+__isset.refusing = true;
+}
 std::ostream& operator<<(std::ostream& out, const GatewayWord& obj)
 {
   obj.printTo(out);
@@ -5082,14 +5236,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->work.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->work.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->work[_i146].read(iprot);
+              xfer += this->work[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5102,14 +5256,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->peers.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->peers.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += iprot->readString(this->peers[_i151]);
+              xfer += iprot->readString(this->peers[_i155]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5146,14 +5300,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->endpoints.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->endpoints.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->endpoints[_i156].read(iprot);
+              xfer += this->endpoints[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5166,14 +5320,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoided.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->avoided.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->avoided.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->avoided[_i161].read(iprot);
+              xfer += this->avoided[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5250,14 +5404,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size162;
-            ::apache::thrift::protocol::TType _etype165;
-            xfer += iprot->readListBegin(_etype165, _size162);
-            this->leaving.resize(_size162);
-            uint32_t _i166;
-            for (_i166 = 0; _i166 < _size162; ++_i166)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->leaving.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->leaving[_i166].read(iprot);
+              xfer += this->leaving[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5270,14 +5424,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peerDomains.clear();
-            uint32_t _size167;
-            ::apache::thrift::protocol::TType _etype170;
-            xfer += iprot->readListBegin(_etype170, _size167);
-            this->peerDomains.resize(_size167);
-            uint32_t _i171;
-            for (_i171 = 0; _i171 < _size167; ++_i171)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->peerDomains.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += iprot->readString(this->peerDomains[_i171]);
+              xfer += iprot->readString(this->peerDomains[_i175]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5314,14 +5468,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requestTraits.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->requestTraits.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->requestTraits.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->requestTraits[_i176].read(iprot);
+              xfer += this->requestTraits[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5334,14 +5488,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rateLimits.clear();
-            uint32_t _size177;
-            ::apache::thrift::protocol::TType _etype180;
-            xfer += iprot->readListBegin(_etype180, _size177);
-            this->rateLimits.resize(_size177);
-            uint32_t _i181;
-            for (_i181 = 0; _i181 < _size177; ++_i181)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->rateLimits.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += this->rateLimits[_i181].read(iprot);
+              xfer += this->rateLimits[_i185].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5362,14 +5516,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachableServices.clear();
-            uint32_t _size182;
-            ::apache::thrift::protocol::TType _etype185;
-            xfer += iprot->readListBegin(_etype185, _size182);
-            this->unreachableServices.resize(_size182);
-            uint32_t _i186;
-            for (_i186 = 0; _i186 < _size182; ++_i186)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->unreachableServices.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += iprot->readString(this->unreachableServices[_i186]);
+              xfer += iprot->readString(this->unreachableServices[_i190]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5378,6 +5532,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refusing.clear();
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->refusing.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
+            {
+              xfer += this->refusing[_i195].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refusing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5428,10 +5602,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter187;
-    for (_iter187 = this->work.begin(); _iter187 != this->work.end(); ++_iter187)
+    std::vector<EndpointWork> ::const_iterator _iter196;
+    for (_iter196 = this->work.begin(); _iter196 != this->work.end(); ++_iter196)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5440,10 +5614,10 @@
   xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peers.size()));
-    std::vector<std::string> ::const_iterator _iter188;
-    for (_iter188 = this->peers.begin(); _iter188 != this->peers.end(); ++_iter188)
+    std::vector<std::string> ::const_iterator _iter197;
+    for (_iter197 = this->peers.begin(); _iter197 != this->peers.end(); ++_iter197)
     {
-      xfer += oprot->writeString((*_iter188));
+      xfer += oprot->writeString((*_iter197));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5467,10 +5641,10 @@
     xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-      std::vector<RegistryEntry> ::const_iterator _iter189;
-      for (_iter189 = this->endpoints.begin(); _iter189 != this->endpoints.end(); ++_iter189)
+      std::vector<RegistryEntry> ::const_iterator _iter198;
+      for (_iter198 = this->endpoints.begin(); _iter198 != this->endpoints.end(); ++_iter198)
       {
-        xfer += (*_iter189).write(oprot);
+        xfer += (*_iter198).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5480,10 +5654,10 @@
     xfer += oprot->writeFieldBegin("avoided", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->avoided.size()));
-      std::vector<AvoidedEndpoint> ::const_iterator _iter190;
-      for (_iter190 = this->avoided.begin(); _iter190 != this->avoided.end(); ++_iter190)
+      std::vector<AvoidedEndpoint> ::const_iterator _iter199;
+      for (_iter199 = this->avoided.begin(); _iter199 != this->avoided.end(); ++_iter199)
       {
-        xfer += (*_iter190).write(oprot);
+        xfer += (*_iter199).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5533,10 +5707,10 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector<LeavingEndpoint> ::const_iterator _iter191;
-      for (_iter191 = this->leaving.begin(); _iter191 != this->leaving.end(); ++_iter191)
+      std::vector<LeavingEndpoint> ::const_iterator _iter200;
+      for (_iter200 = this->leaving.begin(); _iter200 != this->leaving.end(); ++_iter200)
       {
-        xfer += (*_iter191).write(oprot);
+        xfer += (*_iter200).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5546,10 +5720,10 @@
     xfer += oprot->writeFieldBegin("peerDomains", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->peerDomains.size()));
-      std::vector<std::string> ::const_iterator _iter192;
-      for (_iter192 = this->peerDomains.begin(); _iter192 != this->peerDomains.end(); ++_iter192)
+      std::vector<std::string> ::const_iterator _iter201;
+      for (_iter201 = this->peerDomains.begin(); _iter201 != this->peerDomains.end(); ++_iter201)
       {
-        xfer += oprot->writeString((*_iter192));
+        xfer += oprot->writeString((*_iter201));
       }
       xfer += oprot->writeListEnd();
     }
@@ -5574,10 +5748,10 @@
     xfer += oprot->writeFieldBegin("requestTraits", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requestTraits.size()));
-      std::vector<RequestTraitEvidence> ::const_iterator _iter193;
-      for (_iter193 = this->requestTraits.begin(); _iter193 != this->requestTraits.end(); ++_iter193)
+      std::vector<RequestTraitEvidence> ::const_iterator _iter202;
+      for (_iter202 = this->requestTraits.begin(); _iter202 != this->requestTraits.end(); ++_iter202)
       {
-        xfer += (*_iter193).write(oprot);
+        xfer += (*_iter202).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5587,10 +5761,10 @@
     xfer += oprot->writeFieldBegin("rateLimits", ::apache::thrift::protocol::T_LIST, 26);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rateLimits.size()));
-      std::vector<RateLimit> ::const_iterator _iter194;
-      for (_iter194 = this->rateLimits.begin(); _iter194 != this->rateLimits.end(); ++_iter194)
+      std::vector<RateLimit> ::const_iterator _iter203;
+      for (_iter203 = this->rateLimits.begin(); _iter203 != this->rateLimits.end(); ++_iter203)
       {
-        xfer += (*_iter194).write(oprot);
+        xfer += (*_iter203).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5605,10 +5779,23 @@
     xfer += oprot->writeFieldBegin("unreachableServices", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->unreachableServices.size()));
-      std::vector<std::string> ::const_iterator _iter195;
-      for (_iter195 = this->unreachableServices.begin(); _iter195 != this->unreachableServices.end(); ++_iter195)
+      std::vector<std::string> ::const_iterator _iter204;
+      for (_iter204 = this->unreachableServices.begin(); _iter204 != this->unreachableServices.end(); ++_iter204)
+      {
+        xfer += oprot->writeString((*_iter204));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refusing) {
+    xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 29);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refusing.size()));
+      std::vector<RefusingEndpoint> ::const_iterator _iter205;
+      for (_iter205 = this->refusing.begin(); _iter205 != this->refusing.end(); ++_iter205)
       {
-        xfer += oprot->writeString((*_iter195));
+        xfer += (*_iter205).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5649,133 +5836,138 @@
   swap(a.rateLimits, b.rateLimits);
   swap(a.handoverAddress, b.handoverAddress);
   swap(a.unreachableServices, b.unreachableServices);
+  swap(a.refusing, b.refusing);
   swap(a.__isset, b.__isset);
 }
 
-GatewayWord::GatewayWord(const GatewayWord& other196) {
-  daemon = other196.daemon;
-  address = other196.address;
-  port = other196.port;
-  configurationVersion = other196.configurationVersion;
-  work = other196.work;
-  peers = other196.peers;
-  wantsEndpoints = other196.wantsEndpoints;
-  configurationKey = other196.configurationKey;
-  configurationDocument = other196.configurationDocument;
-  endpoints = other196.endpoints;
-  avoided = other196.avoided;
-  failureDomain = other196.failureDomain;
-  sum = other196.sum;
-  endpointsRevision = other196.endpointsRevision;
-  knownRevision = other196.knownRevision;
-  followsStore = other196.followsStore;
-  siteGateways = other196.siteGateways;
-  siteGatewaysAgeMicroseconds = other196.siteGatewaysAgeMicroseconds;
-  storeEra = other196.storeEra;
-  leaving = other196.leaving;
-  peerDomains = other196.peerDomains;
-  peersDigest = other196.peersDigest;
-  knownPeersDigest = other196.knownPeersDigest;
-  relaysStore = other196.relaysStore;
-  requestTraits = other196.requestTraits;
-  rateLimits = other196.rateLimits;
-  handoverAddress = other196.handoverAddress;
-  unreachableServices = other196.unreachableServices;
-  __isset = other196.__isset;
-}
-GatewayWord::GatewayWord(GatewayWord&& other197) noexcept {
-  daemon = std::move(other197.daemon);
-  address = std::move(other197.address);
-  port = other197.port;
-  configurationVersion = other197.configurationVersion;
-  work = std::move(other197.work);
-  peers = std::move(other197.peers);
-  wantsEndpoints = other197.wantsEndpoints;
-  configurationKey = std::move(other197.configurationKey);
-  configurationDocument = std::move(other197.configurationDocument);
-  endpoints = std::move(other197.endpoints);
-  avoided = std::move(other197.avoided);
-  failureDomain = std::move(other197.failureDomain);
-  sum = other197.sum;
-  endpointsRevision = other197.endpointsRevision;
-  knownRevision = other197.knownRevision;
-  followsStore = other197.followsStore;
-  siteGateways = other197.siteGateways;
-  siteGatewaysAgeMicroseconds = other197.siteGatewaysAgeMicroseconds;
-  storeEra = other197.storeEra;
-  leaving = std::move(other197.leaving);
-  peerDomains = std::move(other197.peerDomains);
-  peersDigest = other197.peersDigest;
-  knownPeersDigest = other197.knownPeersDigest;
-  relaysStore = other197.relaysStore;
-  requestTraits = std::move(other197.requestTraits);
-  rateLimits = std::move(other197.rateLimits);
-  handoverAddress = std::move(other197.handoverAddress);
-  unreachableServices = std::move(other197.unreachableServices);
-  __isset = other197.__isset;
-}
-GatewayWord& GatewayWord::operator=(const GatewayWord& other198) {
-  daemon = other198.daemon;
-  address = other198.address;
-  port = other198.port;
-  configurationVersion = other198.configurationVersion;
-  work = other198.work;
-  peers = other198.peers;
-  wantsEndpoints = other198.wantsEndpoints;
-  configurationKey = other198.configurationKey;
-  configurationDocument = other198.configurationDocument;
-  endpoints = other198.endpoints;
-  avoided = other198.avoided;
-  failureDomain = other198.failureDomain;
-  sum = other198.sum;
-  endpointsRevision = other198.endpointsRevision;
-  knownRevision = other198.knownRevision;
-  followsStore = other198.followsStore;
-  siteGateways = other198.siteGateways;
-  siteGatewaysAgeMicroseconds = other198.siteGatewaysAgeMicroseconds;
-  storeEra = other198.storeEra;
-  leaving = other198.leaving;
-  peerDomains = other198.peerDomains;
-  peersDigest = other198.peersDigest;
-  knownPeersDigest = other198.knownPeersDigest;
-  relaysStore = other198.relaysStore;
-  requestTraits = other198.requestTraits;
-  rateLimits = other198.rateLimits;
-  handoverAddress = other198.handoverAddress;
-  unreachableServices = other198.unreachableServices;
-  __isset = other198.__isset;
+GatewayWord::GatewayWord(const GatewayWord& other206) {
+  daemon = other206.daemon;
+  address = other206.address;
+  port = other206.port;
+  configurationVersion = other206.configurationVersion;
+  work = other206.work;
+  peers = other206.peers;
+  wantsEndpoints = other206.wantsEndpoints;
+  configurationKey = other206.configurationKey;
+  configurationDocument = other206.configurationDocument;
+  endpoints = other206.endpoints;
+  avoided = other206.avoided;
+  failureDomain = other206.failureDomain;
+  sum = other206.sum;
+  endpointsRevision = other206.endpointsRevision;
+  knownRevision = other206.knownRevision;
+  followsStore = other206.followsStore;
+  siteGateways = other206.siteGateways;
+  siteGatewaysAgeMicroseconds = other206.siteGatewaysAgeMicroseconds;
+  storeEra = other206.storeEra;
+  leaving = other206.leaving;
+  peerDomains = other206.peerDomains;
+  peersDigest = other206.peersDigest;
+  knownPeersDigest = other206.knownPeersDigest;
+  relaysStore = other206.relaysStore;
+  requestTraits = other206.requestTraits;
+  rateLimits = other206.rateLimits;
+  handoverAddress = other206.handoverAddress;
+  unreachableServices = other206.unreachableServices;
+  refusing = other206.refusing;
+  __isset = other206.__isset;
+}
+GatewayWord::GatewayWord(GatewayWord&& other207) noexcept {
+  daemon = std::move(other207.daemon);
+  address = std::move(other207.address);
+  port = other207.port;
+  configurationVersion = other207.configurationVersion;
+  work = std::move(other207.work);
+  peers = std::move(other207.peers);
+  wantsEndpoints = other207.wantsEndpoints;
+  configurationKey = std::move(other207.configurationKey);
+  configurationDocument = std::move(other207.configurationDocument);
+  endpoints = std::move(other207.endpoints);
+  avoided = std::move(other207.avoided);
+  failureDomain = std::move(other207.failureDomain);
+  sum = other207.sum;
+  endpointsRevision = other207.endpointsRevision;
+  knownRevision = other207.knownRevision;
+  followsStore = other207.followsStore;
+  siteGateways = other207.siteGateways;
+  siteGatewaysAgeMicroseconds = other207.siteGatewaysAgeMicroseconds;
+  storeEra = other207.storeEra;
+  leaving = std::move(other207.leaving);
+  peerDomains = std::move(other207.peerDomains);
+  peersDigest = other207.peersDigest;
+  knownPeersDigest = other207.knownPeersDigest;
+  relaysStore = other207.relaysStore;
+  requestTraits = std::move(other207.requestTraits);
+  rateLimits = std::move(other207.rateLimits);
+  handoverAddress = std::move(other207.handoverAddress);
+  unreachableServices = std::move(other207.unreachableServices);
+  refusing = std::move(other207.refusing);
+  __isset = other207.__isset;
+}
+GatewayWord& GatewayWord::operator=(const GatewayWord& other208) {
+  daemon = other208.daemon;
+  address = other208.address;
+  port = other208.port;
+  configurationVersion = other208.configurationVersion;
+  work = other208.work;
+  peers = other208.peers;
+  wantsEndpoints = other208.wantsEndpoints;
+  configurationKey = other208.configurationKey;
+  configurationDocument = other208.configurationDocument;
+  endpoints = other208.endpoints;
+  avoided = other208.avoided;
+  failureDomain = other208.failureDomain;
+  sum = other208.sum;
+  endpointsRevision = other208.endpointsRevision;
+  knownRevision = other208.knownRevision;
+  followsStore = other208.followsStore;
+  siteGateways = other208.siteGateways;
+  siteGatewaysAgeMicroseconds = other208.siteGatewaysAgeMicroseconds;
+  storeEra = other208.storeEra;
+  leaving = other208.leaving;
+  peerDomains = other208.peerDomains;
+  peersDigest = other208.peersDigest;
+  knownPeersDigest = other208.knownPeersDigest;
+  relaysStore = other208.relaysStore;
+  requestTraits = other208.requestTraits;
+  rateLimits = other208.rateLimits;
+  handoverAddress = other208.handoverAddress;
+  unreachableServices = other208.unreachableServices;
+  refusing = other208.refusing;
+  __isset = other208.__isset;
   return *this;
 }
-GatewayWord& GatewayWord::operator=(GatewayWord&& other199) noexcept {
-  daemon = std::move(other199.daemon);
-  address = std::move(other199.address);
-  port = other199.port;
-  configurationVersion = other199.configurationVersion;
-  work = std::move(other199.work);
-  peers = std::move(other199.peers);
-  wantsEndpoints = other199.wantsEndpoints;
-  configurationKey = std::move(other199.configurationKey);
-  configurationDocument = std::move(other199.configurationDocument);
-  endpoints = std::move(other199.endpoints);
-  avoided = std::move(other199.avoided);
-  failureDomain = std::move(other199.failureDomain);
-  sum = other199.sum;
-  endpointsRevision = other199.endpointsRevision;
-  knownRevision = other199.knownRevision;
-  followsStore = other199.followsStore;
-  siteGateways = other199.siteGateways;
-  siteGatewaysAgeMicroseconds = other199.siteGatewaysAgeMicroseconds;
-  storeEra = other199.storeEra;
-  leaving = std::move(other199.leaving);
-  peerDomains = std::move(other199.peerDomains);
-  peersDigest = other199.peersDigest;
-  knownPeersDigest = other199.knownPeersDigest;
-  relaysStore = other199.relaysStore;
-  requestTraits = std::move(other199.requestTraits);
-  rateLimits = std::move(other199.rateLimits);
-  handoverAddress = std::move(other199.handoverAddress);
-  unreachableServices = std::move(other199.unreachableServices);
-  __isset = other199.__isset;
+GatewayWord& GatewayWord::operator=(GatewayWord&& other209) noexcept {
+  daemon = std::move(other209.daemon);
+  address = std::move(other209.address);
+  port = other209.port;
+  configurationVersion = other209.configurationVersion;
+  work = std::move(other209.work);
+  peers = std::move(other209.peers);
+  wantsEndpoints = other209.wantsEndpoints;
+  configurationKey = std::move(other209.configurationKey);
+  configurationDocument = std::move(other209.configurationDocument);
+  endpoints = std::move(other209.endpoints);
+  avoided = std::move(other209.avoided);
+  failureDomain = std::move(other209.failureDomain);
+  sum = other209.sum;
+  endpointsRevision = other209.endpointsRevision;
+  knownRevision = other209.knownRevision;
+  followsStore = other209.followsStore;
+  siteGateways = other209.siteGateways;
+  siteGatewaysAgeMicroseconds = other209.siteGatewaysAgeMicroseconds;
+  storeEra = other209.storeEra;
+  leaving = std::move(other209.leaving);
+  peerDomains = std::move(other209.peerDomains);
+  peersDigest = other209.peersDigest;
+  knownPeersDigest = other209.knownPeersDigest;
+  relaysStore = other209.relaysStore;
+  requestTraits = std::move(other209.requestTraits);
+  rateLimits = std::move(other209.rateLimits);
+  handoverAddress = std::move(other209.handoverAddress);
+  unreachableServices = std::move(other209.unreachableServices);
+  refusing = std::move(other209.refusing);
+  __isset = other209.__isset;
   return *this;
 }
 void GatewayWord::printTo(std::ostream& out) const {
@@ -5809,6 +6001,7 @@
   out << ", " << "rateLimits="; (__isset.rateLimits ? (out << to_string(rateLimits)) : (out << "<null>"));
   out << ", " << "handoverAddress="; (__isset.handoverAddress ? (out << to_string(handoverAddress)) : (out << "<null>"));
   out << ", " << "unreachableServices="; (__isset.unreachableServices ? (out << to_string(unreachableServices)) : (out << "<null>"));
+  out << ", " << "refusing="; (__isset.refusing ? (out << to_string(refusing)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/Peer/gen-cpp/peer_types.h
+++ b/packages/Peer/gen-cpp/peer_types.h
@@ -96,6 +96,8 @@
 
 class LeavingEndpoint;
 
+class RefusingEndpoint;
+
 class RateLimit;
 
 class EndpointCrash;
@@ -1573,6 +1575,63 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj);
 
+
+/**
+ * One run of an endpoint, which refuses the requests of the sender.
+ */
+class RefusingEndpoint : public virtual ::apache::thrift::TBase {
+ public:
+
+  RefusingEndpoint(const RefusingEndpoint&);
+  RefusingEndpoint(RefusingEndpoint&&) noexcept;
+  RefusingEndpoint& operator=(const RefusingEndpoint&);
+  RefusingEndpoint& operator=(RefusingEndpoint&&) noexcept;
+  RefusingEndpoint() noexcept
+                   : endpoint(),
+                     startedAtMs(0),
+                     remainingMicroseconds(0) {
+  }
+
+  virtual ~RefusingEndpoint() noexcept;
+  std::string endpoint;
+  int64_t startedAtMs;
+  /**
+   * Time for which the sender does not use it.
+   */
+  int64_t remainingMicroseconds;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  void __set_remainingMicroseconds(const int64_t val);
+
+  bool operator == (const RefusingEndpoint & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    if (!(remainingMicroseconds == rhs.remainingMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const RefusingEndpoint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RefusingEndpoint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RefusingEndpoint &a, RefusingEndpoint &b);
+
+std::ostream& operator<<(std::ostream& out, const RefusingEndpoint& obj);
+
 typedef struct _RateLimit__isset {
   _RateLimit__isset() : requestsPerSecond(false) {}
   bool requestsPerSecond :1;
@@ -1775,7 +1834,7 @@
 std::ostream& operator<<(std::ostream& out, const RequestTraitEvidence& obj);
 
 typedef struct _GatewayWord__isset {
-  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false), requestTraits(false), rateLimits(false), handoverAddress(false), unreachableServices(false) {}
+  _GatewayWord__isset() : configurationKey(false), configurationDocument(false), endpoints(false), avoided(false), failureDomain(false), sum(false), endpointsRevision(false), knownRevision(false), followsStore(false), siteGateways(false), siteGatewaysAgeMicroseconds(false), storeEra(false), leaving(false), peerDomains(false), peersDigest(false), knownPeersDigest(false), relaysStore(false), requestTraits(false), rateLimits(false), handoverAddress(false), unreachableServices(false), refusing(false) {}
   bool configurationKey :1;
   bool configurationDocument :1;
   bool endpoints :1;
@@ -1797,6 +1856,7 @@
   bool rateLimits :1;
   bool handoverAddress :1;
   bool unreachableServices :1;
+  bool refusing :1;
 } _GatewayWord__isset;
 
 /**
@@ -1872,6 +1932,7 @@
    * Services whose endpoints the sender doesn't reach.
    */
   std::vector<std::string>  unreachableServices;
+  std::vector<RefusingEndpoint>  refusing;
 
   _GatewayWord__isset __isset;
 
@@ -1931,6 +1992,8 @@
 
   void __set_unreachableServices(const std::vector<std::string> & val);
 
+  void __set_refusing(const std::vector<RefusingEndpoint> & val);
+
   bool operator == (const GatewayWord & rhs) const
   {
     if (!(daemon == rhs.daemon))
@@ -2031,6 +2094,10 @@
       return false;
     else if (__isset.unreachableServices && !(unreachableServices == rhs.unreachableServices))
       return false;
+    if (__isset.refusing != rhs.__isset.refusing)
+      return false;
+    else if (__isset.refusing && !(refusing == rhs.refusing))
+      return false;
     return true;
   }
   bool operator != (const GatewayWord &rhs) const {
--- a/packages/Peer/idl/peer.thrift
+++ b/packages/Peer/idl/peer.thrift
@@ -203,6 +203,14 @@
   2: required i64 startedAtMs
 }
 
+/** One run of an endpoint, which refuses the requests of the sender. */
+struct RefusingEndpoint {
+  1: required string endpoint
+  2: required i64 startedAtMs
+  /** Time for which the sender does not use it. */
+  3: required i64 remainingMicroseconds
+}
+
 /** The rate of requests that one run of an endpoint accepts from all gateways together, according to its last answer. */
 struct RateLimit {
   1: required string endpoint
@@ -263,4 +271,5 @@
   27: optional string handoverAddress
   /** Services whose endpoints the sender doesn't reach. */
   28: optional list<string> unreachableServices
+  29: optional list<RefusingEndpoint> refusing
 }
--- a/packages/Peer/tests/GossipMessage.cpp
+++ b/packages/Peer/tests/GossipMessage.cpp
@@ -18,6 +18,7 @@
     gossip.handover = SocketAddress { "10.0.0.1", 7341 };
     gossip.unreachableServices = { ServiceId("s1"), ServiceId("s2") };
     gossip.leaving = { { EndpointId("e3"), 1700000000001 } };
+    gossip.refusing = { { { EndpointId("e5"), 1700000000005 }, 3s } };
     gossip.requestTraits = { { RequestTraitId("p1"), { { { EndpointId("e4"), 1700000000002 }, 250ms, 90ms } }, 900ms, true }, { RequestTraitId("p2"), {}, {}, false } };
     gossip.peers = { { { "10.0.0.2", 8229 }, FailureDomainId("b") } };
     gossip.peersDigest = 0x8000000000000001;
