Spread load among gateways with old reports, and learn from refusals

Gateways choose by the same figures, up to 200 ms old, and fill the engine that was the cheapest then; later engines of chains refuse 3 to 18% of the requests.

The cost of each engine gets a random part of at most the share of its KV cache that other gateways may have begun to use since the last report. A refusal raises the engine's known load until newer reports. Planning uses refusing engines only when there is no chain without them. The gateway logs `engine-refusing` and `spread`, counts engine_refusals_total and exchanges refusals with its peers. LoadTracker::markRefreshed() takes the time, and its tests pass it.

--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <set>
@@ -130,10 +131,10 @@
         if (need > candidate.freeTokenLayers || (from == 0 && this->profile.slots > 0 && candidate.sequences >= this->profile.slots))
             return;
         const StageTimes times = stageTimes(this->profile, candidate, this->request.promptTokens, this->request.outputTokens, to - from);
-        const double capacity = candidate.accelerator.memoryMegabytes - candidate.layers.size() * this->profile.layerMegabytes;
-        const double capacityTokenLayers = std::max(1.0, capacity / this->profile.kvMegabytesPerTokenLayer());
+        const double capacityTokenLayers = std::max(1.0, kvCapacity(this->profile, candidate.accelerator, candidate.layers));
         const double used = 1 - std::min(1.0, (candidate.freeTokenLayers - need) / capacityTokenLayers);
         const double crowding = 1 + crowdingFactor * std::pow(used, crowdingExponent);
+        const double weight = crowding * (1 + candidate.draw * candidate.spread);
         for (const auto& [domain, label] : this->labels[from]) {
             const bool crosses = from > 0 && domain != candidate.failureDomain;
             if (crosses && this->request.fullLinks.contains(DomainLink(domain, candidate.failureDomain)))
@@ -146,7 +147,7 @@
             const double stageCost = times.prefillMs + hopOverheadMs + this->request.outputTokens * (times.stepMs + hopOverheadMs);
             const double crossingCost = crossingPrefillMs + this->request.outputTokens * crossingStepMs;
             const double remotePenalty = from == 0 && this->request.origin != candidate.failureDomain ? remoteChainPenaltyMs : 0;
-            next.cost = label.cost + crowding * stageCost + crossingCostFactor * crossingCost + remotePenalty;
+            next.cost = label.cost + weight * stageCost + crossingCostFactor * crossingCost + remotePenalty;
             next.candidate = index;
             next.previousLayer = from;
             next.previousDomain = domain;
@@ -206,9 +207,23 @@
             continue;
         chain.perEvent = chain.perToken * profile.tokensPerEvent;
         chain.tokens = request.promptTokens + request.outputTokens;
+        chain.spread = candidates[stages.front().first].spread;
         return chain;
     }
     return std::nullopt;
 }
 
+std::optional<LayerChain> planAroundRefusals(const EngineProfile& profile, const std::vector<StageCandidate>& candidates, const ChainRequest& request)
+{
+    std::vector<StageCandidate> others;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(others), [](const StageCandidate& candidate) { return !candidate.refusing; });
+    auto chain = planLayerChain(profile, others, request);
+    return chain || others.size() == candidates.size() ? chain : planLayerChain(profile, candidates, request);
+}
+
+double kvCapacity(const EngineProfile& profile, const AcceleratorProfile& accelerator, LayerRange held)
+{
+    return (accelerator.memoryMegabytes - held.size() * profile.layerMegabytes) / profile.kvMegabytesPerTokenLayer();
+}
+
 }
--- a/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/ChainPlanner.h
@@ -22,6 +22,9 @@
     double sequences = 0; ///< in progress on the engine
     double freeTokenLayers = 0; ///< unreserved KV cache, in tokens times layers
     bool acceptsRequests = true; ///< whether it may run the first stage, to which the request is sent
+    double spread = 0; ///< largest random part of the engine's cost, relative to the cost
+    double draw = 0; ///< random number in [0, 1) of this engine for this plan
+    bool refusing = false; ///< has refused work, so that it is used only when there is no chain without it
 
     auto operator<=>(const StageCandidate&) const = default;
 };
@@ -42,6 +45,7 @@
     Duration perEvent {}; ///< expected time between two events of the stream; an event may hold several tokens
     double tokens = 0; ///< prompt and expected output tokens, for which the engines reserve KV cache
     std::vector<DomainLink> crossings; ///< links between failure domains that the chain uses, in order
+    double spread = 0; ///< of the first engine's cost
 
     auto operator<=>(const LayerChain&) const = default;
 };
@@ -66,10 +70,23 @@
  * The cost is the expected duration, weighted by the memory use of the engines, plus penalties for crossings between failure domains
  * and for a first stage outside the daemon's failure domain. The search is a shortest path over layer boundaries; an engine may run
  * only a part of its layers.
+ *
+ * Load pattern: gateways that choose by the same figures, some hundred milliseconds old, all fill the engine that was the cheapest at that time.
+ * The cost of each engine is therefore multiplied by 1 + draw x spread: gateways differ in their choice among engines of similar cost, while a
+ * much faster engine stays the choice of all.
  * \returns the chain, or nothing when no chain covers all layers with enough free KV cache for the request
  */
 std::optional<LayerChain> planLayerChain(const EngineProfile&, const std::vector<StageCandidate>&, const ChainRequest&);
 
+/** \brief Finds a chain as planLayerChain() does, with refusing engines only when there is none without them.
+ *
+ * Load pattern: while the engines that hold some of the layers refuse, or all others are full, leaving out refusing engines would refuse every
+ * caller until the end of the pause, although their memory may be free again. */
+std::optional<LayerChain> planAroundRefusals(const EngineProfile&, const std::vector<StageCandidate>&, const ChainRequest&);
+
+/** \returns the KV cache of the engine, in tokens times layers, with the layers that it holds */
+double kvCapacity(const EngineProfile&, const AcceleratorProfile&, LayerRange held);
+
 }
 
 #endif
--- a/packages/Gateway/tests/ChainPlanning.cpp
+++ b/packages/Gateway/tests/ChainPlanning.cpp
@@ -111,6 +111,31 @@
     BOOST_TEST((chain.back().endpoint == EndpointId("idle")));
 }
 
+// Guards against gateways that all choose the same of several similar engines, and against slow engines that are chosen at random.
+BOOST_AUTO_TEST_CASE(randomPartOfTheCostDecidesOnlyAmongSimilarEngines)
+{
+    StageCandidate drawn = candidate("drawn", { 0, 80 }, "large");
+    drawn.spread = 0.25;
+    drawn.draw = 0.9;
+    const auto similar = planLayerChain(profile, { drawn, candidate("other", { 0, 80 }, "large") }, request());
+    BOOST_TEST((similar->stages.front().endpoint == EndpointId("other")));
+    const auto slower = planLayerChain(profile, { drawn, candidate("slow", { 0, 80 }, "middle") }, request());
+    BOOST_TEST((slower->stages.front().endpoint == EndpointId("drawn")));
+    BOOST_TEST(slower->spread == 0.25);
+}
+
+// Guards against callers that are refused although a refusing engine could complete the chain.
+BOOST_AUTO_TEST_CASE(refusingEngineIsUsedOnlyWhenThereIsNoChainWithoutIt)
+{
+    StageCandidate refusing = candidate("refusing", { 0, 40 }, "large");
+    refusing.refusing = true;
+    const StageCandidate rest = candidate("rest", { 40, 80 });
+    BOOST_TEST((planAroundRefusals(profile, { refusing, rest, candidate("slow", { 0, 40 }) }, request())->stages.front().endpoint == EndpointId("slow")));
+    BOOST_TEST((planAroundRefusals(profile, { refusing, rest }, request())->stages.front().endpoint == EndpointId("refusing")));
+    BOOST_TEST((planAroundRefusals(profile, { refusing, rest, candidate("full", { 0, 40 }, "large", "a", 1) }, request())->stages.front().endpoint == EndpointId("refusing")));
+    BOOST_TEST(!planAroundRefusals(profile, { refusing }, request()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(chainsRunEveryLayerOnceOnEnginesThatHoldIt)
 {
     testing::checkProperty([] {
--- a/packages/Gateway/tests/LoadTracker.cpp
+++ b/packages/Gateway/tests/LoadTracker.cpp
@@ -47,11 +47,11 @@
 // Guards against a herd effect: 28 gateways filled the same free engine at once, before they received each other's reports.
 BOOST_FIXTURE_TEST_CASE(synchronizedPeersAreAssumedToBeginTheSameWorkUntilTheNextRefresh, Fixture)
 {
-    this->loads.markRefreshed(3);
+    this->loads.markRefreshed(3, this->now);
     this->loads.begin(engine, { 1, 10 });
     BOOST_TEST((this->loads.total(engine) == WorkInProgress { 4, 40 }));
     BOOST_TEST((this->loads.own() == WorkByEndpoint { { engine, { 1, 10 } } }));
-    this->loads.markRefreshed(3);
+    this->loads.markRefreshed(3, this->now);
     BOOST_TEST((this->loads.total(engine) == WorkInProgress { 1, 10 }));
 }
 
@@ -72,3 +72,48 @@
     this->loads.expire(this->now + 2100ms);
     BOOST_TEST(this->loads.total(engine).requests == 0);
 }
+
+// Guards against further requests to an engine that others have filled since their reports; the reports that come next may be older than the
+// refusal.
+BOOST_FIXTURE_TEST_CASE(refusalRaisesTheLoadUntilNewerReports, Fixture)
+{
+    this->loads.replaceGroupLoad("hub", { { engine, { 2, 700 } } }, this->now);
+    this->loads.noteRefusal(engine, 1000, 200, this->now);
+    BOOST_TEST(this->loads.total(engine).tokenLayers == 801);
+    this->loads.noteRefusal(engine, 1000, 250, this->now);
+    BOOST_TEST(this->loads.total(engine).tokenLayers == 801);
+    this->loads.noteRefusal(engine, 1000, 100, this->now);
+    BOOST_TEST(this->loads.total(engine).tokenLayers == 901);
+    this->loads.markRefreshed(3, this->now + 150ms);
+    BOOST_TEST(this->loads.total(engine).tokenLayers == 901);
+    BOOST_TEST(this->loads.withMembers().empty());
+    this->loads.markRefreshed(3, this->now + 200ms);
+    BOOST_TEST(this->loads.total(engine).tokenLayers == 700);
+}
+
+// Guards against a raised load that stays when no reports come any more.
+BOOST_FIXTURE_TEST_CASE(raisedLoadExpires, Fixture)
+{
+    this->loads.noteRefusal(engine, 1000, 200, this->now);
+    this->loads.expire(this->now + 2100ms);
+    BOOST_TEST(this->loads.total(engine).tokenLayers == 0);
+}
+
+// Guards against random choices on sites where nothing is unknown: with a single gateway, or with little new work.
+BOOST_FIXTURE_TEST_CASE(unreportedShareFollowsFromRateAgeAndNumberOfGateways, Fixture)
+{
+    BOOST_TEST(this->loads.unreportedShare(0, 1, 1e6, this->now) == 0);
+    BOOST_TEST(this->loads.unreportedShare(29, 1, 1e6, this->now) == 0.25);
+    // 200 at each refresh: 1000 per second.
+    for (int refresh = 0; refresh < 150; ++refresh) {
+        this->loads.markRefreshed(29, this->now);
+        this->loads.begin(engine, { 1, 200 });
+        this->now += 200ms;
+    }
+    this->loads.markRefreshed(29, this->now);
+    // 29 gateways x 1000 per second x 200 ms.
+    BOOST_TEST(this->loads.unreportedShare(29, 1, 1e5, this->now + 100ms) == 0.058, boost::test_tools::tolerance(0.01));
+    BOOST_TEST(this->loads.unreportedShare(29, 0.5, 1e5, this->now + 100ms) == 0.029, boost::test_tools::tolerance(0.01));
+    BOOST_TEST(this->loads.unreportedShare(29, 1, 1e4, this->now + 100ms) == 0.25);
+    BOOST_TEST(this->loads.unreportedShare(29, 1, 1e9, this->now + 2100ms) == 0.25);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -199,7 +199,8 @@
         task.logDecision("endpoint-chosen", { { "endpoint", endpoint.id.str() }, { "requestsThere", std::to_string(static_cast<std::uint64_t>(task.context.loads.total(endpoint.id).requests)) }, { "slots", std::to_string(endpoint.slots) }, { "sends", std::to_string(task.history.attemptCount()) }, { "sharePerSecond", task.rateShare(endpoint.id) } });
         task.context.loads.begin(endpoint.id, load);
         const TimePoint startedAt = bootNow();
-        const AttemptResult result = co_await attemptCall(task, endpoint);
+        AttemptResult result = co_await attemptCall(task, endpoint);
+        result.sentAt = startedAt;
         task.context.loads.end(endpoint.id, load);
         if (!result.failure) {
             task.context.registry.noteSuccess(endpoint.id, startedAt);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -93,7 +93,7 @@
 
 void StreamForwarder::logChain(const LayerChain& chain) const
 {
-    this->task.logDecision("chain-chosen", { { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
+    this->task.logDecision("chain-chosen", { { "spread", std::to_string(chain.spread) }, { "stages", std::to_string(chain.stages.size()) }, { "first", chain.stages.front().endpoint.str() }, { "firstTokenMs", milliseconds(chain.firstToken) }, { "perTokenUs", std::to_string(chain.perToken.count()) }, { "crossings", std::to_string(chain.crossings.size()) }, { "waitedMs", milliseconds(bootNow() - this->task.received) }, { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "sharePerSecond", this->task.rateShare(chain.stages.front().endpoint) } });
 }
 
 void StreamForwarder::logBreakOff() const
@@ -110,10 +110,28 @@
     this->task.logDecision("stream-broken-off", { { "resumesAfter", this->lastEventId ? std::to_string(*this->lastEventId) : "" }, { "pausedMs", milliseconds(now - this->lastProgress) }, { "timeLeftMs", milliseconds(this->task.timeLeft()) }, { "engines", std::to_string(engines) }, { "avoided", std::to_string(avoided) }, { "retriesSaved", std::to_string(this->task.context.retryBudget(this->task.service).saved()) } });
 }
 
+void StreamForwarder::noteRefusedStage(const LayerChain& chain, const AttemptResult& result)
+{
+    // A pushback tells nothing of the engine's memory.
+    if (result.fault != EndpointFault::Refused || !result.failure || !result.blamed || result.pushedBack)
+        return;
+    const auto stage = std::find_if(chain.stages.begin(), chain.stages.end(), [&result](const LayerStage& candidate) { return candidate.endpoint == *result.blamed; });
+    const EndpointRecord* record = this->task.context.registry.find(*result.blamed);
+    const ForwardedService* service = this->task.context.table->findService(this->task.service);
+    if (stage == chain.stages.end() || !record || !service || !service->engine)
+        return;
+    const auto accelerator = service->engine->accelerators.find(record->endpoint.accelerator);
+    if (accelerator == service->engine->accelerators.end())
+        return;
+    const double capacity = kvCapacity(*service->engine, accelerator->second, record->endpoint.layers);
+    this->task.context.loads.noteRefusal(*result.blamed, capacity, chain.tokens * stage->layers.size(), bootNow());
+}
+
 asio::awaitable<bool> StreamForwarder::serveByChain(ForwardMetadata metadata, LayerChain chain, std::optional<BegunStream> begun)
 {
     const AttemptResult result = co_await this->runMonitoredAttempt(metadata, chain, std::move(begun));
     this->complete = !result.failure;
+    this->noteRefusedStage(chain, result);
     if (this->complete || this->task.caller->disconnected())
         co_return false;
     const bool retry = this->task.noteFailure(result, metadata.stages.front().endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -112,7 +112,10 @@
 void ForwardTask::noteFault(const AttemptResult& result, const EndpointId& first, const EndpointId& blamed)
 {
     // A pushback excludes the endpoint for exactly the time that it named; that is no sign of a defect.
-    if (!result.pushedBack || blamed != first)
+    const bool counts = !result.pushedBack || blamed != first;
+    if (counts && result.fault == EndpointFault::Refused)
+        this->context.noteRefusal(blamed, result.sentAt.value_or(bootNow()));
+    else if (counts)
         this->context.registry.noteFault(blamed, result.fault, bootNow());
     if (blamed == first && result.failure == AttemptEnd::NotSent && result.fault == EndpointFault::Unreachable)
         this->context.noteUnreachable(first);
@@ -173,7 +176,8 @@
 {
     std::vector<EndpointId> endpoints;
     const std::uint32_t layers = this->modelLayers();
-    for (const EndpointRecord* record : this->context.registry.candidates(this->service, bootNow())) {
+    const auto refusing = layers == 0 ? RefusingCandidates::Excluded : RefusingCandidates::Included;
+    for (const EndpointRecord* record : this->context.registry.candidates(this->service, bootNow(), refusing)) {
         const RegisteredEndpoint& endpoint = record->endpoint;
         const bool first = layers == 0 || (!endpoint.layers.empty() && endpoint.layers.first() == 0);
         if (first && this->history.mayUse(endpoint.id))
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -25,6 +25,7 @@
     bool pushedBack = false; ///< the first endpoint refused the request and named the time for which it wants no others
     std::uint32_t events = 0; ///< events of a stream that arrived in the attempt
     bool connectionBroken = false; ///< the first endpoint's connection broke before the end of the response
+    std::optional<TimePoint> sentAt {}; ///< when the attempt began; set at least in refusals by an endpoint
     std::string evidence; ///< for the log: why an endpoint whose failure ended the attempt counts as failed
 
     bool operator==(const AttemptResult&) const = default;
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -205,6 +205,23 @@
     }
 }
 
+void GatewayContext::noteRefusal(const EndpointId& endpoint, TimePoint sentAt)
+{
+    const EndpointRecord* record = this->registry.find(endpoint);
+    if (!record)
+        return;
+    const AcceleratorId& accelerator = record->endpoint.accelerator;
+    this->metrics.count({ "engine_refusals_total", accelerator.empty() ? "plain" : accelerator.str() });
+    if (const auto pause = this->registry.noteRefusal(endpoint, sentAt, this->randomFraction(), bootNow()))
+        logLine(WriteLog::Level::Info, "engine-refusing", { { "endpoint", endpoint.str() }, { "pauseMs", milliseconds(*pause) }, { "source", "own" } });
+}
+
+void GatewayContext::noteRemoteRefusal(const RefusingEndpoint& refusing, const DaemonId& reporter)
+{
+    if (const auto pause = this->registry.noteRemoteRefusal(refusing, this->randomFraction(), bootNow()))
+        logLine(WriteLog::Level::Info, "engine-refusing", { { "endpoint", refusing.run.endpoint.str() }, { "pauseMs", milliseconds(*pause) }, { "source", reporter.str() } });
+}
+
 void GatewayContext::noteRateLimit(const EndpointId& endpoint, std::optional<double> requestsPerSecond)
 {
     const EndpointRecord* record = this->registry.find(endpoint);
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -75,6 +75,11 @@
     void noteCrash(const std::vector<RequestTraitId>&, const EndpointRun&, TimePoint sentAt, TimePoint brokenAt);
     /** \returns the time for which requests with these traits are refused, or nothing when they may be sent */
     std::optional<Duration> refusalTime(const std::vector<RequestTraitId>&);
+    /** \brief Records that an endpoint refused a request of this daemon.
+     * \param sentAt when the request was sent */
+    void noteRefusal(const EndpointId&, TimePoint sentAt);
+    /** \brief Records that an endpoint refuses the requests of another daemon. */
+    void noteRemoteRefusal(const RefusingEndpoint&, const DaemonId& reporter);
     /** \brief Takes note of what an endpoint says about itself in an answer. */
     void noteSignals(const EndpointId&, const EndpointSignals&);
 
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -151,6 +151,7 @@
     message.endpointsRevision = this->revisionOffset + this->context.registry.revision();
     message.storeEra = this->context.storeEra.current();
     message.leaving = this->context.registry.reportedLeaving();
+    message.refusing = this->context.registry.ownRefusals(bootNow());
     message.rateLimits = this->context.rateLimits.reports(bootNow());
     message.requestTraits = this->context.requestQuarantine.evidence(bootNow());
     const auto entry = this->peerStates.find(receiver);
@@ -180,7 +181,7 @@
         this->context.loads.replaceMemberLoad(message.daemon, std::move(message.work), now);
     } else if (sameDomain && !hub && message.sum && this->isOwnHub(message.address)) {
         this->context.loads.replaceGroupLoad(hubGroup, std::move(message.work), now);
-        this->context.loads.markRefreshed(this->context.roster.neighbours());
+        this->context.loads.markRefreshed(this->context.roster.neighbours(), now);
     }
     if (!sameDomain && hub && message.sum && this->context.roster.hub(message.failureDomain) == message.address)
         this->context.loads.replaceGroupLoad(message.failureDomain.str(), std::move(message.work), now);
@@ -225,6 +226,8 @@
     }
     for (const EndpointRun& run : message.leaving)
         this->context.registry.noteRemoteLeaving(run);
+    for (const RefusingEndpoint& refusing : message.refusing)
+        this->context.noteRemoteRefusal(refusing, message.daemon);
     this->context.rateLimits.merge(message.rateLimits, now);
     this->context.requestQuarantine.merge(message.requestTraits, now);
     if (message.configuration)
@@ -297,7 +300,7 @@
     for (std::uint64_t round = 0;; ++round) {
         // Each member has sent a message within this many rounds.
         if (this->context.roster.isHub() && round % memberRoundPeriod == 0)
-            this->context.loads.markRefreshed(this->context.roster.neighbours());
+            this->context.loads.markRefreshed(this->context.roster.neighbours(), bootNow());
         this->context.updateRateLimits(bootNow());
         for (const SocketAddress& address : this->context.roster.due(bootNow()))
             asio::co_spawn(this->context.io, this->exchangeWith(address), asio::detached);
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -161,6 +161,7 @@
 asio::awaitable<std::optional<BegunStream>> StreamForwarder::beginAtChain(const ForwardMetadata& metadata, Duration timeout, UpstreamPointer& slot, AttemptResult& result)
 {
     const ForwardStage& first = metadata.stages.front();
+    const TimePoint sentAt = bootNow();
     const UpstreamPointer connection = co_await this->task.sendRequest(metadata, slot, result);
     if (!connection)
         co_return std::nullopt;
@@ -174,6 +175,7 @@
             logLine(WriteLog::Level::Info, "refusal-body-unread", { { "request", this->task.request.id.str() }, { "endpoint", first.endpoint.str() }, { "reason", unread.message() } });
         this->task.context.pool.giveBack(first.address, connection);
         result = *failure;
+        result.sentAt = sentAt;
         co_return std::nullopt;
     }
     co_return BegunStream { connection, *reply };
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamPlan.cpp
@@ -27,13 +27,22 @@
     if (accelerator != profile.accelerators.end())
         candidate.accelerator = accelerator->second;
     const WorkInProgress load = loads.total(record.endpoint.id);
-    const double memory = candidate.accelerator.memoryMegabytes - candidate.layers.size() * profile.layerMegabytes;
     candidate.acceptsRequests = limits.permits(record.endpoint.id, now);
     candidate.sequences = load.requests;
-    candidate.freeTokenLayers = memory / profile.kvMegabytesPerTokenLayer() - load.tokenLayers;
+    candidate.freeTokenLayers = kvCapacity(profile, candidate.accelerator, candidate.layers) - load.tokenLayers;
     return candidate;
 }
 
+/** \brief Sets the random part of the engine's cost, and whether it refuses work.
+ * \param others number of other gateways */
+void addSpread(GatewayContext& context, std::size_t others, StageCandidate& candidate, const EndpointRecord& record, const EngineProfile& profile, TimePoint now)
+{
+    const double layerShare = static_cast<double>(candidate.layers.size()) / profile.layers;
+    candidate.spread = context.loads.unreportedShare(others, layerShare, kvCapacity(profile, candidate.accelerator, candidate.layers), now);
+    candidate.draw = context.randomFraction();
+    candidate.refusing = EndpointRegistry::isRefusing(record, now);
+}
+
 std::set<DomainLink> fullLinks(const LoadTracker& loads, const std::vector<StageCandidate>& candidates, double capacity)
 {
     std::set<FailureDomainId> domains;
@@ -60,11 +69,14 @@
     const EngineProfile& engine = *service->engine;
     std::vector<StageCandidate> candidates;
     const TimePoint now = bootNow();
-    for (const EndpointRecord* record : task.context.registry.candidates(task.service, now)) {
+    const std::size_t others = std::max(task.context.siteGateways().value_or(0), task.context.roster.size()) - 1;
+    for (const EndpointRecord* record : task.context.registry.candidates(task.service, now, RefusingCandidates::Included)) {
         const EndpointId& id = record->endpoint.id;
-        const bool permitted = history.mayUse(id) || (history.wasRefusedBy(id) && !EndpointRegistry::isRefusing(*record, now));
-        if (!record->endpoint.layers.empty() && permitted)
-            candidates.push_back(stageCandidate(task.context.loads, task.context.rateLimits, *record, engine, now));
+        const bool permitted = history.mayUse(id) || (history.wasRefusedBy(id) && !record->refusals.hasJustRefused(now));
+        if (record->endpoint.layers.empty() || !permitted)
+            continue;
+        candidates.push_back(stageCandidate(task.context.loads, task.context.rateLimits, *record, engine, now));
+        addSpread(task.context, others, candidates.back(), *record, engine, now);
     }
     ChainRequest request;
     request.origin = task.context.settings.failureDomain;
@@ -73,7 +85,7 @@
     if (history.attemptsExhausted())
         request.firstStages = history.used();
     request.fullLinks = fullLinks(task.context.loads, candidates, linkCapacity(engine));
-    return planLayerChain(engine, candidates, request);
+    return planAroundRefusals(engine, candidates, request);
 }
 
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/internal/StreamForwarder.h
@@ -127,6 +127,8 @@
     std::vector<EndpointRun> runsOf(const ForwardMetadata&) const;
     boost::asio::awaitable<void> finish();
     void reportChainHealthy();
+    /** \brief Records that the stage which refused the request is fuller than was known. */
+    void noteRefusedStage(const LayerChain&, const AttemptResult&);
     void logChain(const LayerChain&) const;
     void logBreakOff() const;
 
