--- a/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
@@ -81,7 +81,8 @@
     const auto usualPause = this->eventsInAttempt >= eventsThatShowPace ? std::optional(this->longestGapInAttempt) : std::nullopt;
     for (const EndpointId& engine : this->engines) {
         const EndpointRecord* record = this->task.context.registry.find(engine);
-        if (record && record->refusedAt && isStalledByRefusingEngine(this->stallDuration(), usualPause, now - *record->refusedAt))
+        const auto refusedAt = record ? record->refusals.lastRefusal(now) : std::nullopt;
+        if (refusedAt && isStalledByRefusingEngine(this->stallDuration(), usualPause, now - *refusedAt))
             return engine;
     }
     return std::nullopt;
