--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
@@ -37,6 +37,7 @@
         text += &route == &routes.front() ? "" : ",";
         text += R"({"Name":")" + route.name + R"(","Host":"h.example","TimeoutMs":5000,"TargetLatencyMs":500,"PathPrefix":")" + route.prefix
             + R"(","Kind":")" + route.kind + R"(","Service":")" + route.service + R"(","Attempts":)" + std::to_string(route.attempts)
+            + (route.priority ? R"(,"Priority":)" + std::to_string(*route.priority) : "")
             + (route.kind == "stream" ? R"(,"GapTargetMs":200,"StreamResume":true})" : "}");
     }
     const std::string engine = R"({"Slots":8,"KvTokenBytes":8000,"Stride":1,"step_ms":1,"per_seq_ms":0.001,"context_per_k":0.001,"read_per_s":100000.0,"usual":{"prompt":10,"answer":10},"Layers":8,"LayerMb":10.0,"ActBytes":100,"PipeMbps":1000.0,"Models":[{"Name":"m","LoadS":1}],"Kinds":[{"Name":"l4","Megabytes":1000.0,"pace":1.0,"ReadFactor":1.0}]})";
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -19,6 +19,7 @@
     std::string kind; ///< in the platform's words
     std::string service;
     unsigned attempts = 1;
+    std::optional<unsigned> priority = {};
 
     bool operator==(const RouteText&) const = default;
 };
