Settings: requestMemoryMb of a gateway

Need: the memory limit that requests share depends on the host; 64 MB fits the smallest one, which has 160 MB. Change: optional setting, 8 to 65536, 64 by default. Evidence: Configuration.GatewaySettings.* pass, with a new case for default and minimum.

--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.cpp
@@ -13,6 +13,10 @@
 constexpr std::uint64_t maximumHeartbeatMs = 60'000;
 constexpr std::uint64_t minimumStopMs = 100;
 constexpr std::uint64_t maximumStopMs = 600'000;
+// Less would not hold a request with the largest body of the usual limits, 4 MB, and the copy of it that is forwarded.
+constexpr std::uint64_t minimumRequestMemoryMb = 8;
+constexpr std::uint64_t maximumRequestMemoryMb = 65'536;
+constexpr std::size_t megabyte = std::size_t { 1 } << 20;
 const std::vector<std::string_view> levelNames = { "debug", "info", "warning", "error" };
 
 SocketAddress readAddress(internal::MappingReader& root, const std::string& key)
@@ -74,6 +78,7 @@
     settings.retryBudget.reserve = budget.number("reserve", 0, maximumReserve, settings.retryBudget.reserve);
     budget.reportUnknownKeys();
     settings.stopTimeout = readMilliseconds(root, "stopTimeoutMs", minimumStopMs, maximumStopMs, settings.stopTimeout);
+    settings.requestMemoryBytes = root.integer("requestMemoryMb", minimumRequestMemoryMb, maximumRequestMemoryMb, settings.requestMemoryBytes / megabyte) * megabyte;
     settings.logLevel = static_cast<LogLevel>(root.choice("logLevel", levelNames, static_cast<std::size_t>(LogLevel::Info)));
     root.reportUnknownKeys();
     if (problems.empty())
--- a/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
+++ b/packages/Configuration/filbertspoke/src/Configuration/GatewaySettings.h
@@ -7,6 +7,7 @@
 
 #include <filbertspoke/Core>
 
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -36,6 +37,7 @@
     Duration heartbeatInterval = std::chrono::seconds(1); ///< at which endpoints write their entries in the registry
     RetryBudgetSettings retryBudget;
     Duration stopTimeout = std::chrono::seconds(8); ///< time from the request to stop until the process is killed
+    std::size_t requestMemoryBytes = std::size_t { 64 } << 20; ///< memory limit of all requests that are read or in progress
     LogLevel logLevel = LogLevel::Info;
 
     bool operator==(const GatewaySettings&) const = default;
--- a/packages/Configuration/tests/GatewaySettings.cpp
+++ b/packages/Configuration/tests/GatewaySettings.cpp
@@ -24,6 +24,7 @@
     ratio: 0.2
     reserve: 25
 stopTimeoutMs: 8000
+requestMemoryMb: 16
 )";
 
 std::set<std::string> problemKeys(const std::string& yaml)
@@ -52,6 +53,7 @@
     BOOST_TEST((settings.heartbeatInterval == Duration(1200ms)));
     BOOST_TEST((settings.retryBudget == RetryBudgetSettings { 0.2, 25 }));
     BOOST_TEST((settings.stopTimeout == Duration(8s)));
+    BOOST_TEST(settings.requestMemoryBytes == 16U * 1024 * 1024);
 }
 
 BOOST_AUTO_TEST_CASE(peersAndMetricsAreOptional)
@@ -62,6 +64,17 @@
     BOOST_TEST(!std::get<GatewaySettings>(parsed).peers.has_value());
 }
 
+// Guards against a limit for requests that no request of the largest size fits into.
+BOOST_AUTO_TEST_CASE(requestMemoryHasADefaultAndAMinimum)
+{
+    const std::string required = "daemon: d\nfailureDomain: f\ncallers: 10.0.0.1:1\nreadiness: 10.0.0.1:2\nstore: 10.0.0.2:3\n";
+    const auto parsed = parseGatewaySettings(required);
+    BOOST_REQUIRE(std::holds_alternative<GatewaySettings>(parsed));
+    BOOST_TEST(std::get<GatewaySettings>(parsed).requestMemoryBytes == 64U * 1024 * 1024);
+    BOOST_TEST(problemKeys(required + "requestMemoryMb: 7\n").contains("requestMemoryMb"));
+    BOOST_TEST(problemKeys(required + "requestMemoryMb: 8\n").empty());
+}
+
 BOOST_AUTO_TEST_CASE(allProblemsAreReportedAtOnce)
 {
     const auto keys = problemKeys("daemon: d\ncallers: nowhere\nreadiness: 10.0.0.1:99999\nstore: 10.0.0.2:3\nseeds: [\"x\"]\nheartbeatMs: 0\nstopTimeoutMs: -1\nsurprise: 1\n");
