Forwarding: write the body of a request without another copy

Cause: send() put head and body into one text, so that a forwarded body existed three times. Change: head and body are written as two buffers. A body exists twice while it is forwarded, as the memory limit of requests counts it.

--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -29,14 +29,14 @@
 // A larger rest of a body is not worth reading only to reuse the connection.
 constexpr std::size_t maximumSkippedBytes = 64 * 1024;
 
-std::string requestText(const HttpRequest& request)
+std::string headText(const HttpRequest& request)
 {
     std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
     for (const HttpHeader& header : request.headers)
         text.append(header.name).append(": ").append(header.value).append("\r\n");
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
         text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-    text.append("\r\n").append(request.body);
+    text.append("\r\n");
     return text;
 }
 
@@ -100,11 +100,13 @@
 asio::awaitable<std::error_code> UpstreamConnection::send(const HttpRequest& request, Duration timeout)
 {
     const auto state = this->state;
-    const std::string text = requestText(request);
+    // The body is written from the request: another copy would be memory that no limit counts.
+    const std::string head = headText(request);
+    const std::array<asio::const_buffer, 2> message { asio::buffer(head), asio::buffer(request.body) };
     state->headRequest = request.method == "HEAD";
     state->parser.reset();
     state->stream.expires_after(timeout);
-    const auto [error, bytes] = co_await asio::async_write(state->stream, asio::buffer(text), asTuple);
+    const auto [error, bytes] = co_await asio::async_write(state->stream, message, asTuple);
     co_return error;
 }
 
