Requests share a memory limit while they are read and in progress

Cause: callers that each stay below MaxBodyBytes and never finish their bodies are held until the header timeout, any number of them. Change: the body is read piece by piece, and the request's share of RequestMemory grows before each piece; a body of known length is reserved at once. The share counts the read buffer, the header section and the capacity of the body, and the body once more when it is forwarded; it lives until the request has ended. A request that does not fit is refused with 503 and Retry-After (request-memory-exhausted), one from another gateway with 421, and the connection is closed gracefully. Idle connections hold no buffer. The setting takes effect on reload. The replica of the tests takes bodies over 1 MB now, which the gateway's limits allow. While it holds the limit, other callers are refused until the header timeout ends its requests.

--- a/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.cpp
@@ -43,6 +43,8 @@
         return "configuration-unavailable";
     case ErrorCode::RequestQuarantined:
         return "request-quarantined";
+    case ErrorCode::RequestMemoryExhausted:
+        return "request-memory-exhausted";
     case ErrorCode::NoEndpoint:
         return "no-endpoint";
     case ErrorCode::NoPipeline:
--- a/packages/Core/filbertspoke/src/Core/ErrorCode.h
+++ b/packages/Core/filbertspoke/src/Core/ErrorCode.h
@@ -31,6 +31,7 @@
     Draining,
     ConfigurationUnavailable,
     RequestQuarantined,
+    RequestMemoryExhausted,
     // Failures of endpoints, peers or the platform, and a caller that disconnected.
     NoEndpoint,
     NoPipeline,
--- a/packages/Daemon/tests/HostileCallers.cpp
+++ b/packages/Daemon/tests/HostileCallers.cpp
@@ -10,11 +10,15 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iterator>
 #include <memory>
+#include <optional>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <tuple>
@@ -36,16 +40,25 @@
 constexpr long memoryGrowthKb = 16 * 1024;
 // Connections of the crowd, and those that the gateway may open meanwhile.
 constexpr std::ptrdiff_t descriptorGrowth = 4 * crowd;
+// The crowd of unfinished bodies: 24 bodies of the largest size are 96 MB, six times the memory that the gateway may use for requests.
+constexpr int bodyCrowd = 24;
+constexpr std::size_t largestBodyBytes = 4 * 1024 * 1024;
+constexpr unsigned bodyMemoryMb = 16;
+// The limit for requests three times: an allocator may hold freed bodies of other sizes beside those in use.
+constexpr long bodyMemoryGrowthKb = 48 * 1024;
+constexpr std::ptrdiff_t bodyDescriptorGrowth = 4 * bodyCrowd;
+// The time limit for a body is far above the length of the test, so that the crowd is held open while the test checks.
+const std::string bodyLimits = R"({"MaxHeaderBytes":4096,"MaxBodyBytes":4194304,"HeaderTimeoutMs":120000,"IdleTimeoutMs":3000})";
 const std::string limits = R"({"MaxHeaderBytes":4096,"MaxBodyBytes":16384,"HeaderTimeoutMs":3000,"IdleTimeoutMs":3000})";
 
-/** \brief A caller that sends the same piece again and again behind the beginning of a request. */
+/** \brief A caller that sends the same piece again and again behind the beginning of a request, and then leaves its connection open. */
 class EndlessCaller {
 public:
-    EndlessCaller(asio::io_context& context, const HttpAddress& address, const std::string& beginning, const std::string& piece)
+    EndlessCaller(asio::io_context& context, const HttpAddress& address, const std::string& beginning, const std::string& piece, std::size_t bytes = bytesOfCaller)
         : state(std::make_shared<State>(context))
     {
         this->state->socket.connect({ asio::ip::make_address(address.address), address.port });
-        asio::co_spawn(context, run(this->state, beginning, piece), asio::detached);
+        asio::co_spawn(context, run(this->state, beginning, piece, bytes), asio::detached);
     }
 
     /** \returns whether the caller has sent all of its bytes or the gateway has closed the connection */
@@ -62,12 +75,12 @@
         bool ended = false;
     };
 
-    static asio::awaitable<void> run(std::shared_ptr<State> state, std::string beginning, std::string piece)
+    static asio::awaitable<void> run(std::shared_ptr<State> state, std::string beginning, std::string piece, std::size_t limit)
     {
         constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
         auto [error, bytes] = co_await asio::async_write(state->socket, asio::buffer(beginning), asTuple);
-        for (std::size_t sent = 0; !error && sent < bytesOfCaller; sent += piece.size())
-            std::tie(error, bytes) = co_await asio::async_write(state->socket, asio::buffer(piece), asTuple);
+        for (std::size_t sent = 0; !error && sent < limit; sent += bytes)
+            std::tie(error, bytes) = co_await asio::async_write(state->socket, asio::buffer(piece, limit - sent), asTuple);
         state->ended = true;
     }
 
@@ -75,9 +88,10 @@
 };
 
 struct Fixture : GatewayScene {
-    Fixture()
+    explicit Fixture(const std::string& limits = ::limits, std::optional<unsigned> requestMemoryMb = {})
     {
         this->store.putConfiguration(configurationText(2, usualRoutes()).insert(1, R"("Limits":)" + limits + ","));
+        this->requestMemoryMb = requestMemoryMb;
         this->start();
         this->checkOrdinaryRequest();
         this->memoryBefore = this->peakMemoryKb();
@@ -106,6 +120,7 @@
     void checkCrowd(const HttpAddress& address, const std::string& beginning, const std::string& piece)
     {
         std::vector<std::unique_ptr<EndlessCaller>> callers;
+        callers.reserve(crowd);
         for (int caller = 0; caller < crowd; ++caller)
             callers.push_back(std::make_unique<EndlessCaller>(this->context, address, beginning, piece));
         for (const auto& caller : callers)
@@ -121,6 +136,82 @@
     std::ptrdiff_t descriptorsBefore = 0;
 };
 
+struct BodyFixture : Fixture {
+    BodyFixture()
+        : Fixture(bodyLimits, bodyMemoryMb)
+    {
+    }
+
+    /** \returns the bytes that wait in the system's buffers between the callers and the gateway, in both directions */
+    std::size_t bytesUnderway() const
+    {
+        std::ostringstream port;
+        port << ':' << std::uppercase << std::hex << std::setw(4) << std::setfill('0') << this->callers.port;
+        std::ifstream table("/proc/net/tcp");
+        std::size_t bytes = 0;
+        for (std::string line; std::getline(table, line);) {
+            std::istringstream fields(line);
+            std::string number, local, remote, state, queues;
+            fields >> number >> local >> remote >> state >> queues;
+            if (state == establishedState && (local.ends_with(port.str()) || remote.ends_with(port.str())))
+                bytes += std::stoul(queues, nullptr, 16) + std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
+        }
+        return bytes;
+    }
+
+    /** \brief Lets the crowd send bodies that lack their last byte, checks the gateway while it holds them, and that it serves requests when
+     * the crowd has left. */
+    void checkUnfinishedBodies(const std::string& beginning, const std::string& piece, std::size_t bytes)
+    {
+        std::vector<std::unique_ptr<EndlessCaller>> crowd;
+        crowd.reserve(bodyCrowd);
+        for (int caller = 0; caller < bodyCrowd; ++caller)
+            crowd.push_back(std::make_unique<EndlessCaller>(this->context, this->callers, beginning, piece, bytes));
+        for (const auto& caller : crowd)
+            BOOST_TEST(this->await([&] { return caller->ended(); }));
+        BOOST_TEST(this->await([&] { return this->bytesUnderway() == 0; }));
+        BOOST_TEST_REQUIRE(this->gateway->running());
+        BOOST_TEST(this->peakMemoryKb() - this->memoryBefore <= bodyMemoryGrowthKb);
+        BOOST_TEST(this->openDescriptors() - this->descriptorsBefore <= bodyDescriptorGrowth);
+        crowd.clear();
+        BOOST_TEST(this->await([&] { return this->openDescriptors() - this->descriptorsBefore < bodyCrowd / 4; }));
+        this->checkOrdinaryRequest();
+        RawCaller largest(this->context, this->callers, wholeRequest(largestBodyBytes));
+        BOOST_TEST(this->answer(largest, "served").starts_with("HTTP/1.1 200"));
+        BOOST_TEST_REQUIRE(this->gateway->running());
+    }
+
+    /** \brief Lets \a holders begin bodies of the largest size, and checks that another request does not fit beside them. */
+    void checkRefused(int holders, const std::string& request)
+    {
+        std::vector<std::unique_ptr<EndlessCaller>> begun;
+        begun.reserve(static_cast<std::size_t>(holders));
+        for (int holder = 0; holder < holders; ++holder)
+            begun.push_back(std::make_unique<EndlessCaller>(this->context, this->callers, requestHead("Content-Length: " + std::to_string(largestBodyBytes)), "", 0));
+        for (const auto& holder : begun)
+            BOOST_TEST(this->await([&] { return holder->ended(); }));
+        BOOST_TEST(this->await([&] { return this->bytesUnderway() == 0; }));
+        RawCaller refused(this->context, this->callers, request);
+        BOOST_TEST(this->await([&] { return refused.closed(); }));
+        BOOST_TEST(refused.received().starts_with("HTTP/1.1 503"));
+        BOOST_TEST(refused.received().find("Retry-After: ") != std::string::npos);
+        BOOST_TEST(refused.received().find(requestIdHeader() + ": hostile") != std::string::npos);
+        this->checkOrdinaryRequest();
+        for (const auto& [id, replica] : this->replicas)
+            BOOST_TEST(std::none_of(replica->requests().begin(), replica->requests().end(), [](const HttpRequest& sent) { return sent.method == "POST"; }));
+    }
+
+    static std::string wholeRequest(std::size_t bodyBytes) { return requestHead("Content-Length: " + std::to_string(bodyBytes)) + std::string(bodyBytes, 'x'); }
+
+    static std::string requestHead(const std::string& framing)
+    {
+        return "POST /book/x HTTP/1.1\r\nHost: h.example\r\n" + requestIdHeader() + ": hostile\r\nDeadline-Ms: 4000\r\nKey: key-1\r\n" + framing + "\r\n\r\n";
+    }
+
+private:
+    static constexpr const char* establishedState = "01";
+};
+
 std::string chunkedRequest()
 {
     return "POST /book/x HTTP/1.1\r\nHost: h.example\r\n" + requestIdHeader() + ": hostile\r\nKey: key-1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
@@ -161,3 +252,33 @@
 {
     this->checkCrowd(this->readiness, chunkedRequest() + "0\r\n", shortFields());
 }
+
+// Guards against a gateway that runs out of memory because many callers begin bodies of the largest size and finish none of them.
+BOOST_FIXTURE_TEST_CASE(unfinishedBodiesOfKnownLengthShareAMemoryLimit, BodyFixture)
+{
+    const std::string piece(pieceBytes, 'x');
+    this->checkUnfinishedBodies(requestHead("Content-Length: " + std::to_string(largestBodyBytes)), piece, largestBodyBytes - 1);
+}
+
+// Guards against the same with chunks, where the length is not known when the body begins.
+BOOST_FIXTURE_TEST_CASE(unfinishedBodiesInChunksShareAMemoryLimit, BodyFixture)
+{
+    static_assert(pieceBytes == 0x10000);
+    const std::string chunk = "10000\r\n" + std::string(pieceBytes, 'x') + "\r\n";
+    // The last byte of the body and the line end behind it are not sent.
+    const std::size_t unsent = 3;
+    this->checkUnfinishedBodies(requestHead("Transfer-Encoding: chunked"), chunk, largestBodyBytes / pieceBytes * chunk.size() - unsent);
+}
+
+// Guards against a request that is read although it can't be served, or is refused without word of when to return.
+BOOST_FIXTURE_TEST_CASE(bodyThatDoesNotFitBesideOthersIsRefused, BodyFixture)
+{
+    // Three bodies of 4 MB leave less than 4 MB of 16 MB, because the buffers count too.
+    this->checkRefused(3, requestHead("Content-Length: " + std::to_string(largestBodyBytes)));
+}
+
+// Guards against a copy of the body for the endpoint that is not counted.
+BOOST_FIXTURE_TEST_CASE(requestWhoseCopyDoesNotFitIsRefusedUnsent, BodyFixture)
+{
+    this->checkRefused(3, wholeRequest(largestBodyBytes / 4 * 3));
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.cpp
@@ -15,6 +15,8 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <optional>
+#include <string>
 
 namespace filbertspoke {
 
@@ -60,6 +62,25 @@
     return text;
 }
 
+HttpRequest headOf(const http::request<http::string_body>& message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    return request;
+}
+
+/** \returns the bytes that the body may occupy once the next piece has been read */
+std::size_t nextBodyBytes(const http::request_parser<http::string_body>& parser, std::size_t pieceBytes)
+{
+    const std::string& body = parser.get().body();
+    // The parser allocates a body of known length as a whole.
+    const auto length = parser.content_length();
+    return length ? std::max<std::size_t>(body.capacity(), *length) : grownCapacity(body.capacity(), body.size() + pieceBytes);
+}
+
 }
 
 class CallerConnection::State {
@@ -70,9 +91,27 @@
     {
     }
 
+    /** \brief Reads the body piece by piece.
+     * \param headBytes that the header section occupies, which are counted with the body
+     * \returns the reason for which it could not be read, if any */
+    asio::awaitable<std::optional<CallerReadFailure>> readBody(http::request_parser<http::string_body>& parser, std::size_t headBytes, RequestMemory::Reservation& memory)
+    {
+        parser.eager(true);
+        while (!parser.is_done()) {
+            if (!memory.resize(this->buffer.max_size() + headBytes + nextBodyBytes(parser, this->buffer.max_size())))
+                co_return CallerReadFailure::MemoryExhausted;
+            const auto [error, bytes] = co_await http::async_read_some(this->stream, this->buffer, parser, asTuple);
+            if (error)
+                co_return readFailure(error, true);
+        }
+        memory.resize(this->buffer.capacity() + headBytes + parser.get().body().capacity());
+        co_return std::nullopt;
+    }
+
     beast::tcp_stream stream;
     asio::steady_timer idleTimer;
     beast::flat_buffer buffer;
+    std::optional<HttpRequest> refusedHead;
     bool keepAlive = false;
     bool headRequest = false; ///< the current request has the method HEAD, so that its response has no body
     bool keptOpen = false;
@@ -104,6 +143,8 @@
 asio::awaitable<void> CallerConnection::awaitRequest(Duration idleTimeout)
 {
     State& state = *this->state;
+    // The buffers of idle connections are not counted with the requests.
+    state.buffer.shrink_to_fit();
     const auto self = this->shared_from_this();
     // Waiting consumes no bytes, so that a request which arrives as the timeout expires is not lost with them.
     const std::uint64_t epoch = ++state.watchEpoch;
@@ -118,7 +159,7 @@
     state.idleTimer.cancel();
 }
 
-asio::awaitable<std::variant<HttpRequest, CallerReadFailure>> CallerConnection::read(const ConnectionLimits& limits)
+asio::awaitable<std::variant<HttpRequest, CallerReadFailure>> CallerConnection::read(const ConnectionLimits& limits, RequestMemory::Reservation& memory)
 {
     State& state = *this->state;
     const auto self = this->shared_from_this();
@@ -127,10 +168,14 @@
     if (!this->hasUnread())
         co_return CallerReadFailure::Closed;
     state.busy = true;
-    state.reading = true;
     state.used = true;
+    state.refusedHead.reset();
     // The parser keeps a trailer section or a chunk header in the buffer until it is complete, and applies none of its own limits to it.
     state.buffer.max_size(std::max(limits.headerBytes + chunkHeaderBytes, state.buffer.size()));
+    // The header section is kept in the buffer and by the parser.
+    if (!memory.resize(state.buffer.max_size() + limits.headerBytes))
+        co_return CallerReadFailure::MemoryExhausted;
+    state.reading = true;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
@@ -140,22 +185,25 @@
     if (headError)
         co_return readFailure(headError, false);
     state.stream.expires_after(limits.headerTimeout);
-    const auto [bodyError, bodyBytes] = co_await http::async_read(state.stream, state.buffer, parser, asTuple);
+    const auto failure = co_await state.readBody(parser, headBytes, memory);
     state.reading = false;
-    if (bodyError)
-        co_return readFailure(bodyError, true);
+    if (failure == CallerReadFailure::MemoryExhausted)
+        state.refusedHead = headOf(parser.get());
+    if (failure)
+        co_return *failure;
     state.stream.expires_never();
     state.keepAlive = parser.get().keep_alive();
     state.headRequest = parser.get().method() == http::verb::head;
-    HttpRequest request;
-    request.method = std::string(parser.get().method_string());
-    request.target = std::string(parser.get().target());
-    for (const auto& field : parser.get())
-        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    HttpRequest request = headOf(parser.get());
     request.body = std::move(parser.get().body());
     co_return request;
 }
 
+const std::optional<HttpRequest>& CallerConnection::refusedHead() const
+{
+    return this->state->refusedHead;
+}
+
 bool CallerConnection::keepAlive() const
 {
     return this->state->keepAlive;
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerConnection.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -24,6 +25,7 @@
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
+    MemoryExhausted, ///< the request does not fit into the memory that requests share
 };
 
 /** \brief Server side of an HTTP/1.1 connection from a caller. */
@@ -36,8 +38,12 @@
     /** \brief Reads the next request, including its body.
      *
      * The idle timeout applies until the first byte has arrived, so that no connection is closed as idle once the caller has begun to send.
+     * \param memory is resized before each part of the request is read, and holds the share of the request that is returned. After a failure its
+     * share is still that of the part that was read
      * \returns the request, or the reason for which it could not be read */
-    boost::asio::awaitable<std::variant<HttpRequest, CallerReadFailure>> read(const ConnectionLimits&);
+    boost::asio::awaitable<std::variant<HttpRequest, CallerReadFailure>> read(const ConnectionLimits&, RequestMemory::Reservation& memory);
+    /** \returns the request without a body that was refused with MemoryExhausted, or nothing if its header section was not read either */
+    const std::optional<HttpRequest>& refusedHead() const;
     /** \returns whether the most recently read request asks to keep the connection alive */
     bool keepAlive() const;
 
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace filbertspoke {
@@ -101,13 +103,16 @@
     bool open = true;
     while (open) {
         const ConnectionLimits limits = this->context.table ? this->context.table->limits() : ConnectionLimits {};
-        auto read = co_await connection->read(limits);
+        RequestMemory::Reservation memory(this->context.requestMemory);
+        auto read = co_await connection->read(limits, memory);
         if (auto* request = std::get_if<HttpRequest>(&read)) {
             ++this->context.requestsInProgress;
-            open = co_await this->handleRequest(connection, std::move(*request));
+            open = co_await this->handleRequest(connection, std::move(*request), memory);
             --this->context.requestsInProgress;
         } else {
             const auto failure = std::get<CallerReadFailure>(read);
+            // What was read is dropped; only a connection that is being closed is left.
+            memory.release();
             co_await this->rejectUnread(connection, failure);
             // A request may have arrived since the idle timeout.
             open = failure == CallerReadFailure::Closed && connection->hasUnread();
@@ -134,6 +139,10 @@
         this->noteIncomplete(failure == CallerReadFailure::TimedOut ? "timeout" : "closed");
         co_return;
     }
+    if (failure == CallerReadFailure::MemoryExhausted) {
+        co_await this->refuseUnread(connection);
+        co_return;
+    }
     const unsigned status = failure == CallerReadFailure::Malformed ? 400 : failure == CallerReadFailure::HeaderTooLarge ? 431
                                                                                                                          : 413;
     logLine(WriteLog::Level::Warning, "request-unreadable", { { "status", std::to_string(status) } });
@@ -142,7 +151,7 @@
     co_await connection->closeGracefully();
 }
 
-asio::awaitable<bool> CallerListener::handleRequest(std::shared_ptr<CallerConnection> connection, HttpRequest http)
+asio::awaitable<bool> CallerListener::handleRequest(std::shared_ptr<CallerConnection> connection, HttpRequest http, RequestMemory::Reservation& memory)
 {
     const TimePoint received = bootNow();
     auto decoded = this->context.codecs.caller->decodeRequest(std::move(http));
@@ -163,25 +172,55 @@
         this->context.metrics.count({ "requests_total", "abandoned" });
         co_return false;
     }
-    co_await this->forward(connection, std::move(*decoded), received);
+    co_await this->forward(connection, std::move(*decoded), received, memory);
     co_return connection->keptOpen() && !connection->disconnected();
 }
 
 asio::awaitable<void> CallerListener::refuse(std::shared_ptr<CallerConnection> connection, const Refusal& refusal, const CallerRequest& request)
 {
-    const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, request.id);
+    const auto id = request.id.str().empty() ? std::nullopt : std::optional(request.id);
+    const HttpResponse response = this->context.codecs.caller->encodeRefusal(refusal, id);
     logLine(WriteLog::Level::Info, "request-refused", { { "request", request.id.str() }, { "host", request.host }, { "target", request.http.target }, { "reason", std::string(name(refusal.code())) }, { "status", std::to_string(response.status) }, { "configuration", this->context.table ? std::to_string(this->context.table->version()) : "none" } });
-    co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
+    const bool keepAlive = connection->keepAlive() && !this->context.isStopping() && refusal.code() != ErrorCode::RequestMemoryExhausted;
+    co_await connection->respond(response, keepAlive);
+}
+
+asio::awaitable<void> CallerListener::refuseUnread(std::shared_ptr<CallerConnection> connection)
+{
+    CallerRequest request;
+    if (const auto& head = connection->refusedHead()) {
+        auto decoded = this->context.codecs.caller->decodeRequest(*head);
+        if (decoded)
+            request = std::move(*decoded);
+    }
+    co_await this->refuseForMemory(connection, request, "reading");
+    co_await connection->closeGracefully();
+}
+
+asio::awaitable<void> CallerListener::refuseForMemory(std::shared_ptr<CallerConnection> connection, const CallerRequest& request, std::string phase)
+{
+    const RequestMemory& memory = this->context.requestMemory;
+    logLine(WriteLog::Level::Warning, "request-memory-exhausted", { { "request", request.id.str() }, { "phase", phase }, { "usedBytes", std::to_string(memory.used()) }, { "limitBytes", std::to_string(memory.limit()) } });
+    this->context.metrics.count({ "request_memory_refusals_total", phase });
+    if (this->source == RequestSource::Gateways) {
+        co_await this->declineHandover(connection, request, name(ErrorCode::RequestMemoryExhausted));
+        co_return;
+    }
+    // Callers that are refused at the same time return one after the other.
+    const Duration returnAfter = scaled(unavailableRetryAfter, 1 + this->context.randomFraction());
+    const Refusal refusal = Refusal(ErrorCode::RequestMemoryExhausted, Ran::No).retryAfter(returnAfter);
+    co_await this->refuse(connection, refusal, request);
 }
 
 asio::awaitable<void> CallerListener::declineHandover(std::shared_ptr<CallerConnection> connection, const CallerRequest& request, std::string_view reason)
 {
     logLine(WriteLog::Level::Info, "handover-declined", { { "request", request.id.str() }, { "reason", std::string(reason) } });
     const HttpResponse response = emptyResponse(misdirectedStatus);
-    co_await connection->respond(response, connection->keepAlive() && !this->context.isStopping());
+    const bool keepAlive = connection->keepAlive() && !this->context.isStopping() && reason != name(ErrorCode::RequestMemoryExhausted);
+    co_await connection->respond(response, keepAlive);
 }
 
-asio::awaitable<void> CallerListener::forward(std::shared_ptr<CallerConnection> connection, CallerRequest request, TimePoint received)
+asio::awaitable<void> CallerListener::forward(std::shared_ptr<CallerConnection> connection, CallerRequest request, TimePoint received, RequestMemory::Reservation& memory)
 {
     if (this->context.stopSchedule && !this->context.stopSchedule->takesRequests(received)) {
         if (request.endpointsUsed) {
@@ -220,6 +259,11 @@
         co_await this->refuse(connection, refusal, request);
         co_return;
     }
+    // An attempt to forward the request holds a copy of its body.
+    if (!memory.grow(request.http.body.size())) {
+        co_await this->refuseForMemory(connection, request, "forwarding");
+        co_return;
+    }
     Route permitted = *route;
     if (request.endpointsUsed) {
         logLine(WriteLog::Level::Info, "request-taken-over", { { "request", request.id.str() }, { "endpointsUsed", std::to_string(*request.endpointsUsed) }, { "state", std::string(name(this->context.reachability(*service).state())) } });
--- a/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/CallerListener.h
@@ -42,11 +42,15 @@
     boost::asio::awaitable<void> listen();
     void admit(boost::asio::ip::tcp::socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>);
-    boost::asio::awaitable<bool> handleRequest(std::shared_ptr<CallerConnection>, HttpRequest);
-    boost::asio::awaitable<void> forward(std::shared_ptr<CallerConnection>, CallerRequest, TimePoint received);
+    boost::asio::awaitable<bool> handleRequest(std::shared_ptr<CallerConnection>, HttpRequest, RequestMemory::Reservation&);
+    boost::asio::awaitable<void> forward(std::shared_ptr<CallerConnection>, CallerRequest, TimePoint received, RequestMemory::Reservation&);
     boost::asio::awaitable<void> refuse(std::shared_ptr<CallerConnection>, const Refusal&, const CallerRequest&);
     /** \brief Tells another gateway that this one does not serve the request that it hands over. */
     boost::asio::awaitable<void> declineHandover(std::shared_ptr<CallerConnection>, const CallerRequest&, std::string_view reason);
+    /** \brief Refuses a request that does not fit into the memory that requests share.
+     * \param phase "reading" or "forwarding", for the log */
+    boost::asio::awaitable<void> refuseForMemory(std::shared_ptr<CallerConnection>, const CallerRequest&, std::string phase);
+    boost::asio::awaitable<void> refuseUnread(std::shared_ptr<CallerConnection>);
     void noteIncomplete(const std::string& reason) const;
     boost::asio::awaitable<void> rejectUnread(std::shared_ptr<CallerConnection>, CallerReadFailure);
 
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.cpp
@@ -17,6 +17,7 @@
     , random(std::random_device {}())
     , registryView(this->settings.heartbeatInterval)
     , rateLimits(std::hash<std::string> {}(this->settings.daemon.str()))
+    , requestMemory(this->settings.requestMemoryBytes)
     , roster(this->settings.peers.value_or(this->settings.callers), this->settings.failureDomain)
     , storeReading(std::uniform_real_distribution<double>(0, 1)(this->random), bootNow())
     , waiters(io)
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -110,6 +110,7 @@
     RequestRateLimits rateLimits;
     std::map<ServiceId, unsigned> rateLimitedCalls; ///< calls that wait until a rate limit accepts them
     RequestQuarantine requestQuarantine; ///< traits of requests that crash endpoints
+    RequestMemory requestMemory; ///< that callers' requests share
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
     PeerTable roster; ///< the other gateways of the site
--- a/packages/Proxy/filbertspoke/src/Proxy/SettingsWatcher.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/SettingsWatcher.cpp
@@ -79,6 +79,7 @@
         logLine(WriteLog::Level::Warning, "settings-need-restart", { { "reason", "an address to listen on has changed" } });
     logLine(WriteLog::Level::Info, "settings-reloaded", { { "changed", settings == this->context.settings ? "no" : "yes" } });
     this->context.settings = std::move(settings);
+    this->context.requestMemory.setLimit(this->context.settings.requestMemoryBytes);
 }
 
 }
--- a/packages/Proxy/tests/CallerConnection.cpp
+++ b/packages/Proxy/tests/CallerConnection.cpp
@@ -38,7 +38,7 @@
 
     void startReading()
     {
-        asio::co_spawn(this->context, this->connection->read(this->limits), [this](std::exception_ptr, ReadResult read) { this->result = std::move(read); });
+        asio::co_spawn(this->context, this->connection->read(this->limits, this->share), [this](std::exception_ptr, ReadResult read) { this->result = std::move(read); });
         this->context.poll();
     }
 
@@ -61,6 +61,9 @@
     tcp::socket caller;
     std::shared_ptr<CallerConnection> connection;
     std::optional<ReadResult> result;
+    RequestMemory memory { 4096 };
+    RequestMemory::Reservation share { this->memory };
+    RequestMemory::Reservation others { this->memory };
     ConnectionLimits limits { 1024, 1024, 3s, 50ms };
 };
 
@@ -128,3 +131,37 @@
     this->caller.close();
     BOOST_TEST(runUntil(this->context, [&] { return closed; }));
 }
+
+// Guards against a body that is read although it can't fit into the memory that requests share.
+BOOST_FIXTURE_TEST_CASE(bodyOfKnownLengthThatDoesNotFitIsRefusedBeforeItArrives, Fixture)
+{
+    this->limits = { 256, 8192, 3s, 50ms };
+    this->others.resize(1);
+    asio::write(this->caller, asio::buffer(std::string("POST /book/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4096\r\n\r\n")));
+    this->startReading();
+    BOOST_TEST((this->failure() == CallerReadFailure::MemoryExhausted));
+    BOOST_TEST_REQUIRE(this->connection->refusedHead().has_value());
+    BOOST_TEST(this->connection->refusedHead()->target == "/book/x");
+    BOOST_TEST(!this->connection->reading());
+}
+
+// Guards against the same with chunks.
+BOOST_FIXTURE_TEST_CASE(bodyInChunksIsRefusedWhenItDoesNotFitAnyMore, Fixture)
+{
+    this->limits = { 256, 8192, 3s, 50ms };
+    this->others.resize(1);
+    asio::write(this->caller, asio::buffer("POST /book/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(0x1000, 'x')));
+    this->startReading();
+    BOOST_TEST((this->failure() == CallerReadFailure::MemoryExhausted));
+    BOOST_TEST(this->memory.used() <= this->memory.limit());
+}
+
+// Guards against a share that stays at what was reserved for reading, or at less than the request occupies.
+BOOST_FIXTURE_TEST_CASE(shareOfAReadRequestIsWhatItOccupies, Fixture)
+{
+    asio::write(this->caller, asio::buffer(request));
+    this->startReading();
+    BOOST_TEST(!this->failure().has_value());
+    BOOST_TEST(this->share.held() >= request.size());
+    BOOST_TEST(this->share.held() < this->limits.headerBytes);
+}
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -188,6 +188,7 @@
     gateway.retryRatio = this->retryRatio;
     gateway.stopTimeout = this->stopTimeout;
     gateway.handover = this->free(host);
+    gateway.requestMemoryMb = this->requestMemoryMb;
     this->started.insert_or_assign(gateway.name, gateway);
     const std::string file = this->folder + "/" + gateway.name + ".yaml";
     std::ofstream(file) << settingsText(gateway);
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -81,6 +81,7 @@
     std::map<std::string, GatewayText> started; ///< gateways, by name, with the addresses at which they listen
     std::chrono::milliseconds stopTimeout { 8000 }; ///< within which a gateway ends after SIGTERM, whatever is in progress
     double retryRatio = 10; ///< retries that a gateway saves up for with each request: by default the first one suffices
+    std::optional<unsigned> requestMemoryMb; ///< setting of the gateways; the product's default without it
 
 private:
     HttpAddress free(const std::string& address) const;
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
@@ -59,7 +59,8 @@
         seeds += (seeds.empty() ? "\"" : ", \"") + addressText(seed) + "\"";
     return "daemon: " + gateway.name + "\nfailureDomain: " + gateway.domain + "\ncallers: " + addressText(gateway.callers) + "\nreadiness: " + addressText(gateway.readiness)
         + "\npeers: " + addressText(gateway.peers) + "\nseeds: [" + seeds + "]\nstore: " + addressText(gateway.store)
-        + (gateway.handover ? "\nhandover: " + addressText(*gateway.handover) : "") + "\nretryBudget:\n    ratio: " + std::to_string(gateway.retryRatio) + "\n    reserve: " + std::to_string(gateway.retryReserve) + "\nstopTimeoutMs: " + std::to_string(gateway.stopTimeout.count()) + "\n";
+        + (gateway.handover ? "\nhandover: " + addressText(*gateway.handover) : "") + "\nretryBudget:\n    ratio: " + std::to_string(gateway.retryRatio) + "\n    reserve: " + std::to_string(gateway.retryReserve) + "\nstopTimeoutMs: " + std::to_string(gateway.stopTimeout.count()) + "\n"
+        + (gateway.requestMemoryMb ? "requestMemoryMb: " + std::to_string(*gateway.requestMemoryMb) + "\n" : "");
 }
 
 }
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -50,6 +50,7 @@
     double retryRatio = 0.2;
     std::chrono::milliseconds stopTimeout { 8000 };
     std::optional<HttpAddress> handover; ///< where it takes requests from other gateways
+    std::optional<unsigned> requestMemoryMb = std::nullopt; ///< the product's default without it
 
     bool operator==(const GatewayText&) const = default;
 };
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -48,10 +49,13 @@
         boost::beast::flat_buffer buffer;
         bool open = true;
         while (open) {
-            http::request<http::string_body> message;
-            const auto [error, bytes] = co_await http::async_read(*socket, buffer, message, asTuple);
+            // Replicas take whatever body the gateway's limits allow; the parser's own limit is 1 MB.
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(boost::none);
+            const auto [error, bytes] = co_await http::async_read(*socket, buffer, parser, asTuple);
             if (error)
                 co_return;
+            const auto& message = parser.get();
             HttpRequest request;
             request.method = std::string(message.method_string());
             request.target = std::string(message.target());
