Count engines that crash together as one crash under a trait

What operators saw: when three or four engines crashed together, 10 to 30 sound requests and prompt parts were quarantined, and up to 73 requests were refused with a Retry-After of about 599 s.

Cause: crashes 25 ms apart counted one by one. The time of a later engine's crash is unknown and counted as that of sending, so that requests which were sent at different times made one burst look like a series, and requests that were sent through engines already lost counted as being there.

Change: CrashTimes remembers when endpoints crashed, under any requests, served since or not. Three or more crashes within 300 ms are one event. A request sent after the crash before still adds to the evidence, unless the burst took endpoints too at which the trait was not: then the burst has a cause of its own. A crash of unknown time counts as that of the latest request known there. A request sent more than 25 ms after a known crash is no evidence of it. A trait stays quarantined when crashes that become known later merge its first ones.

Two engines within 300 ms stay two events: Gateway.RequestQuarantine.crashesSeenByDifferentDaemonsAddUp and fingerprintOfACrashingRequestIsQuarantinedAndItsPromptIsNot need it, with three crashes 200 ms apart. Ruled out: traits alone as criterion, since an account's common part is at most of the crashed engines whatever the cause, and gossip does not tell which traits were in one request.

Evidence: Gateway.EnginesCrashingTogether, 8 cases; 7 failed before, and all pass. twoRequestsThatCrashEnginesAtTheSameTimeAreQuarantined passed before and guards the limit of the new rule. Daemon.RequestQuarantine and Daemon.PromptQuarantine pass.

Conclusion: bursts no longer quarantine sound requests. The price is a later decision on sites of few engines all of which one part crashes at once while all gateways are killed too.

--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::size_t requiredCrashes = 3;
-// Endpoints that crash within this time of each other count as one crash: a failing host, rack or network takes several with it.
-// A request that was sent after the crash before is evidence nevertheless.
+// Two endpoints that crash within this time of each other count as one crash: a failing host, rack or network takes several with it. For three and more,
+// CrashTimes decides. A request that was sent after the crash before is evidence nevertheless.
 constexpr Duration crashSpacing = std::chrono::milliseconds(25);
 // Within this time after the last required crash, nearly all daemons have heard of each other's observations, over up to three exchanges
 // of 200 ms at most each.
@@ -29,21 +29,45 @@
 
 }
 
-std::vector<TimePoint> RequestQuarantine::separateCrashes(const Crashes& crashes)
+std::vector<TimePoint> RequestQuarantine::separateCrashes(const Suspect& suspect, const Crashes& considered) const
 {
-    std::vector<Crash> ordered;
-    ordered.reserve(crashes.size());
-    for (const auto& [run, crash] : crashes)
-        ordered.push_back(crash);
-    std::sort(ordered.begin(), ordered.end(), [](const Crash& a, const Crash& b) { return a.at < b.at; });
+    struct DatedCrash {
+        CrashInterval time;
+        TimePoint sentAt;
+    };
+    std::vector<DatedCrash> ordered;
+    ordered.reserve(considered.size());
+    for (const auto& [run, crash] : considered) {
+        if (!this->crashTimes.isAfterCrash(run, crash.sentAt))
+            ordered.push_back({ this->crashTimes.when(run).value_or(CrashInterval { crash.at, crash.at }), crash.sentAt });
+    }
+    std::sort(ordered.begin(), ordered.end(), [](const DatedCrash& a, const DatedCrash& b) { return a.time < b.time; });
     std::vector<TimePoint> separate;
-    for (const Crash& crash : ordered) {
-        if (separate.empty() || crash.at - separate.back() >= crashSpacing || crash.sentAt >= separate.back())
-            separate.push_back(crash.at);
+    TimePoint latestBefore;
+    for (const DatedCrash& crash : ordered) {
+        const TimePoint at = crash.time.earliest;
+        const bool distant = separate.empty() || (at - separate.back() >= crashSpacing && !this->crashTimes.areTogether(separate.back(), at));
+        if (!distant && (crash.sentAt < latestBefore || this->hasOthersAround(suspect, separate.back(), at)))
+            continue;
+        separate.push_back(at);
+        latestBefore = crash.time.latest;
     }
     return separate;
 }
 
+bool RequestQuarantine::hasOthersAround(const Suspect& suspect, TimePoint before, TimePoint at) const
+{
+    if (!this->crashTimes.areTogether(before, at))
+        return false;
+    const std::vector<EndpointRun> around = this->crashTimes.around(at);
+    return std::any_of(around.begin(), around.end(), [&suspect](const EndpointRun& run) { return !suspect.crashes.contains(run); });
+}
+
+TimePoint RequestQuarantine::firstCrashAt(const Suspect& suspect)
+{
+    return std::min_element(suspect.crashes.begin(), suspect.crashes.end(), [](const auto& a, const auto& b) { return a.second.at < b.second.at; })->second.at;
+}
+
 TimePoint RequestQuarantine::lastCrashAt(const Suspect& suspect)
 {
     TimePoint last;
@@ -65,6 +89,9 @@
 
 void RequestQuarantine::noteCrash(const std::vector<RequestTraitId>& traits, const EndpointRun& run, TimePoint now, Duration held)
 {
+    this->crashTimes.note(run, now, now - held);
+    if (this->crashTimes.isAfterCrash(run, now - held))
+        return;
     for (const RequestTraitId& trait : traits) {
         if (this->suspects.size() >= maximumSuspects && !this->suspects.contains(trait))
             this->makeRoom(now);
@@ -75,7 +102,10 @@
             suspect.servedAt = served->second;
         if (suspect.crashes.empty())
             suspect.othersServed = 0;
-        suspect.crashes.try_emplace(run, Crash { now, now - held });
+        Crash& crash = suspect.crashes.try_emplace(run, Crash { now, now - held }).first->second;
+        if (this->crashTimes.isAfterCrash(run, crash.sentAt))
+            crash = { now, now - held };
+        crash.sentAt = std::max(crash.sentAt, now - held);
     }
 }
 
@@ -114,7 +144,7 @@
         evidence.servedAge = now - *suspect.servedAt;
     for (const auto& [run, crash] : suspect.crashes) {
         if (evidence.crashes.size() < maximumCrashes)
-            evidence.crashes.push_back({ run, now - crash.at, crash.at - crash.sentAt });
+            evidence.crashes.push_back({ run, now - crash.at, std::max(crash.at - crash.sentAt, Duration::zero()) });
     }
     return evidence;
 }
@@ -151,8 +181,7 @@
         for (const EndpointCrash& crash : reported.crashes) {
             const auto known = this->suspects.find(reported.trait);
             const bool cleared = known != this->suspects.end() && known->second.servedAt && *known->second.servedAt >= now - crash.age;
-            if (!cleared)
-                this->noteCrash({ reported.trait }, crash.run, now - crash.age, crash.held);
+            this->noteCrash(cleared ? std::vector<RequestTraitId> {} : std::vector { reported.trait }, crash.run, now - crash.age, crash.held);
         }
         if (reported.servedAge && *reported.servedAge < clearedLifetime && this->suspects.size() < maximumSuspects)
             this->suspects.try_emplace(reported.trait);
@@ -166,29 +195,30 @@
         const std::optional<TimePoint> served = suspect->second.servedAt;
         if (served && (!servedBefore || *served - *servedBefore >= propagationTime)) {
             for (auto& [trait, other] : this->suspects)
-                other.othersServed += trait != reported.trait && !other.crashes.empty() && separateCrashes(other.crashes).front() < *served ? 1 : 0;
+                other.othersServed += trait != reported.trait && !other.crashes.empty() && firstCrashAt(other) < *served ? 1 : 0;
         }
-        suspect->second.quarantinedElsewhere = suspect->second.quarantinedElsewhere || (reported.quarantined && separateCrashes(suspect->second.crashes).size() >= requiredCrashes);
+        suspect->second.quarantinedElsewhere = suspect->second.quarantinedElsewhere || (reported.quarantined && this->separateCrashes(suspect->second).size() >= requiredCrashes);
     }
 }
 
-bool RequestQuarantine::hasEnoughEvidence(const Suspect& suspect, TimePoint now)
+bool RequestQuarantine::hasEnoughEvidence(const Suspect& suspect, TimePoint now) const
 {
     if (suspect.crashes.size() < requiredCrashes)
         return false;
-    const std::vector<TimePoint> crashes = separateCrashes(suspect.crashes);
-    if (crashes.size() < requiredCrashes)
-        return false;
+    // Crashes that become known later may show the first ones as one burst. The requests would crash further engines before the evidence suffices again.
     if (suspect.quarantined || suspect.quarantinedElsewhere)
         return true;
+    const std::vector<TimePoint> crashes = this->separateCrashes(suspect);
+    if (crashes.size() < requiredCrashes)
+        return false;
     return suspect.othersServed >= requiredOthersServed && now - crashes[requiredCrashes - 1] >= propagationTime;
 }
 
-bool RequestQuarantine::explains(const Suspect& other, const Suspect& suspect)
+bool RequestQuarantine::explains(const Suspect& other, const Suspect& suspect) const
 {
     Crashes remaining = suspect.crashes;
     std::erase_if(remaining, [&other](const auto& crash) { return other.crashes.contains(crash.first); });
-    return separateCrashes(remaining).size() < requiredCrashes;
+    return this->separateCrashes(suspect, remaining).size() < requiredCrashes;
 }
 
 bool RequestQuarantine::isExplained(const RequestTraitId& trait, const Suspect& suspect, TimePoint now) const
@@ -197,7 +227,7 @@
         const Suspect& other = entry.second;
         const bool servedLessRecently = suspect.servedAt && (!other.servedAt || *other.servedAt < *suspect.servedAt);
         const bool betterSupported = other.crashes.size() > suspect.crashes.size() || (other.crashes.size() == suspect.crashes.size() && servedLessRecently);
-        return entry.first != trait && betterSupported && hasEnoughEvidence(other, now) && explains(other, suspect);
+        return entry.first != trait && betterSupported && this->hasEnoughEvidence(other, now) && this->explains(other, suspect);
     });
 }
 
@@ -205,7 +235,7 @@
 {
     return std::all_of(this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
         const Suspect& other = entry.second;
-        const bool equal = other.quarantined && other.crashes.size() == suspect.second.crashes.size() && explains(other, suspect.second);
+        const bool equal = other.quarantined && other.crashes.size() == suspect.second.crashes.size() && this->explains(other, suspect.second);
         return !equal || std::find(traits.begin(), traits.end(), entry.first) != traits.end();
     });
 }
@@ -223,10 +253,11 @@
 std::vector<RequestTraitId> RequestQuarantine::update(TimePoint now)
 {
     this->forget(now);
+    this->crashTimes.forget(now);
     std::vector<RequestTraitId> added;
     for (auto& [trait, suspect] : this->suspects) {
         const bool before = suspect.quarantined;
-        suspect.quarantined = hasEnoughEvidence(suspect, now) && !this->isExplained(trait, suspect, now);
+        suspect.quarantined = this->hasEnoughEvidence(suspect, now) && !this->isExplained(trait, suspect, now);
         if (suspect.quarantined && !before)
             added.push_back(trait);
     }
--- a/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/RequestQuarantine.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSPOKE_REQUEST_QUARANTINE_H
 #define FILBERTSPOKE_REQUEST_QUARANTINE_H
 
+#include "CrashTimes.h"
 #include "EndpointRegistry.h"
 
 #include <filbertspoke/Core>
@@ -16,7 +17,7 @@
 struct EndpointCrash {
     EndpointRun run;
     Duration age {}; ///< time since the connection broke
-    Duration held {}; ///< time for which the endpoint had the request before
+    Duration held {}; ///< time for which the endpoint had the request before; zero if it is unknown, and the age is that of the request
 
     auto operator<=>(const EndpointCrash&) const = default;
 };
@@ -46,11 +47,16 @@
  * served, while requests without the trait are served. Of traits that were at the same crashes, only the one is quarantined whose requests
  * were served least recently or never. Where that doesn't tell them apart, only requests with all of them are refused: the next request with
  * one of them is served and clears it, or adds a crash to it.
+ *
+ * Load pattern 3: three or four engines crash together for a cause of their own, under sound requests of several accounts, whose repeats wait for the lost
+ * capacity and are not served soon. Such a burst is one crash for each trait (CrashTimes). It is told by the time and number of crashed endpoints under any
+ * requests. Which traits they have does not decide: the common part of an account is at most crashed engines, whatever the cause. Only a trait whose
+ * request was sent after the crash before, and which was at all endpoints of the burst, explains the burst by itself; its crashes count one by one.
  */
 class RequestQuarantine {
 public:
     /** \brief Records that an endpoint crashed before a request with these traits was past the start of its stream, or before the answer to it.
-     * \param held time for which the endpoint had the request */
+     * \param held time for which the endpoint had the request; zero if the time of the crash is unknown and counts as that of sending */
     void noteCrash(const std::vector<RequestTraitId>&, const EndpointRun&, TimePoint now, Duration held = std::chrono::seconds(1));
     /** \brief Records that a request got past the start of its stream, or was answered.
      * \param shared traits that other requests have too; remembered, in case that they become suspect
@@ -73,7 +79,7 @@
 private:
     struct Crash {
         TimePoint at;
-        TimePoint sentAt; ///< when the request was sent to the endpoint
+        TimePoint sentAt; ///< when the last request with the trait was sent to the endpoint
     };
     using Crashes = std::map<EndpointRun, Crash>;
     struct Suspect {
@@ -86,17 +92,22 @@
     using Suspects = std::map<RequestTraitId, Suspect>;
 
     static RequestTraitEvidence evidenceOf(const Suspects::value_type&, TimePoint now);
-    /** \returns the times of the crashes that count as separate ones, in order */
-    static std::vector<TimePoint> separateCrashes(const Crashes&);
+    /** \returns the times of those of a suspect's crashes that count as separate ones, in order
+     * \param considered crashes that may count */
+    std::vector<TimePoint> separateCrashes(const Suspect&, const Crashes& considered) const;
+    std::vector<TimePoint> separateCrashes(const Suspect& suspect) const { return this->separateCrashes(suspect, suspect.crashes); }
+    /** \returns whether endpoints at which the suspect was not crashed together with those at which it was */
+    bool hasOthersAround(const Suspect&, TimePoint before, TimePoint at) const;
+    static TimePoint firstCrashAt(const Suspect&);
     static TimePoint lastCrashAt(const Suspect&);
     /** \brief Clears a trait, a request with which was served at \a at. */
     static void clear(Suspect&, TimePoint at);
     /** \returns whether the evidence against the trait suffices by itself */
-    static bool hasEnoughEvidence(const Suspect&, TimePoint now);
+    bool hasEnoughEvidence(const Suspect&, TimePoint now) const;
     /** \returns whether a trait with better evidence against it leaves too few crashes unexplained to suspect this one */
     bool isExplained(const RequestTraitId&, const Suspect&, TimePoint now) const;
     /** \returns whether the crashes under one trait leave too few under the other to suspect it */
-    static bool explains(const Suspect& other, const Suspect&);
+    bool explains(const Suspect& other, const Suspect&) const;
     /** \returns whether the traits include all that are as likely as the quarantined one to have caused its crashes */
     bool hasAllEquallySupported(const Suspects::value_type&, const std::vector<RequestTraitId>&) const;
     /** \brief Makes room for another suspect: the one with the fewest and oldest crashes is forgotten. */
@@ -105,6 +116,7 @@
     void forget(TimePoint now);
 
     Suspects suspects;
+    CrashTimes crashTimes; ///< of the endpoints under any requests, served since or not
     std::map<RequestTraitId, TimePoint> servedAt; ///< when a request with the shared trait was last served by this daemon
 };
 
