Leave gateways that are cut off out of handovers for a second

Cause: gateways of the own failure domain come first, and whether they are cut off was only known from their messages, which most gateways of a domain exchange every five seconds or less often. A declined request taught its gateway nothing for the next one.

Change: a gateway that declined a request (421 without a seal), or that says it is cut off, is left out for that service for a second, or until it says that it reaches the endpoints. Gateways of other failure domains come first while two of the own one are known to be cut off, and for a request that one of them has declined. After two declined handovers, a request that has certainly not run is refused with Retry-After; otherwise the response is that of before. The answer to a declined handover does not tell its reason, so that a gateway which is about to stop is left out too. handover-failed gains declined.

Evidence: Gateway.HandoverTargets, 12 cases, 8 of them new. With noteDeclined without effect, as a trial, five of the cases fail and one of before: 12 gateways of a domain that is cut off decline 400 handovers of 200 requests in four seconds, and all 200 are refused; with it at most 8 are declined and none is refused. Daemon.Handover, EndpointPartition, Leaving and Peers pass.

Conclusion: the number of declined requests depends on the number of gateways and seconds instead of the load.

--- a/packages/Gateway/filbertspoke/src/Gateway/HandoverResponse.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/HandoverResponse.h
@@ -10,6 +10,9 @@
 /** \returns whether a response with the status, sealed by an endpoint or not, is a stream of events */
 bool beginsStream(unsigned status, bool sealed);
 
+/** \returns whether the gateway itself, not an endpoint, declined the request: it is cut off from the endpoints, or about to stop */
+bool declinesHandover(unsigned status, bool sealed);
+
 /** \brief Decides what the response of the gateway to which a request was handed over means.
  *
  * An endpoint's response is sealed and goes to the caller. Without a seal, the other gateway speaks for itself: it may not reach the endpoints, or
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -25,6 +25,7 @@
     bool pushedBack = false; ///< the first endpoint refused the request and named the time for which it wants no others
     std::uint32_t events = 0; ///< events of a stream that arrived in the attempt
     bool connectionBroken = false; ///< the first endpoint's connection broke before the end of the response
+    bool declined = false; ///< the gateway to which the request was handed over can't serve it either
     std::string evidence; ///< for the log: why an endpoint whose failure ended the attempt counts as failed
 
     bool operator==(const AttemptResult&) const = default;
@@ -149,6 +150,7 @@
     UpstreamSet usedConnections; ///< to which the request was sent
     AttemptHistory history;
     std::set<SocketAddress> triedGateways; ///< to which the request was handed over without success
+    std::size_t declinedHandovers = 0;
     bool retryCharged = false; ///< whether the retry budget was charged for a send that has not happened yet
     bool abandoned = false; ///< whether abandon() was called
 
--- a/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
@@ -27,7 +27,7 @@
     const EndpointReachability& reachability = this->context.reachability(this->service);
     if (this->request.endpointsUsed || this->handoverDraw < reachability.ownShare() || this->triedGateways.size() >= maximumHandovers || this->history.attemptsExhausted())
         return std::nullopt;
-    return this->context.handoverTargets.choose(this->service, this->context.roster.reachable(), this->triedGateways, this->context.settings.failureDomain, this->handoverDraw);
+    return this->context.handoverTargets.choose(this->service, this->context.roster.reachable(), this->triedGateways, this->context.settings.failureDomain, this->handoverDraw, bootNow());
 }
 
 bool ForwardTask::canHandOver(const AttemptHistory& attempts) const
@@ -64,7 +64,9 @@
     const auto end = handoverFailure(reply.status, reply.sealed, ranHere, streaming);
     if (!end)
         return std::nullopt;
-    return AttemptResult { *end, EndpointFault::Failed, {}, "status-" + std::to_string(reply.status) + "-there" };
+    AttemptResult failure { *end, EndpointFault::Failed, {}, "status-" + std::to_string(reply.status) + "-there" };
+    failure.declined = declinesHandover(reply.status, reply.sealed);
+    return failure;
 }
 
 asio::awaitable<AttemptResult> ForwardTask::relayHandoverResponse(const UpstreamPointer& connection, const SocketAddress& target, const EndpointReply& reply)
@@ -92,8 +94,13 @@
     this->triedGateways.insert(target);
     const EndpointId gateway = handoverName(target);
     this->history.noteFailure({ *result.failure, gateway, gateway, result.fault });
-    const bool retry = this->canRetry(this->history, *result.failure);
-    logLine(WriteLog::Level::Warning, "handover-failed", { { "request", this->request.id.str() }, { "gateway", formatSocketAddress(target) }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "retry", retry ? "yes" : "no" } });
+    if (result.declined) {
+        ++this->declinedHandovers;
+        this->context.handoverTargets.noteDeclined(target, this->service, bootNow());
+    }
+    const bool ended = endsHandovers(this->declinedHandovers, certainlyNotRun(this->history.state(this->timeLeft())));
+    const bool retry = !ended && this->canRetry(this->history, *result.failure);
+    logLine(WriteLog::Level::Warning, "handover-failed", { { "request", this->request.id.str() }, { "gateway", formatSocketAddress(target) }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "declined", std::to_string(this->declinedHandovers) }, { "retry", retry ? "yes" : "no" } });
     this->context.metrics.count({ "handovers_failed_total", result.reason });
     return retry;
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -218,7 +218,7 @@
     if (this->isOwnHub(message.address))
         this->context.storeReading.noteHub(hubSource(message, outdated), now);
     if (message.handover)
-        this->context.handoverTargets.note(message.address, { *message.handover, message.failureDomain, { message.unreachableServices.begin(), message.unreachableServices.end() } });
+        this->context.handoverTargets.note(message.address, { *message.handover, message.failureDomain, { message.unreachableServices.begin(), message.unreachableServices.end() } }, now);
     for (const AvoidedEndpoint& avoided : message.avoided) {
         this->context.registry.noteRemoteAvoidance(avoided.endpoint, avoided.remaining, now);
         this->context.streams.notifySuspected(avoided.endpoint, "gateway " + message.daemon.str());
