--- a/packages/Daemon/tests/EndlessAnswers.cpp
+++ b/packages/Daemon/tests/EndlessAnswers.cpp
@@ -5,9 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstdio>
-#include <fstream>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -55,16 +53,6 @@
 struct Fixture : GatewayScene {
     Fixture() { this->start(); }
 
-    long peakMemoryKb() const
-    {
-        std::ifstream status("/proc/" + std::to_string(this->gateway->id()) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("VmHWM:"))
-                return std::stol(line.substr(line.find_first_of("0123456789")));
-        }
-        throw std::runtime_error("/proc status of the gateway has no VmHWM line");
-    }
-
     /** \brief Sets the answer of each listed endpoint; requests for reports still get a valid report. */
     void setAnswers(const std::vector<std::string>& ids, const ReplicaStandIn::Answer& answer)
     {
@@ -78,7 +66,7 @@
     std::string checkCall(const std::string& method, const std::string& path, const std::string& otherMethod, const std::string& otherPath)
     {
         this->answer(*this->call(otherMethod, otherPath), "\r\n\r\n");
-        const long before = this->peakMemoryKb();
+        const long before = this->gateway->peakMemoryKb();
         const auto began = std::chrono::steady_clock::now();
         const auto caller = this->call(method, path, "Connection: close\r\n");
         const auto other = this->call(otherMethod, otherPath, "Connection: close\r\n");
@@ -86,7 +74,7 @@
         BOOST_TEST(other->received().starts_with("HTTP/1.1 200"));
         this->await([&] { return caller->closed(); });
         BOOST_TEST((std::chrono::steady_clock::now() - began <= callerLimit + deadlineTolerance));
-        BOOST_TEST(this->peakMemoryKb() - before <= maxMemoryGrowthKb);
+        BOOST_TEST(this->gateway->peakMemoryKb() - before <= maxMemoryGrowthKb);
         return caller->received();
     }
 
@@ -203,5 +191,5 @@
         this->await([&] { return caller->closed(); });
         BOOST_TEST(caller->received().starts_with("HTTP/1.1 502"));
     }
-    BOOST_TEST(this->peakMemoryKb() <= maxMemoryKb);
+    BOOST_TEST(this->gateway->peakMemoryKb() <= maxMemoryKb);
 }
--- a/packages/Daemon/tests/HostileCallers.cpp
+++ b/packages/Daemon/tests/HostileCallers.cpp
@@ -19,7 +19,6 @@
 #include <memory>
 #include <optional>
 #include <sstream>
-#include <stdexcept>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -94,20 +93,10 @@
         this->requestMemoryMb = requestMemoryMb;
         this->start();
         this->checkOrdinaryRequest();
-        this->memoryBefore = this->peakMemoryKb();
+        this->memoryBefore = this->gateway->peakMemoryKb();
         this->descriptorsBefore = this->openDescriptors();
     }
 
-    long peakMemoryKb() const
-    {
-        std::ifstream status("/proc/" + std::to_string(this->gateway->id()) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("VmHWM:"))
-                return std::stol(line.substr(line.find_first_of("0123456789")));
-        }
-        throw std::runtime_error("/proc status of the gateway has no VmHWM line");
-    }
-
     std::ptrdiff_t openDescriptors() const
     {
         const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(this->gateway->id()) + "/fd");
@@ -128,7 +117,7 @@
         BOOST_TEST(this->openDescriptors() - this->descriptorsBefore <= descriptorGrowth);
         callers.clear();
         BOOST_TEST_REQUIRE(this->gateway->running());
-        BOOST_TEST(this->peakMemoryKb() - this->memoryBefore <= memoryGrowthKb);
+        BOOST_TEST(this->gateway->peakMemoryKb() - this->memoryBefore <= memoryGrowthKb);
         this->checkOrdinaryRequest();
     }
 
@@ -171,7 +160,7 @@
             BOOST_TEST(this->await([&] { return caller->ended(); }));
         BOOST_TEST(this->await([&] { return this->bytesUnderway() == 0; }));
         BOOST_TEST_REQUIRE(this->gateway->running());
-        BOOST_TEST(this->peakMemoryKb() - this->memoryBefore <= bodyMemoryGrowthKb);
+        BOOST_TEST(this->gateway->peakMemoryKb() - this->memoryBefore <= bodyMemoryGrowthKb);
         BOOST_TEST(this->openDescriptors() - this->descriptorsBefore <= bodyDescriptorGrowth);
         crowd.clear();
         BOOST_TEST(this->await([&] { return this->openDescriptors() - this->descriptorsBefore < bodyCrowd / 4; }));
--- a/testing/filbertspoke/src/ProcessTesting/Process.cpp
+++ b/testing/filbertspoke/src/ProcessTesting/Process.cpp
@@ -192,6 +192,16 @@
     return *this->status;
 }
 
+long Process::peakMemoryKb() const
+{
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:"))
+            return std::stol(line.substr(line.find_first_of("0123456789")));
+    }
+    throw std::runtime_error("/proc status of the program has no VmHWM line");
+}
+
 bool Process::running()
 {
     int raw = 0;
--- a/testing/filbertspoke/src/ProcessTesting/Process.h
+++ b/testing/filbertspoke/src/ProcessTesting/Process.h
@@ -53,6 +53,11 @@
 
     pid_t id() const { return this->pid; }
 
+    /** \returns the most resident memory that the program has had, in kilobytes
+     * \throws std::runtime_error when the system does not tell it, as of a program that has ended
+     */
+    long peakMemoryKb() const;
+
 private:
     class Output;
 
