--- a/packages/Gateway/filbertspoke/src/Gateway/StallEvidence.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/StallEvidence.h
@@ -7,10 +7,9 @@
 
 namespace filbertspoke {
 
-/** \returns the shortest pause of a stream that may be due to an engine which refuses requests. It leaves more than half of the longest pause that
- * callers take for on time to another chain, which has to read the prompt and the tokens so far
- * \param targetGap that longest pause */
-Duration shortestStall(Duration targetGap);
+/** \brief Pause of a stream that is attributed to an engine of its chain against which there is other evidence; well above the usual time between two
+ * events. */
+constexpr Duration suspectedStallTimeout = std::chrono::milliseconds(150);
 
 /** \brief Decides whether a stream without events leaves its chain because an engine of the chain refused another request meanwhile.
  *
@@ -19,10 +18,9 @@
  * after a pause of two seconds. An engine that is short of memory or gives up layers refuses requests too, but goes on with its streams, however
  * slow they are; so neither a refusal nor a pause suffices alone, and the pause has to be unusual for the stream.
  * \param pause time since the last event of the stream
- * \param targetGap longest pause that callers take for on time
  * \param usualPause longest time between two of its events so far; nothing while it has had too few to tell
  * \param sinceRefusal time since the engine last refused a request; nothing if it refused none */
-bool isStalledByRefusingEngine(Duration pause, Duration targetGap, std::optional<Duration> usualPause, std::optional<Duration> sinceRefusal);
+bool isStalledByRefusingEngine(Duration pause, std::optional<Duration> usualPause, std::optional<Duration> sinceRefusal);
 
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamMonitor.cpp
@@ -23,11 +23,9 @@
 // Interval of checks for another chain while a stream is stalled beyond its limit; planning a chain takes one or two milliseconds
 // of CPU time on a slow host.
 constexpr Duration stallCheckInterval = std::chrono::milliseconds(250);
-// A stream without events for at least this time attributes the stall to an engine of its chain that is reported as suspect.
-// The value is well above the usual time between two events.
-constexpr Duration suspectedStallTimeout = std::chrono::milliseconds(150);
-// Interval of checks for an engine that refuses requests while a stream is stalled; a tenth of the usual target gap of 250 ms.
-constexpr Duration refusalCheckInterval = std::chrono::milliseconds(25);
+// Interval of checks for an engine that refuses requests while a stream is stalled; half of suspectedStallTimeout, so that a stream leaves a crashed
+// engine before its pause exceeds the usual target of 250 ms.
+constexpr Duration refusalCheckInterval = std::chrono::milliseconds(75);
 // Events of an attempt after which its longest pause counts as usual for the stream.
 constexpr std::uint32_t eventsThatShowPace = 3;
 // Time in which a daemon that was held up reads what has arrived meanwhile, before it judges a stall.
@@ -84,7 +82,7 @@
     for (const EndpointId& engine : this->engines) {
         const EndpointRecord* record = this->task.context.registry.find(engine);
         const auto refusedAt = record ? record->refusals.lastRefusal(now) : std::nullopt;
-        if (refusedAt && isStalledByRefusingEngine(this->stallDuration(), this->task.route.targetGap, usualPause, now - *refusedAt))
+        if (refusedAt && isStalledByRefusingEngine(this->stallDuration(), usualPause, now - *refusedAt))
             return engine;
     }
     return std::nullopt;
@@ -108,8 +106,7 @@
             monitor->checksSinceEvent = 0;
         const TimePoint due = std::max(this->lastProgress, monitor->checkedAt) + monitor->checkInterval(this->eventsInAttempt == 0 ? monitor->firstEventLimit : monitor->gapLimit);
         if (bootNow() < due) {
-            const Duration untilStalled = std::max<Duration>(shortestStall(this->task.route.targetGap) - this->stallDuration(), refusalCheckInterval);
-            const Duration pause = std::min(std::min<Duration>(due - bootNow(), untilAbandoning), untilStalled);
+            const Duration pause = std::min(std::min<Duration>(due - bootNow(), untilAbandoning), refusalCheckInterval);
             co_await pauseMonitor(context, pause);
             continue;
         }
