Drop the shares of client accounts from the reserve and the queue

Beside requests that crash engines and a burst, sound requests of the same account were served less than half as often as at other times.

Cause: an account beyond twice its equal share had one more rank, which under full load hardly ever finds room, and the queue gave each account the same share. Accounts differ in size in calm too, and the configuration has no weights.

Change: the rank counts priorities only, and waiting generations of one priority are ordered by arrival.

--- a/packages/Gateway/filbertspoke/src/Gateway/CapacityReserve.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/CapacityReserve.cpp
@@ -10,16 +10,16 @@
 // The gateways' knowledge of each other's work is 90 ms old at the median. With generations of 2.5 s, 4% of the work in progress is replaced in
 // that time, so one rank has to leave somewhat more for the more urgent ones to find it still free.
 constexpr double sharePerRank = 0.05;
-// Limits what stays unused on a full engine. Three ranks are two levels of priority and an account beyond its share.
+// Limits what stays unused on a full engine.
 constexpr double maximumShare = 0.15;
 
 }
 
-std::uint32_t generationRank(const std::set<std::uint32_t>& routed, std::optional<std::uint32_t> own, bool accountBeyondShare)
+std::uint32_t generationRank(const std::set<std::uint32_t>& routed, std::optional<std::uint32_t> own)
 {
     const auto ownPosition = routed.lower_bound(own.value_or(unnamedPriority));
     const auto moreUrgent = routed.size() > 1 ? std::distance(routed.begin(), ownPosition) : 0;
-    return static_cast<std::uint32_t>(moreUrgent) + (accountBeyondShare ? 1 : 0);
+    return static_cast<std::uint32_t>(moreUrgent);
 }
 
 double reservedShare(std::uint32_t rank)
--- a/packages/Gateway/filbertspoke/src/Gateway/CapacityReserve.h
+++ b/packages/Gateway/filbertspoke/src/Gateway/CapacityReserve.h
@@ -14,14 +14,12 @@
  *
  * Load pattern: demand of the least urgent priority rises to several times its usual while many gateways share the engines. Engines stay nearly full,
  * and whatever ends is taken by whichever gateway plans next, which is mostly for the priority with the most demand. Urgent generations are then
- * refused as often as all others. The rank depends only on the configuration and on what this gateway has started, so all gateways leave
+ * refused as often as all others. The rank depends only on the configuration, so all gateways leave
  * the same capacity free without messages between them.
  * \param routed priorities of all stream routes to the service
  * \param own priority of the generation; nothing when the configuration names none
- * \param accountBeyondShare whether its account has started more than its share
- * \returns the number of more urgent priorities among \a routed, plus 1 if the account is beyond its share. With a single priority in \a routed
- * the priorities count as equal, whatever priority the generation's account has */
-std::uint32_t generationRank(const std::set<std::uint32_t>& routed, std::optional<std::uint32_t> own, bool accountBeyondShare);
+ * \returns the number of more urgent priorities among \a routed. With a single priority in \a routed the priorities count as equal, whatever priority the generation's account has */
+std::uint32_t generationRank(const std::set<std::uint32_t>& routed, std::optional<std::uint32_t> own);
 
 /** \returns the share of an engine's KV capacity and slots that a generation of the rank leaves free, from 0 to 1 */
 double reservedShare(std::uint32_t rank);
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardStream.cpp
@@ -33,7 +33,8 @@
 
 WaitingGeneration StreamForwarder::waitingGeneration() const
 {
-    return { this->task.service, this->task.account.value_or(AccountId()), this->task.priority, tokensOf(this->task), this->headSent, this->task.history.attemptCount() > 0 };
+    // Accounts are not told apart: equal shares would delay those of a large account until most of them are refused, and the configuration has no weights.
+    return { this->task.service, AccountId(), this->task.priority, tokensOf(this->task), this->headSent, this->task.history.attemptCount() > 0 };
 }
 
 asio::awaitable<std::optional<LayerChain>> StreamForwarder::awaitChain()
@@ -204,7 +205,7 @@
             break;
         this->task.context.rateLimits.noteSent(chain->stages.front().endpoint, bootNow());
         this->logChain(*chain);
-        this->task.noteGenerationStarted(chain->tokens);
+        this->task.noteGenerationStarted();
         retry = co_await this->serveByChain(*metadata, std::move(*chain), std::nullopt);
     }
     // A request whose rest was requested elsewhere may have run there.
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -182,16 +182,13 @@
 {
     if (this->streamBegun || !this->context.table)
         return 0;
-    const bool beyondShare = this->account && this->context.accountShares[this->service].isBeyondShare(*this->account, bootNow());
-    return generationRank(this->context.table->streamPriorities(this->service), this->priority, beyondShare);
+    return generationRank(this->context.table->streamPriorities(this->service), this->priority);
 }
 
-void ForwardTask::noteGenerationStarted(double tokens)
+void ForwardTask::noteGenerationStarted()
 {
     if (std::exchange(this->generationStarted, true))
         return;
-    if (this->account)
-        this->context.accountShares[this->service].noteStarted(*this->account, tokens, bootNow());
     this->context.metrics.count({ "generations_started_total", this->priorityText("none"), "priority" });
 }
 
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -129,9 +129,8 @@
     /** \returns the rank of the generation among those that compete for the service's engines, by generationRank(); 0 once its caller has events,
      * because a broken stream costs more than a refusal */
     std::uint32_t rank() const;
-    /** \brief Records that the generation is sent to a chain; repeated calls count once.
-     * \param tokens of its prompt and its expected output */
-    void noteGenerationStarted(double tokens);
+    /** \brief Counts that the generation is sent to a chain; repeated calls count once. */
+    void noteGenerationStarted();
 
     /** \brief Closes the connections on which the request is in progress, and ends a pause(). */
     void closeConnections();
--- a/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/GatewayContext.h
@@ -117,7 +117,6 @@
     RequestQuarantine requestQuarantine; ///< traits of requests that crash endpoints
     RequestMemory requestMemory; ///< that callers' requests share
     LoadTracker loads; ///< work in progress at the endpoints, of this daemon and of the others
-    std::map<ServiceId, AccountShares> accountShares; ///< generations that this daemon started for each account
     std::optional<TimePoint> lastLoadReportAt; ///< when another daemon last reported its load
     PeerTable roster; ///< the other gateways of the site
     HandoverTargets handoverTargets;
