Split the refusals off EndpointRegistry.cpp; name two tests by what they guard

A test said that a reported refusal is not passed on, which holds for members only since hubs pass on what they hear.

The test is renamed, its checks are the same. A comment in RefusalBackoff.cpp names the load instead of how it was found.

--- a/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
+++ b/packages/Gateway/filbertspoke/src/Gateway/EndpointRegistry.cpp
@@ -278,40 +278,6 @@
     record.remoteAvoidedUntil.reset();
 }
 
-std::optional<Duration> EndpointRegistry::noteRefusal(const EndpointId& id, TimePoint sentAt, double draw, TimePoint now)
-{
-    const auto entry = this->byId.find(id);
-    return entry == this->byId.end() ? std::nullopt : entry->second.refusals.noteRefusal(sentAt, draw, now);
-}
-
-std::optional<Duration> EndpointRegistry::noteRemoteRefusal(const RefusingEndpoint& refusing, double draw, TimePoint now)
-{
-    const auto entry = this->byId.find(refusing.run.endpoint);
-    if (entry == this->byId.end() || entry->second.endpoint.startedAtMs != refusing.run.startedAtMs)
-        return std::nullopt;
-    return entry->second.refusals.noteReport(refusing.remaining, draw, now);
-}
-
-std::vector<RefusingEndpoint> EndpointRegistry::knownRefusals(TimePoint now) const
-{
-    std::vector<RefusingEndpoint> refusing;
-    for (const auto& [id, record] : this->byId) {
-        if (const auto remaining = record.refusals.knownRemaining(now))
-            refusing.push_back({ { id, record.endpoint.startedAtMs }, *remaining });
-    }
-    return refusing;
-}
-
-std::vector<RefusingEndpoint> EndpointRegistry::ownRefusals(TimePoint now) const
-{
-    std::vector<RefusingEndpoint> refusing;
-    for (const auto& [id, record] : this->byId) {
-        if (const auto remaining = record.refusals.ownRemaining(now))
-            refusing.push_back({ { id, record.endpoint.startedAtMs }, *remaining });
-    }
-    return refusing;
-}
-
 void EndpointRegistry::noteRemoteAvoidance(const EndpointId& id, Duration remaining, TimePoint now)
 {
     const auto entry = this->byId.find(id);
--- a/packages/Gateway/tests/EndpointRegistry.cpp
+++ b/packages/Gateway/tests/EndpointRegistry.cpp
@@ -189,8 +189,8 @@
     BOOST_TEST(this->registry.ownRefusals(this->now).empty());
 }
 
-// Guards against reports that travel from gateway to gateway and never end, and against those on an earlier run of an engine.
-BOOST_FIXTURE_TEST_CASE(reportedRefusalIsOfOneRunAndIsNotPassedOn, Fixture)
+// Guards against reports that a member passes on as its own refusals, and against those on an earlier run of an engine.
+BOOST_FIXTURE_TEST_CASE(reportedRefusalIsOfOneRunAndNoOwnRefusal, Fixture)
 {
     for (const char* id : { "e1", "e2" })
         this->registry.update(endpoint(id));
--- a/packages/Gateway/tests/RefusalBackoff.cpp
+++ b/packages/Gateway/tests/RefusalBackoff.cpp
@@ -151,7 +151,7 @@
     BOOST_TEST(!this->backoff.noteReport(-5s, 0, this->now + 7s).has_value());
 }
 
-// Guards against the load that was measured: 84 gateways sent about 100 requests per second to an engine that refused for 14 s.
+// Guards against 84 gateways that send about 100 requests per second to an engine which refuses for 14 s.
 BOOST_AUTO_TEST_CASE(refusingEngineGetsFewRequestsFromManyGateways)
 {
     const int fixed = requestsWhileRefusing(Policy::FixedPause);
