--- a/review/support-2/scene.h
+++ b/review/support-2/scene.h
@@ -370,6 +370,7 @@
     int orders = 0;
     int beats = 1;
     long born;
+    int firstMs = 15; ///< to the first event of a stream
     int eventMs = 15; ///< between the events of a stream
     int events = 20; ///< of a stream
     /** \brief Takes a request over in a case of its own; returns whether it did. */
@@ -735,7 +736,7 @@
     if (!co_await writeText(*socket, "HTTP/1.1 200 OK\r\n" + common + "Server-Seal: seal-" + attempt + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
         co_return false;
     for (int event = std::atoi(request.header("Last-Event-Id").c_str()) + 1; event <= this->events; ++event) {
-        co_await pauseFor(Ms(this->eventMs));
+        co_await pauseFor(Ms(event == std::atoi(request.header("Last-Event-Id").c_str()) + 1 ? this->firstMs : this->eventMs));
         const std::string text = "id: " + std::to_string(event) + "\ndata: token\n\n";
         std::ostringstream size;
         size << std::hex << text.size();
