--- a/review/support-2/idle-crowd.cpp
+++ b/review/support-2/idle-crowd.cpp
@@ -73,6 +73,7 @@
     const pid_t process = ::fork();
     if (process != 0)
         return process;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     for (int descriptor = 3; descriptor < 1024; ++descriptor)
         ::close(descriptor);
     {
--- a/review/support-2/scene.h
+++ b/review/support-2/scene.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -514,6 +515,8 @@
         gateway.process = ::fork();
         if (gateway.process != 0)
             return;
+        // The gateway ends with the case, whatever ends that.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (descriptors > 0) {
             const rlimit limit { descriptors, descriptors };
             ::setrlimit(RLIMIT_NOFILE, &limit);
