Reject responses whose header fields are folded over several lines

Callers got, with status 200, the body of a response that was not the endpoint's: with the line " Content-Length: 19" behind a field, all up to the end of the connection; with " Transfer-Encoding: chunked", the chunk headers too, under a length that the gateway had computed.

Cause: Beast's parser joins a line that begins with a blank or a tab to the value of the field before, and gives no sign of it. The framing that the line named was lost, and the field went to the caller as "X-Mark: 7 Content-Length: 19". No response of the users' pages is folded, and RFC 9112, 5.2 lets a proxy reject one.

Change: ResponseParser, on the same grammar, fails on a folded header or trailer field. UpstreamConnection and HttpConnection use it, so that endpoints, other gateways, the store and reports are read by one set of rules. Trailer fields no longer count as header fields of the store's and the engines' answers. A look-up or a stream goes to another endpoint, a booking fails with 502 and is not sent again, and the connection is closed.

--- /dev/null
+++ b/packages/Daemon/tests/MalformedAnswers.cpp
@@ -0,0 +1,119 @@
+// Runs a gateway whose endpoints answer the first attempt of each request with bytes that are no HTTP response, on connections that they keep open.
+#include <filbertspoke/PlatformTesting>
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace filbertspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+const std::vector<std::string> serviceReplicas { "app-1", "app-2" };
+const std::vector<std::string> firstEngines { "engine-a1", "engine-b1" };
+// Callers of the scene wait for four seconds. What can't be served is rejected at once, not at the end of that time.
+constexpr auto rejectionTime = 2s;
+const std::string malformedBody = "broken-body";
+const std::string malformedChunks = "b\r\n" + malformedBody + "\r\n0\r\n\r\n";
+
+/** \brief A response that is sound but for one defect. */
+struct Defect {
+    std::string statusLine = "HTTP/1.1 200 OK";
+    std::string fields; ///< lines of the head, without those that identify the request
+    std::string body;
+};
+
+std::string lengthField()
+{
+    return "Content-Length: " + std::to_string(malformedBody.size()) + "\r\n";
+}
+
+std::string malformedAnswer(const Defect& defect, const HttpRequest& request)
+{
+    return defect.statusLine + "\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\n" + defect.fields + "\r\n" + defect.body;
+}
+
+/** \brief A gateway whose endpoints answer the first attempt of each request with the defect, and further ones well. */
+class Scene : public GatewayScene {
+public:
+    Scene(const Defect& defect, ReplicaScript::End end)
+    {
+        for (const std::string& id : serviceReplicas)
+            this->spoilFirstAttempts(id, defect, end, [](const HttpRequest& request) { return wholeAnswer(request, 200, "served"); });
+        for (const std::string& id : firstEngines)
+            this->spoilFirstAttempts(id, defect, end, [](const HttpRequest& request) { return streamHead(request) + eventChunk(1) + eventChunk(2) + lastChunk(); });
+        this->start();
+    }
+
+    /** \brief Sends a request.
+     * \param sends how often it should reach endpoints
+     * \returns what its caller received */
+    std::string answerTo(const std::string& method, const std::string& path, int sends)
+    {
+        this->attempts.clear();
+        const auto sentAt = Clock::now();
+        const auto caller = this->call(method, path, "Connection: close\r\n");
+        this->await([&] { return caller->closed(); });
+        BOOST_TEST((Clock::now() - sentAt < rejectionTime));
+        BOOST_TEST((this->attempts.empty() ? 0 : this->attempts.begin()->second) == sends);
+        BOOST_TEST(caller->received().find(malformedBody) == std::string::npos);
+        return caller->received();
+    }
+
+private:
+    void spoilFirstAttempts(const std::string& id, const Defect& defect, ReplicaScript::End end, const std::function<std::string(const HttpRequest&)>& soundAnswer)
+    {
+        this->replicas.at(id)->setAnswer([=, this](const HttpRequest& request) {
+            if (request.target.starts_with("/filbertspoke/"))
+                return emptyReport();
+            if (++this->attempts[readForwarded(request).id] > 1)
+                return ReplicaScript { { soundAnswer(request) } };
+            return ReplicaScript { { malformedAnswer(defect, request) }, 5ms, end };
+        });
+    }
+
+    std::map<std::string, int> attempts; ///< by request
+};
+
+/** \brief Checks that a look-up and a stream are served by another endpoint, and that a booking, which may have run, fails and is not sent again. */
+void checkRejected(const Defect& defect, ReplicaScript::End end = ReplicaScript::End::Silence)
+{
+    BOOST_TEST_CONTEXT(defect.statusLine << "\n"
+                                         << defect.fields << defect.body)
+    {
+        Scene scene(defect, end);
+        const std::string lookUp = scene.answerTo("GET", "/stock/x", 2);
+        BOOST_TEST(lookUp.starts_with("HTTP/1.1 200"));
+        BOOST_TEST(lookUp.ends_with("served"));
+        BOOST_TEST(scene.answerTo("POST", "/book/x", 1).starts_with("HTTP/1.1 502"));
+        const std::string stream = scene.answerTo("POST", "/chat/x", 2);
+        BOOST_TEST(eventIds(stream) == "1 2 ");
+        BOOST_TEST(stream.ends_with(lastChunk()));
+    }
+}
+
+}
+
+// Guards against answers of which the line behind a field was joined to its value, so that the body had another framing than its head named.
+BOOST_AUTO_TEST_CASE(fieldThatIsFoldedOverTwoLinesIsNoAnswer)
+{
+    for (const std::string blank : { " ", "\t" }) {
+        checkRejected({ .fields = "X-Mark: 7\r\n" + blank + lengthField(), .body = malformedBody }, ReplicaScript::End::Close);
+        checkRejected({ .fields = "X-Mark: 7\r\n" + blank + "Transfer-Encoding: chunked\r\n", .body = malformedChunks }, ReplicaScript::End::Close);
+        checkRejected({ .fields = lengthField() + "X-Mark: 7\r\n" + blank + "X-Other: 8\r\n", .body = malformedBody });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(nameWithABlankOrAControlByteIsNoAnswer)
+{
+    using namespace std::string_literals;
+    for (const std::string& name : { "X Mark"s, "X\tMark"s, "X\x01Mark"s, "X-Mark\x7f"s, "X\0Mark"s, "X-Mark "s, "X-Mark\t"s, "\x01X-Mark"s, ""s })
+        checkRejected({ .fields = lengthField() + name + ": 7\r\n", .body = malformedBody });
+}
--- a/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -1,11 +1,12 @@
 #include "HttpConnection.h"
 
+#include "ResponseParser.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -54,7 +55,7 @@
         beast::tcp_stream stream;
         beast::flat_buffer buffer { maximumBufferBytes };
         http::request<http::string_body> request;
-        std::optional<http::response_parser<http::string_body>> parser;
+        std::optional<ResponseParser> parser;
     };
 
     void connect();
@@ -170,15 +171,11 @@
 
 void HttpConnection::State::finish()
 {
-    auto message = this->channel->parser->release();
-    HttpResponse response;
-    response.status = message.result_int();
-    for (const auto& field : message)
-        response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    response.body = std::move(message.body());
+    ResponseParser& parser = *this->channel->parser;
+    HttpResponse response { parser.status(), parser.headers(), parser.takeBody() };
 
     const Callback done = std::exchange(this->callback, nullptr);
-    if (message.keep_alive())
+    if (parser.keep_alive())
         this->watchIdle();
     else
         this->close();
--- /dev/null
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.h
@@ -0,0 +1,61 @@
+#ifndef FILBERTSPOKE_RESPONSE_PARSER_H
+#define FILBERTSPOKE_RESPONSE_PARSER_H
+
+#include "HttpMessage.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace filbertspoke {
+
+/** \brief Parses one HTTP response. All readers of responses use it, so that they agree on what a response is.
+ *
+ * It fails, with an error of boost::beast::http, on all that the base class rejects and on a header or trailer field that is folded over several lines
+ * (RFC 9112, 5.2). Trailer fields are dropped.
+ */
+class ResponseParser final : public boost::beast::http::basic_parser<false> {
+public:
+    unsigned status() const { return this->code; }
+    /** \returns the header fields in the order in which they arrived */
+    const std::vector<HttpHeader>& headers() const { return this->fields; }
+
+    /** \brief Limits the size in bytes of the body that is kept; parsing stops with need_buffer at a larger one until takeBody() is called. */
+    void setBodyCapacity(std::size_t bytes) { this->bodyCapacity = bytes; }
+    /** \returns the part of the body that was parsed since the last call */
+    std::string takeBody();
+
+private:
+    using ErrorCode = boost::beast::error_code;
+    using StringView = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb, StringView, StringView, int, ErrorCode&) override { }
+    void on_response_impl(int status, StringView reason, int version, ErrorCode&) override;
+    void on_field_impl(boost::beast::http::field, StringView name, StringView value, ErrorCode&) override;
+    void on_header_impl(ErrorCode&) override { this->headDone = true; }
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override { }
+    std::size_t on_body_impl(StringView part, ErrorCode& error) override { return this->appendBody(part, error); }
+    void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode&) override { }
+    std::size_t on_chunk_body_impl(std::uint64_t, StringView part, ErrorCode& error) override { return this->appendBody(part, error); }
+    void on_finish_impl(ErrorCode&) override { }
+
+    std::size_t appendBody(StringView part, ErrorCode&);
+
+    unsigned code = 0;
+    std::vector<HttpHeader> fields;
+    std::string body;
+    std::size_t bodyCapacity = std::numeric_limits<std::size_t>::max();
+    bool headDone = false; ///< further fields are trailer fields
+};
+
+/** \returns whether the error of a read means that bytes arrived which are no response, rather than too few bytes or none */
+bool isMalformedResponse(const std::error_code&);
+
+}
+
+#endif
--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace filbertspoke;
 using boost::asio::ip::tcp;
@@ -23,6 +24,8 @@
 
     void exchange()
     {
+        this->outcome.reset();
+        this->io.restart();
         this->connection.exchange(HttpRequest {}, std::chrono::seconds(5), [this](HttpOutcome outcome) { this->outcome = std::move(outcome); });
     }
 
@@ -34,6 +37,12 @@
         this->acceptor.async_accept(socket, [&](boost::system::error_code) { accepted = true; });
         while (!accepted)
             this->io.run_one();
+        this->readRequest(socket);
+        return socket;
+    }
+
+    void readRequest(tcp::socket& socket)
+    {
         std::string request;
         char byte = 0;
         while (!request.ends_with("\r\n\r\n")) {
@@ -41,7 +50,24 @@
             if (socket.available() > 0 && socket.read_some(boost::asio::buffer(&byte, 1)) == 1)
                 request.push_back(byte);
         }
-        return socket;
+    }
+
+    /** \returns the outcome of the exchange in progress */
+    HttpOutcome await()
+    {
+        while (!this->outcome)
+            this->io.run_one();
+        return *this->outcome;
+    }
+
+    /** \brief Starts an exchange, which has to open a connection, and answers it there.
+     * \returns the accepted side */
+    tcp::socket answerOnNewConnection(const std::string& response)
+    {
+        this->exchange();
+        tcp::socket server = this->accept();
+        boost::asio::write(server, boost::asio::buffer(response));
+        return server;
     }
 
     boost::asio::io_context io;
@@ -96,3 +122,27 @@
         this->io.run_one();
     BOOST_TEST(std::get<HttpResponse>(*this->outcome).body == "next");
 }
+
+// Guards against answers of the store, of peers and of engines that were taken for sound ones.
+BOOST_FIXTURE_TEST_CASE(malformedResponseFailsItsExchangeAndTheNextOneUsesANewConnection, ConnectionFixture)
+{
+    const std::vector<std::string> malformed {
+        "HTTP/1.1 200 OK\r\nStore-Era: 7\r\n Content-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nStore Era: 7\r\nContent-Length: 4\r\n\r\nbody",
+    };
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext";
+    for (const std::string& response : malformed) {
+        BOOST_TEST_CONTEXT(response)
+        {
+            tcp::socket server = this->answerOnNewConnection(sound);
+            BOOST_TEST(std::get<HttpResponse>(this->await()).body == "next");
+            this->exchange();
+            this->readRequest(server);
+            boost::asio::write(server, boost::asio::buffer(response));
+            const HttpOutcome outcome = this->await();
+            BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+            BOOST_TEST(isMalformedResponse(std::get<HttpFailure>(outcome).error));
+            BOOST_TEST(std::get<HttpFailure>(outcome).sent);
+        }
+    }
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <array>
@@ -58,8 +56,7 @@
     beast::tcp_stream stream;
     SocketAddress address;
     beast::flat_buffer buffer { maximumBufferBytes };
-    std::optional<http::response_parser<http::buffer_body>> parser;
-    std::array<char, bodyChunkBytes> chunk {};
+    std::optional<ResponseParser> parser;
     bool headRequest = false; ///< the current request has the method HEAD, so that its response has no body
     bool usable = false;
 };
@@ -123,11 +120,7 @@
         state->usable = false;
         co_return std::error_code(error);
     }
-    ResponseHead head;
-    head.status = parser.get().result_int();
-    for (const auto& field : parser.get())
-        head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    co_return head;
+    co_return ResponseHead { parser.status(), parser.headers() };
 }
 
 asio::awaitable<Result<BodyProgress>> UpstreamConnection::readBody(std::string& body, Duration timeout)
@@ -136,12 +129,10 @@
     auto& parser = *state->parser;
     if (parser.is_done())
         co_return BodyProgress::Ended;
-    auto& content = parser.get().body();
-    content.data = state->chunk.data();
-    content.size = state->chunk.size();
+    parser.setBodyCapacity(bodyChunkBytes);
     state->stream.expires_after(timeout);
     const auto [error, bytes] = co_await http::async_read_some(state->stream, state->buffer, parser, asTuple);
-    body.append(state->chunk.data(), state->chunk.size() - content.size);
+    body += parser.takeBody();
     if (error && error != http::error::need_buffer) {
         state->usable = false;
         co_return std::error_code(error);
@@ -187,7 +178,7 @@
     constexpr std::string_view parameter = "timeout=";
     if (!this->state->parser)
         return std::nullopt;
-    const std::string_view value = this->state->parser->get()[http::field::keep_alive];
+    const std::string_view value = findHeader(this->state->parser->headers(), "Keep-Alive");
     const std::size_t start = value.find(parameter);
     if (start == std::string_view::npos)
         return std::nullopt;
--- a/packages/Proxy/tests/UpstreamConnection.cpp
+++ b/packages/Proxy/tests/UpstreamConnection.cpp
@@ -5,12 +5,16 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <exception>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace filbertspoke;
 using namespace std::chrono_literals;
@@ -51,6 +55,40 @@
         BOOST_TEST(!sent);
     }
 
+    /** \brief Reads a sound response and, on the same connection, a malformed one. */
+    asio::awaitable<void> checkMalformed(std::string sound, std::string malformed, std::size_t segmentBytes)
+    {
+        const auto address = this->listener.local_endpoint();
+        UpstreamConnection kept(this->context, SocketAddress { address.address().to_string(), address.port() });
+        const std::error_code connected = co_await kept.connect(1s);
+        BOOST_TEST(!connected);
+        const auto endpoint = std::make_shared<tcp::socket>(co_await this->listener.async_accept(asio::use_awaitable));
+        asio::write(*endpoint, asio::buffer(sound));
+        const auto first = co_await kept.readHead(1s);
+        const std::error_code skipped = co_await kept.skipBody(1s);
+        BOOST_TEST(!skipped);
+        BOOST_TEST(kept.reusable());
+        asio::co_spawn(this->context, writeSegments(endpoint, std::move(malformed), segmentBytes), asio::detached);
+        const auto second = co_await kept.readHead(1s);
+        BOOST_TEST((first && first->status == 200));
+        BOOST_TEST(!second);
+        BOOST_TEST((!second && isMalformedResponse(second.error())));
+        BOOST_TEST(!kept.reusable());
+    }
+
+    static asio::awaitable<void> writeSegments(std::shared_ptr<tcp::socket> socket, std::string text, std::size_t segmentBytes)
+    {
+        socket->set_option(tcp::no_delay(true));
+        for (std::size_t at = 0; at < text.size(); at += segmentBytes) {
+            const std::string segment = text.substr(at, segmentBytes);
+            const auto [error, written] = co_await asio::async_write(*socket, asio::buffer(segment), asTuple);
+            if (error)
+                co_return;
+            // Lets the reader take the segment.
+            co_await asio::post(asio::use_awaitable);
+        }
+    }
+
     asio::io_context context;
     tcp::acceptor listener;
     std::unique_ptr<UpstreamConnection> connection;
@@ -71,3 +109,20 @@
     BOOST_TEST(received.size() < bodyBytes);
     BOOST_TEST((error == asio::error::connection_reset));
 }
+
+// Guards against answers of endpoints and of other gateways that were taken for sound ones, in whatever segments they arrive.
+BOOST_FIXTURE_TEST_CASE(malformedHeadFailsTheReadAndEndsTheUseOfTheConnection, Fixture)
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    const std::vector<std::string> malformed {
+        "HTTP/1.1 200 OK\r\nX-Mark: 7\r\n Content-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nX-Mark: 7\r\n\tTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX Mark: 7\r\n\r\nbody",
+    };
+    for (const std::string& response : malformed) {
+        for (const std::size_t segmentBytes : { response.size(), std::size_t(1) }) {
+            BOOST_TEST_CONTEXT(response << "\nin segments of " << segmentBytes)
+            this->run(this->checkMalformed(sound, response, segmentBytes));
+        }
+    }
+}
