Reject responses whose status is none of HTTP

Callers waited until their time limit was over, and got 502, when an endpoint answered with a status below 100 and kept the connection open: look-ups too, though another endpoint could have served them. A status of 600 or above reached the callers of bookings.

Cause: the parser takes any three digits. ForwardTask::readReply() took all below 200 for an interim response, dropped it and waited for the final one, which never came; above 599 nothing was checked. 101 was an interim response too, though it ends HTTP on the connection.

Change: ResponseParser fails on a status below 100, above 599, and on 101, which no request of the gateway asks for. All readers take part.

Evidence: on the code before, statusThatIsNoneOfHttpIsNoAnswer failed for 000, 001, 099, 600 and 999 with a length, with chunks and without a body: 9 waits beyond two seconds of four, and 6 bookings answered with 600 or 999. switchToAnotherProtocolIsNoAnswer failed once, for an answer without a body. All pass now. Statuses of two or four digits or with a sign and other versions of HTTP were rejected before: their cases pass without this change.

--- a/packages/Daemon/tests/MalformedAnswers.cpp
+++ b/packages/Daemon/tests/MalformedAnswers.cpp
@@ -117,3 +117,26 @@
     for (const std::string& name : { "X Mark"s, "X\tMark"s, "X\x01Mark"s, "X-Mark\x7f"s, "X\0Mark"s, "X-Mark "s, "X-Mark\t"s, "\x01X-Mark"s, ""s })
         checkRejected({ .fields = lengthField() + name + ": 7\r\n", .body = malformedBody });
 }
+
+// Guards against answers whose status was below 100, for which callers waited until their time was over, and above 599, which reached them.
+BOOST_AUTO_TEST_CASE(statusThatIsNoneOfHttpIsNoAnswer)
+{
+    for (const std::string status : { "000", "001", "099", "600", "999", "20", "2000", "+20", "-20", "2x0", "" }) {
+        checkRejected({ "HTTP/1.1 " + status + " Status", lengthField(), malformedBody });
+        checkRejected({ "HTTP/1.1 " + status + " Status", "Transfer-Encoding: chunked\r\n", malformedChunks });
+        checkRejected({ "HTTP/1.1 " + status + " Status", "Content-Length: 0\r\n", "" });
+    }
+}
+
+// No request asks for another protocol, so that no answer can switch to one.
+BOOST_AUTO_TEST_CASE(switchToAnotherProtocolIsNoAnswer)
+{
+    checkRejected({ "HTTP/1.1 101 Switching Protocols", "Connection: upgrade\r\nUpgrade: other\r\n", "" });
+    checkRejected({ "HTTP/1.1 101 Switching Protocols", lengthField(), malformedBody });
+}
+
+BOOST_AUTO_TEST_CASE(otherVersionOfHttpIsNoAnswer)
+{
+    for (const std::string version : { "HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "HTTP/1", "http/1.1", "HTTPS/1.1", "" })
+        checkRejected({ version + " 200 OK", lengthField(), malformedBody });
+}
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+constexpr int firstStatus = 100;
+constexpr int lastStatus = 599;
+// No request asks for another protocol.
+constexpr int switchingProtocols = 101;
+
 /** \returns whether the field with the name continues on the next line
  * \param name in the parsed bytes */
 bool isFolded(boost::beast::string_view name)
@@ -31,8 +36,10 @@
     return std::exchange(this->body, {});
 }
 
-void ResponseParser::on_response_impl(int status, StringView, int, ErrorCode&)
+void ResponseParser::on_response_impl(int status, StringView, int, ErrorCode& error)
 {
+    if (status < firstStatus || status > lastStatus || status == switchingProtocols)
+        error = http::error::bad_status;
     this->code = static_cast<unsigned>(status);
 }
 
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.h
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.h
@@ -16,8 +16,10 @@
 
 /** \brief Parses one HTTP response. All readers of responses use it, so that they agree on what a response is.
  *
- * It fails, with an error of boost::beast::http, on all that the base class rejects and on a header or trailer field that is folded over several lines
- * (RFC 9112, 5.2). Trailer fields are dropped.
+ * It fails, with an error of boost::beast::http, on all that the base class rejects, and on
+ * - a status below 100 or above 599, and 101 (RFC 9110, 15);
+ * - a header or trailer field that is folded over several lines (RFC 9112, 5.2).
+ * Trailer fields are dropped.
  */
 class ResponseParser final : public boost::beast::http::basic_parser<false> {
 public:
--- a/packages/Http/tests/ResponseParser.cpp
+++ b/packages/Http/tests/ResponseParser.cpp
@@ -100,6 +100,12 @@
     BOOST_TEST(!isMalformedResponse({}));
 }
 
+BOOST_AUTO_TEST_CASE(statusThatIsNoneOfHttpIsRejected)
+{
+    for (const std::string status : { "000", "099", "101", "600", "999", "20", "2000", "+20", "2x0" })
+        checkRejected("HTTP/1.1 " + status + " Status\r\nContent-Length: 4\r\n\r\nbody", http::error::bad_status);
+}
+
 BOOST_AUTO_TEST_CASE(foldedFieldIsRejected)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
