Reject responses with a transfer coding other than chunks

Callers got, with status 200, the chunk headers as a part of the body after "Transfer-Encoding: chunked, chunked", "gzip", "identity" or no value at all, and a body that was still coded after "gzip, chunked", without the field that says so.

Cause: Beast's parser looks for "chunked" as the last coding only, and ignores the field otherwise: the body is read by its length if the response has one, or to the end of the connection. Chunks in HTTP/1.0, which has none, were read as such. RFC 9112, 6.1 calls the framing of such a response faulty; requests of the gateway accept no coding but chunks.

Change: ResponseParser fails on a Transfer-Encoding that is not "chunked" alone, and on any in HTTP/1.0.

Lengths that are no number, two lengths that differ, and a length beside chunks were rejected before: lengthThatIsNoneOrOneOfSeveralIsNoAnswer passes without this change.

--- a/packages/Daemon/tests/MalformedAnswers.cpp
+++ b/packages/Daemon/tests/MalformedAnswers.cpp
@@ -140,3 +140,24 @@
     for (const std::string version : { "HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "HTTP/1", "http/1.1", "HTTPS/1.1", "" })
         checkRejected({ version + " 200 OK", lengthField(), malformedBody });
 }
+
+// Guards against answers whose chunks were not seen as such, so that callers got the sizes of the chunks or a coded body.
+BOOST_AUTO_TEST_CASE(transferCodingOtherThanChunksIsNoAnswer)
+{
+    const std::string field = "Transfer-Encoding: ";
+    for (const std::string value : { "chunked, chunked", "gzip", "gzip, chunked", "chunked, gzip", "identity", "chunked;q=1", "" })
+        checkRejected({ .fields = field + value + "\r\n", .body = malformedChunks }, ReplicaScript::End::Close);
+    checkRejected({ .fields = field + "identity\r\n" + lengthField(), .body = malformedBody });
+    checkRejected({ .fields = field + "gzip\r\n" + field + "chunked\r\n", .body = malformedChunks });
+    checkRejected({ .statusLine = "HTTP/1.0 200 OK", .fields = field + "chunked\r\n", .body = malformedChunks });
+}
+
+BOOST_AUTO_TEST_CASE(lengthThatIsNoneOrOneOfSeveralIsNoAnswer)
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    for (const std::string value : { "11, 12", "-11", "+11", "0x0b", "1 1", "", "99999999999999999999" })
+        checkRejected({ .fields = "Content-Length: " + value + "\r\n", .body = malformedBody });
+    checkRejected({ .fields = lengthField() + "Content-Length: 12\r\n", .body = malformedBody });
+    checkRejected({ .fields = lengthField() + chunked, .body = malformedChunks });
+    checkRejected({ .fields = chunked + lengthField(), .body = malformedChunks });
+}
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
@@ -15,6 +15,7 @@
 constexpr int lastStatus = 599;
 // No request asks for another protocol.
 constexpr int switchingProtocols = 101;
+constexpr int firstVersionWithChunks = 11;
 
 /** \returns whether the field with the name continues on the next line
  * \param name in the parsed bytes */
@@ -36,17 +37,21 @@
     return std::exchange(this->body, {});
 }
 
-void ResponseParser::on_response_impl(int status, StringView, int, ErrorCode& error)
+void ResponseParser::on_response_impl(int status, StringView, int version, ErrorCode& error)
 {
     if (status < firstStatus || status > lastStatus || status == switchingProtocols)
         error = http::error::bad_status;
     this->code = static_cast<unsigned>(status);
+    this->mayHaveChunks = version >= firstVersionWithChunks;
 }
 
-void ResponseParser::on_field_impl(http::field, StringView name, StringView value, ErrorCode& error)
+void ResponseParser::on_field_impl(http::field field, StringView name, StringView value, ErrorCode& error)
 {
     if (isFolded(name))
         error = http::error::bad_obs_fold;
+    // The base class rejects a second framing, but ignores a coding that it does not know.
+    else if (field == http::field::transfer_encoding && !(this->mayHaveChunks && boost::beast::iequals(value, "chunked")))
+        error = http::error::bad_transfer_encoding;
     else if (!this->headDone)
         this->fields.push_back({ std::string(name), std::string(value) });
 }
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.h
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.h
@@ -18,7 +18,8 @@
  *
  * It fails, with an error of boost::beast::http, on all that the base class rejects, and on
  * - a status below 100 or above 599, and 101 (RFC 9110, 15);
- * - a header or trailer field that is folded over several lines (RFC 9112, 5.2).
+ * - a header or trailer field that is folded over several lines (RFC 9112, 5.2);
+ * - a transfer coding other than "chunked" alone, and any in HTTP/1.0 (RFC 9112, 6.1).
  * Trailer fields are dropped.
  */
 class ResponseParser final : public boost::beast::http::basic_parser<false> {
@@ -52,6 +53,7 @@
     std::vector<HttpHeader> fields;
     std::string body;
     std::size_t bodyCapacity = std::numeric_limits<std::size_t>::max();
+    bool mayHaveChunks = false; ///< the version of HTTP has transfer codings
     bool headDone = false; ///< further fields are trailer fields
 };
 
--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -130,6 +130,7 @@
         "HTTP/1.1 200 OK\r\nStore-Era: 7\r\n Content-Length: 4\r\n\r\nbody",
         "HTTP/1.1 000 Status\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1 600 Status\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nStore Era: 7\r\nContent-Length: 4\r\n\r\nbody",
     };
     const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext";
--- a/packages/Http/tests/ResponseParser.cpp
+++ b/packages/Http/tests/ResponseParser.cpp
@@ -106,6 +106,18 @@
         checkRejected("HTTP/1.1 " + status + " Status\r\nContent-Length: 4\r\n\r\nbody", http::error::bad_status);
 }
 
+BOOST_AUTO_TEST_CASE(transferCodingOtherThanChunksIsRejected)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string field = "Transfer-Encoding: ";
+    const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+    for (const std::string value : { "chunked, chunked", "gzip", "gzip, chunked", "chunked, gzip", "identity", "" })
+        checkRejected(head + field + value + "\r\n" + chunks, http::error::bad_transfer_encoding);
+    checkRejected(head + field + "gzip\r\n" + field + "chunked\r\n" + chunks, http::error::bad_transfer_encoding);
+    checkRejected(head + field + "identity\r\nContent-Length: 4\r\n\r\nbody", http::error::bad_transfer_encoding);
+    checkRejected("HTTP/1.0 200 OK\r\n" + field + "chunked\r\n" + chunks, http::error::bad_transfer_encoding);
+}
+
 BOOST_AUTO_TEST_CASE(foldedFieldIsRejected)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
--- a/packages/Proxy/tests/UpstreamConnection.cpp
+++ b/packages/Proxy/tests/UpstreamConnection.cpp
@@ -119,6 +119,7 @@
         "HTTP/1.1 200 OK\r\nX-Mark: 7\r\n\tTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
         "HTTP/1.1 000 Status\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1 600 Status\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX Mark: 7\r\n\r\nbody",
     };
     for (const std::string& response : malformed) {
