Log what is wrong with a malformed response

Operators saw "no-answer" or "broken-off-unanswered" for an endpoint that had answered with a malformed head, and nothing of what was wrong.

Cause: the error of the parser was dropped where an attempt's result is made.

Change: attempt-failed and handover-failed have the reason "answer-malformed", also as the metric's label, and the error as evidence; "no-answer" is left to those that were silent or closed. peer-lost has a reason.

--- a/packages/Daemon/tests/MalformedAnswers.cpp
+++ b/packages/Daemon/tests/MalformedAnswers.cpp
@@ -1,6 +1,7 @@
 // Runs a gateway whose endpoints answer the first attempt of each request with bytes that are no HTTP response, on connections that they keep open.
 #include <filbertspoke/PlatformTesting>
 
+#include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -161,3 +162,22 @@
     checkRejected({ .fields = lengthField() + chunked, .body = malformedChunks });
     checkRejected({ .fields = chunked + lengthField(), .body = malformedChunks });
 }
+
+BOOST_AUTO_TEST_CASE(logNamesWhatIsWrongWithAnAnswer)
+{
+    Scene scene({ "HTTP/1.1 000 Status", lengthField(), malformedBody }, ReplicaScript::End::Silence);
+    scene.answerTo("GET", "/stock/x", 2);
+    scene.answerTo("POST", "/book/x", 1);
+    scene.answerTo("POST", "/chat/x", 2);
+    scene.gateway->kill();
+    int lines = 0;
+    while (const auto text = scene.gateway->readLine()) {
+        const boost::json::value line = boost::json::parse(*text);
+        if (line.at("event").as_string() != "attempt-failed")
+            continue;
+        ++lines;
+        BOOST_TEST(line.at("reason").as_string() == "answer-malformed");
+        BOOST_TEST(line.at("evidence").as_string() == "bad status");
+    }
+    BOOST_TEST(lines == 3);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -106,7 +106,7 @@
     const Result<EndpointReply> reply = co_await task.readReply(connection, endpoint.id, task.timeLeft());
     monitor->finished = true;
     if (!reply) {
-        AttemptResult result { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+        AttemptResult result = lostResponse(reply.error(), EndpointFault::Silent, "no-answer");
         result.connectionBroken = !monitor->aborted && !isTimeout(reply.error());
         co_return result;
     }
@@ -122,7 +122,7 @@
         progress = co_await connection->readBody(response.body, task.timeLeft());
     }
     if (!progress)
-        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-broken-off" };
+        co_return lostResponse(progress.error(), EndpointFault::Broken, "answer-broken-off");
     task.context.pool.giveBack(endpoint.address, connection);
     if (const auto failure = task.classifyFailure(*reply)) {
         AttemptHistory history = task.history;
@@ -148,7 +148,7 @@
         co_return result;
     const Result<EndpointReply> reply = co_await task.readHandoverReply(connection, task.timeLeft());
     if (!reply)
-        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "no-answer" };
+        co_return lostResponse(reply.error(), EndpointFault::Silent, "no-answer");
     if (auto failure = task.handoverFailureOf(*reply, false)) {
         connection->close();
         co_return *failure;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -361,6 +361,13 @@
     co_return make_error_code(ErrorCode::MalformedMessage);
 }
 
+AttemptResult lostResponse(const std::error_code& error, EndpointFault fault, const std::string& reason)
+{
+    AttemptResult result { AttemptEnd::Lost, fault, {}, isMalformedResponse(error) ? "answer-malformed" : reason };
+    result.evidence = error.message();
+    return result;
+}
+
 std::optional<AttemptResult> ForwardTask::classifyFailure(const EndpointReply& reply) const
 {
     std::optional<EndpointId> blamed;
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -27,11 +28,15 @@
     bool connectionBroken = false; ///< the first endpoint's connection broke before the end of the response
     std::optional<TimePoint> sentAt {}; ///< when the attempt began; set at least in refusals by an endpoint
     bool declined = false; ///< the gateway to which the request was handed over can't serve it either
-    std::string evidence; ///< for the log: why an endpoint whose failure ended the attempt counts as failed
+    std::string evidence; ///< for the log: why an endpoint whose failure ended the attempt counts as failed, or what was wrong with its response
 
     bool operator==(const AttemptResult&) const = default;
 };
 
+/** \returns the failure of an attempt whose response could not be read because of the error
+ * \param reason if the response was not malformed */
+AttemptResult lostResponse(const std::error_code&, EndpointFault, const std::string& reason);
+
 /** \brief State of a request that is being forwarded, with the steps common to forwardCall() and forwardStream(). */
 class ForwardTask {
 public:
--- a/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/Handover.cpp
@@ -81,7 +81,7 @@
         progress = co_await connection->readBody(response.body, this->timeLeft());
     }
     if (!progress)
-        co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Broken, {}, "answer-broken-off" };
+        co_return lostResponse(progress.error(), EndpointFault::Broken, "answer-broken-off");
     this->context.pool.giveBack(target, connection);
     this->caller->stopWatching();
     const std::string outcome = reply.sealed ? "answered-elsewhere" : "refused-elsewhere";
@@ -100,7 +100,7 @@
     }
     const bool ended = endsHandovers(this->declinedHandovers, certainlyNotRun(this->history.state(this->timeLeft())));
     const bool retry = !ended && this->canRetry(this->history, *result.failure);
-    logLine(WriteLog::Level::Warning, "handover-failed", { { "request", this->request.id.str() }, { "gateway", formatSocketAddress(target) }, { "reason", result.reason }, { "events", std::to_string(result.events) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "declined", std::to_string(this->declinedHandovers) }, { "retry", retry ? "yes" : "no" } });
+    logLine(WriteLog::Level::Warning, "handover-failed", { { "request", this->request.id.str() }, { "gateway", formatSocketAddress(target) }, { "reason", result.reason }, { "evidence", result.evidence }, { "events", std::to_string(result.events) }, { "timeLeftMs", milliseconds(this->timeLeft()) }, { "declined", std::to_string(this->declinedHandovers) }, { "retry", retry ? "yes" : "no" } });
     this->context.metrics.count({ "handovers_failed_total", result.reason });
     return retry;
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.cpp
@@ -267,14 +267,14 @@
     co_return response;
 }
 
-void PeerExchange::recordExchange(const SocketAddress& address, bool answered)
+void PeerExchange::recordExchange(const SocketAddress& address, bool answered, const std::string& reason)
 {
     const bool reachableBefore = this->context.roster.isReachable(address);
     if (!answered)
         this->context.roster.noteFailure(address);
     const bool lost = reachableBefore && !this->context.roster.isReachable(address);
     if (lost)
-        logLine(WriteLog::Level::Warning, "peer-lost", { { "peer", formatSocketAddress(address) } });
+        logLine(WriteLog::Level::Warning, "peer-lost", { { "peer", formatSocketAddress(address) }, { "reason", reason } });
     this->updateRole();
 }
 
@@ -291,7 +291,9 @@
     std::string reason;
     const HttpResponse* response = successfulResponse(outcome, reason);
     auto message = response ? decodeGossipMessage(response->body) : Result<GossipMessage>(make_error_code(ErrorCode::PeerUnreachable));
-    this->recordExchange(address, static_cast<bool>(message));
+    if (response && !message)
+        reason = message.error().message();
+    this->recordExchange(address, static_cast<bool>(message), reason);
     if (message)
         this->handleMessage(std::move(*message));
 }
--- a/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/PeerExchange.h
@@ -49,7 +49,7 @@
     bool relaysStore() const;
     /** \brief Records whether the message shows that this daemon has all that its sender has read from the store. */
     void noteRelayed(const GossipMessage&, const PeerState&, TimePoint now);
-    void recordExchange(const SocketAddress&, bool answered);
+    void recordExchange(const SocketAddress&, bool answered, const std::string& reason);
     void updateRole();
 
     GatewayContext& context;
--- a/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/StreamAttempt.cpp
@@ -111,8 +111,10 @@
 AttemptResult StreamForwarder::readFailure(const std::error_code& error, const std::string& timeoutReason, const std::string& brokenReason) const
 {
     if (this->abandonedStalledChain || isTimeout(error))
-        return { AttemptEnd::Lost, EndpointFault::Silent, {}, timeoutReason };
-    return brokenOff(brokenReason);
+        return lostResponse(error, EndpointFault::Silent, timeoutReason);
+    AttemptResult result = lostResponse(error, EndpointFault::Broken, brokenReason);
+    result.connectionBroken = true;
+    return result;
 }
 
 asio::awaitable<AttemptResult> StreamForwarder::relayBody(const UpstreamPointer& connection, std::optional<Duration> expectedPerEvent)
