Close connections on which bytes follow a response

A second copy of a response that arrived together with the first one was taken for the answer to the next exchange on the same HttpConnection, before that exchange was even written: the report of an engine for the answer to the layer order behind it, a page of the store for the next one.

Cause: the check for bytes on an idle connection looks at the socket. What had been read from it already stayed in the buffer, and the parser of the next exchange began there.

Change: a connection with bytes behind a response is closed, and the next exchange opens another one.

Evidence: bytesBehindAResponseDoNotAnswerTheNextExchange failed on the code before: the second exchange ended with the copy, without a new connection. It passes now, also with a part of a copy and with a single byte.

--- a/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -175,7 +175,8 @@
     HttpResponse response { parser.status(), parser.headers(), parser.takeBody() };
 
     const Callback done = std::exchange(this->callback, nullptr);
-    if (parser.keep_alive())
+    // Bytes behind the response belong to no request.
+    if (parser.keep_alive() && this->channel->buffer.size() == 0)
         this->watchIdle();
     else
         this->close();
--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -35,8 +35,9 @@
         tcp::socket socket(this->io);
         bool accepted = false;
         this->acceptor.async_accept(socket, [&](boost::system::error_code) { accepted = true; });
-        while (!accepted)
+        while (!accepted && !this->outcome)
             this->io.run_one();
+        BOOST_TEST_REQUIRE(accepted);
         this->readRequest(socket);
         return socket;
     }
@@ -149,3 +150,19 @@
         }
     }
 }
+
+// Guards against a layer order whose answer was the second copy of the engine's report.
+BOOST_FIXTURE_TEST_CASE(bytesBehindAResponseDoNotAnswerTheNextExchange, ConnectionFixture)
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+    std::vector<tcp::socket> kept; // by the server, which does not close them
+    for (const std::string extra : { sound + "copy", std::string("HTTP/1.1 200 OK\r\n"), std::string("x") }) {
+        BOOST_TEST_CONTEXT(extra)
+        {
+            kept.push_back(this->answerOnNewConnection(sound + "body" + extra));
+            BOOST_TEST(std::get<HttpResponse>(this->await()).body == "body");
+        }
+    }
+    kept.push_back(this->answerOnNewConnection(sound + "next"));
+    BOOST_TEST(std::get<HttpResponse>(this->await()).body == "next");
+}
