Skip interim responses wherever heads are read

An interim response of another gateway, to which a request had been handed over, was the final one for its caller. On HttpConnection it was the answer to its exchange, and the final response behind it, if it came at once, that to the next one.

Cause: only ForwardTask::readReply() knew interim responses, so that each other reader took any status for the final one.

Change: UpstreamConnection::readHead() and HttpConnection skip up to eight of them within the same time limit, and fail on more. readReply() no longer has to; what an endpoint says of itself in an interim response is not noted any more.

Evidence: interimResponsesAreSkipped failed on the code before, for both connections; interimResponsesWithoutEndFailTheExchange too. All pass now, and Daemon.EndlessAnswers.endlessInterimResponsesFailTheCall as before.

--- a/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -61,9 +61,11 @@
     void connect();
     void write();
     void read();
+    void resetParser();
     void readMore();
+    void skipInterim();
     void finish();
-    void fail(beast::error_code, bool sent);
+    void fail(std::error_code, bool sent);
     void watchIdle();
     bool closedByServer();
 
@@ -75,6 +77,7 @@
     Callback callback;
     std::chrono::steady_clock::time_point responseDeadline; ///< time by which the whole response must have arrived
     std::uint64_t epoch = 0; ///< incremented by every exchange and close; handlers of an earlier epoch return without effect
+    unsigned interimResponses = 0; ///< to the current request
     bool connected = false;
     http::request<http::string_body> request;
 };
@@ -144,12 +147,26 @@
 }
 
 void HttpConnection::State::read()
+{
+    this->interimResponses = 0;
+    this->resetParser();
+    this->responseDeadline = std::chrono::steady_clock::now() + this->timeout + this->limits.transferAllowance;
+    this->readMore();
+}
+
+void HttpConnection::State::resetParser()
 {
     auto& parser = this->channel->parser.emplace();
     parser.body_limit(this->limits.responseBytes);
     if (this->channel->request.method() == http::verb::head)
         parser.skip(true);
-    this->responseDeadline = std::chrono::steady_clock::now() + this->timeout + this->limits.transferAllowance;
+}
+
+void HttpConnection::State::skipInterim()
+{
+    if (++this->interimResponses > maximumInterimResponses)
+        return this->fail(make_error_code(ErrorCode::MalformedMessage), true);
+    this->resetParser();
     this->readMore();
 }
 
@@ -162,7 +179,7 @@
             if (error)
                 return self->fail(error, true);
             if (channel->parser->is_done())
-                return self->finish();
+                return channel->parser->isInterim() ? self->skipInterim() : self->finish();
             if (self->limits.transferAllowance > Duration::zero())
                 channel->stream.expires_at(std::min(self->responseDeadline, std::chrono::steady_clock::now() + self->timeout));
             self->readMore();
@@ -183,7 +200,7 @@
     done(std::move(response));
 }
 
-void HttpConnection::State::fail(beast::error_code error, bool sent)
+void HttpConnection::State::fail(std::error_code error, bool sent)
 {
     const Callback done = std::exchange(this->callback, nullptr);
     this->close();
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int firstStatus = 100;
+constexpr unsigned firstFinalStatus = 200;
 constexpr int lastStatus = 599;
 // No request asks for another protocol.
 constexpr int switchingProtocols = 101;
@@ -32,6 +33,11 @@
 
 }
 
+bool ResponseParser::isInterim() const
+{
+    return this->code < firstFinalStatus;
+}
+
 std::string ResponseParser::takeBody()
 {
     return std::exchange(this->body, {});
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.h
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.h
@@ -14,6 +14,9 @@
 
 namespace filbertspoke {
 
+/** Interim responses to one request that a reader skips; with more, it fails. */
+constexpr unsigned maximumInterimResponses = 8;
+
 /** \brief Parses one HTTP response. All readers of responses use it, so that they agree on what a response is.
  *
  * It fails, with an error of boost::beast::http, on all that the base class rejects, and on
@@ -25,6 +28,8 @@
 class ResponseParser final : public boost::beast::http::basic_parser<false> {
 public:
     unsigned status() const { return this->code; }
+    /** \returns whether another response to the same request follows */
+    bool isInterim() const;
     /** \returns the header fields in the order in which they arrived */
     const std::vector<HttpHeader>& headers() const { return this->fields; }
 
--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -166,3 +166,23 @@
     kept.push_back(this->answerOnNewConnection(sound + "next"));
     BOOST_TEST(std::get<HttpResponse>(this->await()).body == "next");
 }
+
+// Guards against interim responses of which the final one behind them answered the next exchange.
+BOOST_FIXTURE_TEST_CASE(interimResponsesAreSkipped, ConnectionFixture)
+{
+    const tcp::socket server = this->answerOnNewConnection("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+    const HttpOutcome outcome = this->await();
+    BOOST_TEST_REQUIRE(std::holds_alternative<HttpResponse>(outcome));
+    BOOST_TEST((std::get<HttpResponse>(outcome) == HttpResponse { 200, { { "Content-Length", "4" } }, "body" }));
+}
+
+BOOST_FIXTURE_TEST_CASE(interimResponsesWithoutEndFailTheExchange, ConnectionFixture)
+{
+    std::string interim;
+    for (int response = 0; response < 1000; ++response)
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    const tcp::socket server = this->answerOnNewConnection(interim);
+    const HttpOutcome outcome = this->await();
+    BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    BOOST_TEST(std::get<HttpFailure>(outcome).error == make_error_code(ErrorCode::MalformedMessage));
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.cpp
@@ -350,11 +350,9 @@
         this->context.noteSignals(endpoint, reply.signals);
         if (!reply.signals.requestsPerSecond)
             this->context.noteRateLimit(endpoint, std::nullopt);
-        const bool interim = head->status < 200;
-        if (!interim && (!reply.id || *reply.id == this->request.id))
+        if (!reply.id || *reply.id == this->request.id)
             co_return reply;
-        if (!interim)
-            logLine(WriteLog::Level::Warning, "late-answer-dropped", { { "request", this->request.id.str() }, { "answers", reply.id ? reply.id->str() : "" } });
+        logLine(WriteLog::Level::Warning, "late-answer-dropped", { { "request", this->request.id.str() }, { "answers", reply.id ? reply.id->str() : "" } });
         if (const std::error_code error = co_await connection->skipBody(mismatchedBodyTimeout))
             co_return error;
     }
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardTask.h
@@ -104,8 +104,7 @@
      * \param slot upstream or offered
      * \returns the connection, or nullptr when nothing was sent; the attempt's result then holds the failure */
     boost::asio::awaitable<UpstreamPointer> sendRequest(const ForwardMetadata&, UpstreamPointer& slot, AttemptResult&);
-    /** \brief Reads response heads until one belongs to this request; interim responses and late responses to other requests
-     * are dropped.
+    /** \brief Reads response heads until one belongs to this request; late responses to other requests are dropped.
      * \param endpoint at the other end of the connection
      * \returns the reply, or the error of the connection, or MalformedMessage when too many heads did not match */
     boost::asio::awaitable<Result<EndpointReply>> readReply(const UpstreamPointer&, const EndpointId& endpoint, Duration timeout);
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -110,17 +110,22 @@
 asio::awaitable<Result<ResponseHead>> UpstreamConnection::readHead(Duration timeout)
 {
     const auto state = this->state;
-    auto& parser = state->parser.emplace();
-    parser.header_limit(maximumHeaderBytes);
-    parser.body_limit(boost::none);
-    parser.skip(state->headRequest);
     state->stream.expires_after(timeout);
-    const auto [error, bytes] = co_await http::async_read_header(state->stream, state->buffer, parser, asTuple);
-    if (error) {
-        state->usable = false;
-        co_return std::error_code(error);
+    for (unsigned interim = 0; interim <= maximumInterimResponses; ++interim) {
+        auto& parser = state->parser.emplace();
+        parser.header_limit(maximumHeaderBytes);
+        parser.body_limit(boost::none);
+        parser.skip(state->headRequest);
+        const auto [error, bytes] = co_await http::async_read_header(state->stream, state->buffer, parser, asTuple);
+        if (error) {
+            state->usable = false;
+            co_return std::error_code(error);
+        }
+        if (!parser.isInterim())
+            co_return ResponseHead { parser.status(), parser.headers() };
     }
-    co_return ResponseHead { parser.status(), parser.headers() };
+    state->usable = false;
+    co_return make_error_code(ErrorCode::MalformedMessage);
 }
 
 asio::awaitable<Result<BodyProgress>> UpstreamConnection::readBody(std::string& body, Duration timeout)
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
@@ -48,7 +48,7 @@
     /** \brief Writes the request. After an error, the endpoint may still have received it.
      * \returns an empty error code once the whole request is written to the socket */
     boost::asio::awaitable<std::error_code> send(const HttpRequest&, Duration timeout);
-    /** \brief Reads the head of the next response.
+    /** \brief Reads the head of the next final response, and skips interim ones before it.
      * \returns the head, or an error for which isTimeout() holds when it does not arrive in time */
     boost::asio::awaitable<Result<ResponseHead>> readHead(Duration timeout);
     /** \brief Waits for the next bytes of the body, 16 KB at most, and appends them to \a body.
--- a/packages/Proxy/tests/UpstreamConnection.cpp
+++ b/packages/Proxy/tests/UpstreamConnection.cpp
@@ -55,6 +55,18 @@
         BOOST_TEST(!sent);
     }
 
+    /** \brief Reads the head of the last of the responses, all of which arrive together. */
+    asio::awaitable<void> checkHead(std::string responses, ResponseHead expected)
+    {
+        const std::error_code connected = co_await this->connection->connect(1s);
+        BOOST_TEST(!connected);
+        tcp::socket endpoint = co_await this->listener.async_accept(asio::use_awaitable);
+        asio::write(endpoint, asio::buffer(responses));
+        const auto head = co_await this->connection->readHead(1s);
+        BOOST_TEST((head && *head == expected));
+        BOOST_TEST(this->connection->reusable());
+    }
+
     /** \brief Reads a sound response and, on the same connection, a malformed one. */
     asio::awaitable<void> checkMalformed(std::string sound, std::string malformed, std::size_t segmentBytes)
     {
@@ -129,3 +141,9 @@
         }
     }
 }
+
+// Guards against an interim response of another gateway that went to the caller as the final one.
+BOOST_FIXTURE_TEST_CASE(interimResponsesAreSkipped, Fixture)
+{
+    this->run(this->checkHead("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", { 200, { { "Content-Length", "0" } } }));
+}
