Soak: malformed answers of endpoints in trouble

The soak's endpoints in trouble sent nonsense in place of a head, but no head that was sound except for one defect, and its callers read answers with the parser that had taken such heads for sound ones.

Change: in one of the wrong ways, an endpoint answers with a status of 000 or 600, a folded line, a blank inside a name or another transfer coding, and with a body that is not the request's. Callers read with ResponseParser; a malformed answer of a gateway breaks a promise.

--- a/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
@@ -4,9 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <utility>
 
@@ -85,18 +83,20 @@
     const std::string text = callText(textOf(call));
     this->stream->expires_after(patience);
     const auto [writeError, written] = co_await asio::async_write(*this->stream, asio::buffer(text), asTuple);
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
     parser.body_limit(boost::none);
     const auto [error, bytes] = co_await http::async_read(*this->stream, this->buffer, parser, asTuple);
     call.endedAt = Clock::now();
     call.undisturbed = running && !process.handled && process.disturbedAt < call.sentAt && process.starts == call.start;
     if (parser.is_header_done()) {
-        call.status = parser.get().result_int();
-        call.echoedId = std::string(parser.get()[requestIdHeader()]);
-        call.returnTime = std::string(parser.get()[http::field::retry_after]);
-        call.body = parser.get().body();
+        call.status = parser.status();
+        call.echoedId = std::string(findHeader(parser.headers(), requestIdHeader()));
+        call.returnTime = std::string(findHeader(parser.headers(), "Retry-After"));
+        call.body = parser.takeBody();
         call.whole = !error;
     }
+    if (isMalformedResponse(error))
+        this->record.breach("a malformed answer (" + error.message() + ") for " + call.id);
     if (writeError || error || !parser.keep_alive())
         this->stream.reset();
     this->record.note(call);
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -267,6 +267,33 @@
     return script;
 }
 
+void SoakSite::makeMalformed(ReplicaScript& script)
+{
+    // Whatever the endpoint sends, a body that is passed on is not that of the request.
+    script.pieces.back() += "malformed";
+    script.end = ReplicaScript::End::Close;
+    std::string& head = script.pieces.front();
+    const std::size_t status = head.find("200");
+    const std::size_t framing = std::min(head.find("Content-Length"), head.find("Transfer-Encoding"));
+    switch (std::uniform_int_distribution<int>(0, 4)(this->random)) {
+    case 0:
+        head.replace(status, 3, "000");
+        break;
+    case 1:
+        head.replace(status, 3, "600");
+        break;
+    case 2:
+        head.insert(framing, "X-Mark: 7\r\n ");
+        break;
+    case 3:
+        head.insert(framing, "X Mark: 7\r\n");
+        break;
+    default:
+        head.replace(framing, head.find("\r\n", framing) - framing, "Transfer-Encoding: gzip");
+        break;
+    }
+}
+
 void SoakSite::spoil(ReplicaScript& script)
 {
     const auto way = static_cast<int>(this->draw() / wrongShare);
@@ -310,6 +337,9 @@
         script.pieces.clear();
         script.end = ReplicaScript::End::Reset;
         break;
+    case 10:
+        this->makeMalformed(script);
+        break;
     default:
         break;
     }
--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.h
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.h
@@ -94,6 +94,8 @@
     ReplicaScript answerInTrouble(const std::string& endpoint, const HttpRequest&);
     ReplicaScript answerWell(const HttpRequest&) const;
     void spoil(ReplicaScript&);
+    /** \brief Gives a response a head that is none of HTTP. */
+    void makeMalformed(ReplicaScript&);
     void putEndpoint(const std::string& id, const std::string& state);
     /** \returns the endpoint's entry in a store */
     std::string entryOf(const std::string& id, const View&);
