--- a/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
@@ -43,7 +43,7 @@
     return std::exchange(this->body, {});
 }
 
-void ResponseParser::on_response_impl(int status, StringView, int version, ErrorCode& error)
+void ResponseParser::on_response_impl(int status, StringView, int version, ParseError& error)
 {
     if (status < firstStatus || status > lastStatus || status == switchingProtocols)
         error = http::error::bad_status;
@@ -51,7 +51,7 @@
     this->mayHaveChunks = version >= firstVersionWithChunks;
 }
 
-void ResponseParser::on_field_impl(http::field field, StringView name, StringView value, ErrorCode& error)
+void ResponseParser::on_field_impl(http::field field, StringView name, StringView value, ParseError& error)
 {
     if (isFolded(name))
         error = http::error::bad_obs_fold;
@@ -62,7 +62,7 @@
         this->fields.push_back({ std::string(name), std::string(value) });
 }
 
-std::size_t ResponseParser::appendBody(StringView part, ErrorCode& error)
+std::size_t ResponseParser::appendBody(StringView part, ParseError& error)
 {
     const std::size_t kept = std::min(part.size(), this->bodyCapacity - this->body.size());
     this->body.append(part.data(), kept);
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.h
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.h
@@ -14,7 +14,7 @@
 
 namespace filbertspoke {
 
-/** Interim responses to one request that a reader skips; with more, it fails. */
+/** \brief Number of interim responses to one request that a reader skips; with more, it fails. */
 constexpr unsigned maximumInterimResponses = 8;
 
 /** \brief Parses one HTTP response. All readers of responses use it, so that they agree on what a response is.
@@ -39,20 +39,20 @@
     std::string takeBody();
 
 private:
-    using ErrorCode = boost::beast::error_code;
+    using ParseError = boost::beast::error_code;
     using StringView = boost::beast::string_view;
 
-    void on_request_impl(boost::beast::http::verb, StringView, StringView, int, ErrorCode&) override { }
-    void on_response_impl(int status, StringView reason, int version, ErrorCode&) override;
-    void on_field_impl(boost::beast::http::field, StringView name, StringView value, ErrorCode&) override;
-    void on_header_impl(ErrorCode&) override { this->headDone = true; }
-    void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override { }
-    std::size_t on_body_impl(StringView part, ErrorCode& error) override { return this->appendBody(part, error); }
-    void on_chunk_header_impl(std::uint64_t, StringView, ErrorCode&) override { }
-    std::size_t on_chunk_body_impl(std::uint64_t, StringView part, ErrorCode& error) override { return this->appendBody(part, error); }
-    void on_finish_impl(ErrorCode&) override { }
+    void on_request_impl(boost::beast::http::verb, StringView, StringView, int, ParseError&) override { }
+    void on_response_impl(int status, StringView reason, int version, ParseError&) override;
+    void on_field_impl(boost::beast::http::field, StringView name, StringView value, ParseError&) override;
+    void on_header_impl(ParseError&) override { this->headDone = true; }
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, ParseError&) override { }
+    std::size_t on_body_impl(StringView part, ParseError& error) override { return this->appendBody(part, error); }
+    void on_chunk_header_impl(std::uint64_t, StringView, ParseError&) override { }
+    std::size_t on_chunk_body_impl(std::uint64_t, StringView part, ParseError& error) override { return this->appendBody(part, error); }
+    void on_finish_impl(ParseError&) override { }
 
-    std::size_t appendBody(StringView part, ErrorCode&);
+    std::size_t appendBody(StringView part, ParseError&);
 
     unsigned code = 0;
     std::vector<HttpHeader> fields;
--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -156,7 +156,7 @@
 {
     const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
     std::vector<tcp::socket> kept; // by the server, which does not close them
-    for (const std::string extra : { sound + "copy", std::string("HTTP/1.1 200 OK\r\n"), std::string("x") }) {
+    for (const std::string& extra : { sound + "copy", std::string("HTTP/1.1 200 OK\r\n"), std::string("x") }) {
         BOOST_TEST_CONTEXT(extra)
         {
             kept.push_back(this->answerOnNewConnection(sound + "body" + extra));
