Soak: a malformed answer says nothing of its endpoint

Cause: a wrong check. The log of the gateway has the first answer of app-1 that says so at 17.52057, 0.3 ms after that request was sent. What app-1 had said before stood in an answer that the gateway rejected ("bad field", at 15.3536), after which it gave the caller 502 of its own. The soak counted that as the answer passed on. The users' rule is about answers that were passed on.

--- a/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakSite.cpp
@@ -1,5 +1,7 @@
 #include <filbertspoke/Soak>
 
+#include <boost/asio/buffer.hpp>
+
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
@@ -41,6 +43,15 @@
     return { ownLoopbackAddress(index), 0 };
 }
 
+/** \returns whether the bytes begin with a whole and sound head of a response */
+bool hasSoundHead(const std::string& bytes)
+{
+    ResponseParser parser;
+    boost::beast::error_code error;
+    parser.put(boost::asio::buffer(bytes), error);
+    return !error && parser.is_header_done();
+}
+
 void collectLog(SoakGateway& gateway)
 {
     while (auto line = gateway.process->readLine())
@@ -247,7 +258,8 @@
         return { { pushbackAnswer(std::to_string(static_cast<double>(pushback.count()) / 1000)) }, 5ms, ReplicaScript::End::Keep };
     }
     ReplicaScript script = this->answerInTrouble(endpoint, request);
-    if (this->leaving.contains(endpoint) && !script.pieces.empty() && script.pieces.front().starts_with("HTTP/1.1")) {
+    // A gateway hears nothing from an answer that it has to reject.
+    if (this->leaving.contains(endpoint) && !script.pieces.empty() && hasSoundHead(script.pieces.front())) {
         script.pieces.front() = leavingAnswer(std::move(script.pieces.front()));
         this->record.note(SignalRecord { id, endpoint, start, true, {}, Clock::now() });
     }
--- a/packages/Soak/tests/ShortRun.cpp
+++ b/packages/Soak/tests/ShortRun.cpp
@@ -52,3 +52,9 @@
 {
     keepsEveryPromise(20008);
 }
+
+// An endpoint said in a malformed answer that it was leaving, and the caller got the gateway's own refusal. The check took that for the answer passed on.
+BOOST_AUTO_TEST_CASE(endpointThatSaysInAMalformedAnswerThatItIsLeaving)
+{
+    keepsEveryPromise(80031);
+}
