--- a/packages/Daemon/tests/MalformedHandoverAnswers.cpp
+++ b/packages/Daemon/tests/MalformedHandoverAnswers.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace filbertspoke;
@@ -24,6 +25,13 @@
 const std::string malformedBody = "broken-body";
 const std::string lengthField = "Content-Length: " + std::to_string(malformedBody.size()) + "\r\n";
 
+/** \returns the answer, whose head identifies the request behind its status line */
+std::string malformedAnswer(const std::string& head, const std::string& body, const HttpRequest& request)
+{
+    std::string answer = head + "\r\n" + body;
+    return answer.insert(answer.find("\r\n") + 2, requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\n");
+}
+
 SocketAddress socketAddress(const HttpAddress& address)
 {
     return { address.address, address.port };
@@ -59,9 +67,7 @@
 class Scene : public GatewayScene {
 public:
     Scene(const std::string& head, const std::string& body)
-        : peer(this->context, [head, body](const HttpRequest& request) {
-            return ReplicaScript { { head.substr(0, head.find('\n') + 1) + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\n" + head.substr(head.find('\n') + 1) + "\r\n" + body }, 5ms, ReplicaScript::End::Close };
-        })
+        : peer(this->context, [head, body](const HttpRequest& request) { return ReplicaScript { { malformedAnswer(head, body, request) }, 5ms, ReplicaScript::End::Close }; })
     {
         const std::string address = ownLoopbackAddress(3);
         for (const std::string& id : endpointIds) {
