--- a/packages/Soak/tests/ShortRun.cpp
+++ b/packages/Soak/tests/ShortRun.cpp
@@ -58,3 +58,9 @@
 {
     keepsEveryPromise(80031);
 }
+
+// An engine that had been started again pushed back before gateways knew its new run, and they forgot the pushback when the entry of that run came.
+BOOST_AUTO_TEST_CASE(pushbackOfAnEngineWhoseNewRunIsNotKnownYet)
+{
+    keepsEveryPromise(82041);
+}
