--- a/review/support-3/Scene.h
+++ b/review/support-3/Scene.h
@@ -324,10 +324,20 @@
             worker.join();
     }
 
+    /** \brief Ends the listener and all connections as the system does when it kills the process. May be called by a handler. */
+    void crash()
+    {
+        this->crashed = true;
+        ::shutdown(this->listener, SHUT_RDWR);
+        const std::lock_guard lock(this->mutex);
+        for (const auto& connection : this->open)
+            connection->shutdown();
+    }
+
 private:
     void accept()
     {
-        while (this->running) {
+        while (this->running && !this->crashed) {
             const int descriptor = accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (descriptor < 0)
                 continue;
@@ -347,6 +357,7 @@
     int listener = -1;
     Address at;
     std::atomic<bool> running { true };
+    std::atomic<bool> crashed { false };
     std::mutex mutex;
     std::vector<std::shared_ptr<Connection>> open;
     std::vector<std::thread> workers;
@@ -598,6 +609,17 @@
         this->seen.push_back({ replica.id, request.header("Attempt-Id"), request.word(1), status, Clock::now() });
     }
 
+    /** \brief Kills the replica: its connections end, it accepts none and writes nothing to the store any more. */
+    void crash(Replica& replica)
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            replica.gone = true;
+        }
+        replica.server->crash();
+        this->record.line("replica " + replica.id + " crashes");
+    }
+
     Override override;
     int events = 12; ///< of a stream
     Ms gap { 25 };
