--- a/review/support-3/Scene.h
+++ b/review/support-3/Scene.h
@@ -421,6 +421,9 @@
 
     const Address& address() const { return this->server.address(); }
 
+    /** \brief Closes its address and all connections. */
+    void close() { this->server.crash(); }
+
     void put(const std::string& topic, const std::string& key, const std::string& value)
     {
         const std::lock_guard lock(this->mutex);
@@ -620,6 +623,15 @@
         this->record.line("replica " + replica.id + " crashes");
     }
 
+    /** \brief Lets the replicas write to another store too, and writes all entries there. */
+    void alsoWriteTo(Store& other)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->copy = &other;
+        for (auto& [id, replica] : this->all)
+            this->publish(*replica);
+    }
+
     Override override;
     int events = 12; ///< of a stream
     Ms gap { 25 };
@@ -630,6 +642,8 @@
     {
         ++replica.beats;
         this->store.put("keyed.servers", replica.id, replica.entry());
+        if (this->copy)
+            this->copy->put("keyed.servers", replica.id, replica.entry());
     }
 
     void beat()
@@ -737,6 +751,7 @@
 
 private:
     Store& store;
+    Store* copy = nullptr;
     Record& record;
     std::mutex mutex;
     std::map<std::string, std::unique_ptr<Replica>> all;
@@ -849,7 +864,7 @@
     }
 
     /** \brief A configuration like that of the small sites. */
-    std::string configuration(int version) const
+    std::string configuration(int version, bool withSecondKey = true) const
     {
         const std::string engine = R"({"Slots":192,"KvCapacity":100000,"KvTokenBytes":590000,"LinkMbps":480000.0,"Stride":2,"Models":[{"Name":"m","pace":1.0,"LoadS":14.0,"WarmS":1.0}],"step_ms":0.85,"per_seq_ms":0.00382,"context_per_k":0.00512,"read_per_s":196000.0,"pairs_per_m":0.166,"chunk":512,"report_lag_ms":200.0,"LoadsPerS":0.0,"loads_at_once":6,"delays":[{"From":"zone-a","To":"zone-b","delay_ms":0.25},{"From":"zone-a","To":"zone-c","delay_ms":0.25},{"From":"zone-b","To":"zone-c","delay_ms":0.25}],"usual":{"prompt":772,"answer":174},"Layers":80,"LayerMb":1750.0,"ActBytes":29500,"PipeMbps":11000.0,"Kinds":[{"Name":"h100","Megabytes":72000.0,"pace":1.4,"ReadFactor":1.0}]})";
         return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)"
@@ -857,7 +872,7 @@
             + R"({"Name":"book","Host":"site.example","PathPrefix":"/book/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":100,"Priority":2,"Service":"app","Attempts":1,"AuthExempt":false},)"
             + R"({"Name":"stock","Host":"site.example","PathPrefix":"/stock/","Kind":"idempotent","TimeoutMs":1500,"TargetLatencyMs":100,"Priority":2,"Service":"app","Attempts":2,"AuthExempt":false})"
             + R"(],"Services":[{"Name":"llm","HealthPath":"/health","MaxConns":978,"Protocol":"h1","Tls":false,"Engine":)" + engine + R"(},{"Name":"app","HealthPath":"/health","MaxConns":110,"Protocol":"h1","Tls":false}],)"
-            + R"("Tenants":[{"Name":"gold","ApiKeys":["key-1"]},{"Name":"silver","ApiKeys":["key-2"]}],)"
+            + R"("Tenants":[{"Name":"gold","ApiKeys":["key-1"]},{"Name":"silver","ApiKeys":[)" + (withSecondKey ? R"("key-2")" : "") + R"(]}],)"
             + R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":10000}})";
     }
 
@@ -884,10 +899,19 @@
         std::this_thread::sleep_for(Ms(3000));
     }
 
-    void start(Gateway& gateway)
+    /** \brief Writes the settings file of the gateway anew.
+     * \returns its path */
+    std::string writeSettings(const Gateway& gateway) const
     {
         const std::string file = (this->temporary / (gateway.name + ".yaml")).string();
-        std::ofstream(file) << this->settings(gateway);
+        std::ofstream(file + ".new") << this->settings(gateway);
+        std::filesystem::rename(file + ".new", file);
+        return file;
+    }
+
+    void start(Gateway& gateway)
+    {
+        const std::string file = this->writeSettings(gateway);
         const std::vector<std::string> words = this->command();
         const std::string log = (this->temporary / (gateway.name + ".log")).string();
         const pid_t pid = fork();
@@ -976,6 +1000,7 @@
     Record record;
     std::filesystem::path temporary;
     Store store;
+    std::optional<Address> movedStore; ///< where the settings say that the store is, if not at its first address
     Replicas replicas;
     std::vector<std::unique_ptr<Gateway>> gateways;
 
@@ -1009,7 +1034,7 @@
         const std::pair<std::string, std::string> values[] = {
             { "{{#Listen.ControlAddr}}\n", "" }, { "{{/Listen.ControlAddr}}\n", "" }, { "{{.}}", gateway.peers.text() }, { "{{NodeName}}", gateway.name }, { "{{Zone}}", gateway.zone },
             { "{{Listen.FrontAddr}}", gateway.front.text() }, { "{{Listen.ReadyAddr}}", gateway.ready.text() }, { "{{BindIp}}:{{PortRange.0}}", gateway.metrics.text() }, { "{{BindIp}}:{{PortRange.1}}", gateway.handover.text() },
-            { "{{SeedAddrs|json}}", "[" + seeds + "]" }, { "{{Platform.Address}}", this->store.address().text() }, { "{{HeartbeatMs}}", "1200" }, { "{{Bounds.RetryBudgetRatio}}", "0.2" }, { "{{Bounds.BudgetExtra}}", "200" }, { "{{Bounds.GraceS}}", "8" }
+            { "{{SeedAddrs|json}}", "[" + seeds + "]" }, { "{{Platform.Address}}", (this->movedStore ? *this->movedStore : this->store.address()).text() }, { "{{HeartbeatMs}}", "1200" }, { "{{Bounds.RetryBudgetRatio}}", "0.2" }, { "{{Bounds.BudgetExtra}}", "200" }, { "{{Bounds.GraceS}}", "8" }
         };
         for (const auto& [name, value] : values) {
             for (std::size_t at = text.find(name); at != std::string::npos; at = text.find(name, at + value.size()))
