--- a/review/support-3/Scene.h
+++ b/review/support-3/Scene.h
@@ -23,6 +23,7 @@
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -526,6 +527,8 @@
     int beats = 0;
     std::int64_t born = 0;
     bool gone = false;
+    std::optional<std::pair<int, int>> ordered; ///< layers that are being loaded
+    std::chrono::steady_clock::time_point loadedAt {};
     std::unique_ptr<Server> server;
 
     std::string entry() const
@@ -563,6 +566,8 @@
 /** \brief All replicas of the deployment, with what they were sent. They behave like sound ones unless a case overrides an answer. */
 class Replicas {
 public:
+    static constexpr int layers = 80;
+    static constexpr int loadMs = 2000; ///< for all layers
     /** \returns whether the override has answered the request itself, and whether the connection stays open */
     using Override = std::function<std::optional<bool>(Replica&, const Message&, Connection&)>;
 
@@ -578,6 +583,8 @@
         this->beating.join();
         for (auto& [id, replica] : this->all)
             replica->server->stop();
+        for (auto& server : this->ended)
+            server->stop();
     }
 
     Replica& add(const std::string& id, const std::string& ip, const std::string& service, const std::string& zone, const std::string& kind = {}, int first = 0, int last = 0)
@@ -632,6 +639,22 @@
             this->publish(*replica);
     }
 
+    /** \brief Starts a crashed replica again under its id, at another port and with nothing loaded. */
+    void restart(Replica& replica)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->ended.push_back(std::move(replica.server));
+        replica.server = std::make_unique<Server>("127.0.0.1", [this, raw = &replica](Connection& connection) { this->serve(*raw, connection); });
+        replica.first = 0;
+        replica.last = 0;
+        replica.orders = 0;
+        replica.ordered.reset();
+        replica.gone = false;
+        replica.born = std::max(replica.born + 1, static_cast<std::int64_t>(std::time(nullptr)) * 1000);
+        this->record.line("replica " + replica.id + " is back at " + replica.server->address().text());
+        this->publish(replica);
+    }
+
     Override override;
     int events = 12; ///< of a stream
     Ms gap { 25 };
@@ -650,9 +673,16 @@
     {
         for (int tick = 0; !this->closing; ++tick) {
             std::this_thread::sleep_for(Ms(100));
+            const std::lock_guard lock(this->mutex);
+            for (auto& [id, replica] : this->all) {
+                if (!replica->gone && replica->ordered && Clock::now() >= replica->loadedAt) {
+                    std::tie(replica->first, replica->last) = *replica->ordered;
+                    replica->ordered.reset();
+                    this->publish(*replica);
+                }
+            }
             if (tick % 12 != 0)
                 continue;
-            const std::lock_guard lock(this->mutex);
             for (auto& [id, replica] : this->all) {
                 if (!replica->gone)
                     this->publish(*replica);
@@ -690,15 +720,18 @@
             return connection.send(response(200, "", "Replica-Id: " + replica.id + "\r\n"));
         if (request.path() == "/filbertspoke/report") {
             const std::lock_guard lock(this->mutex);
-            return connection.send(response(200, "{\"Stage\":\"unified\",\"Models\":[],\"Busy\":false,\"CallSeq\":" + std::to_string(replica.orders) + ",\"Queued\":0,\"Running\":0,\"KvUsed\":0,\"KvTotal\":90000,\"Handles\":0,\"Stalled\":[],\"Layers\":{\"From\":" + std::to_string(replica.first) + ",\"To\":" + std::to_string(replica.last) + ",\"Version\":1}}", "Content-Type: application/json\r\n"));
+            return connection.send(response(200, "{\"Stage\":\"unified\",\"Models\":[],\"Busy\":" + std::string(replica.ordered ? "true" : "false") + ",\"CallSeq\":" + std::to_string(replica.orders) + ",\"Queued\":0,\"Running\":0,\"KvUsed\":0,\"KvTotal\":90000,\"Handles\":0,\"Stalled\":[],\"Layers\":{\"From\":" + std::to_string(replica.first) + ",\"To\":" + std::to_string(replica.last) + ",\"Version\":1}}", "Content-Type: application/json\r\n"));
         }
         if (request.path() == "/filbertspoke/order") {
             const std::lock_guard lock(this->mutex);
-            replica.first = std::atoi(request.body.c_str() + request.body.find("\"From\":") + 7);
-            replica.last = std::atoi(request.body.c_str() + request.body.find("\"To\":") + 5);
+            if (replica.ordered)
+                return connection.send(response(409, ""));
+            const int first = std::atoi(request.body.c_str() + request.body.find("\"From\":") + 7);
+            const int last = std::atoi(request.body.c_str() + request.body.find("\"To\":") + 5);
+            replica.ordered = std::pair(first, last);
+            replica.loadedAt = Clock::now() + Ms(loadMs * (last - first) / layers);
             ++replica.orders;
-            this->record.line("replica " + replica.id + " ordered to hold " + std::to_string(replica.first) + "-" + std::to_string(replica.last));
-            this->publish(replica);
+            this->record.line("replica " + replica.id + " ordered to hold " + std::to_string(first) + "-" + std::to_string(last));
             return connection.send(response(202, ""));
         }
         if (this->override) {
@@ -755,6 +788,7 @@
     Record& record;
     std::mutex mutex;
     std::map<std::string, std::unique_ptr<Replica>> all;
+    std::vector<std::unique_ptr<Server>> ended; ///< of replicas that crashed
     std::vector<Arrival> seen;
     std::atomic<bool> closing { false };
     std::thread beating;
@@ -866,7 +900,7 @@
     /** \brief A configuration like that of the small sites. */
     std::string configuration(int version, bool withSecondKey = true) const
     {
-        const std::string engine = R"({"Slots":192,"KvCapacity":100000,"KvTokenBytes":590000,"LinkMbps":480000.0,"Stride":2,"Models":[{"Name":"m","pace":1.0,"LoadS":14.0,"WarmS":1.0}],"step_ms":0.85,"per_seq_ms":0.00382,"context_per_k":0.00512,"read_per_s":196000.0,"pairs_per_m":0.166,"chunk":512,"report_lag_ms":200.0,"LoadsPerS":0.0,"loads_at_once":6,"delays":[{"From":"zone-a","To":"zone-b","delay_ms":0.25},{"From":"zone-a","To":"zone-c","delay_ms":0.25},{"From":"zone-b","To":"zone-c","delay_ms":0.25}],"usual":{"prompt":772,"answer":174},"Layers":80,"LayerMb":1750.0,"ActBytes":29500,"PipeMbps":11000.0,"Kinds":[{"Name":"h100","Megabytes":72000.0,"pace":1.4,"ReadFactor":1.0}]})";
+        const std::string engine = R"({"Slots":192,"KvCapacity":100000,"KvTokenBytes":590000,"LinkMbps":480000.0,"Stride":2,"Models":[{"Name":"m","pace":1.0,"LoadS":2.0,"WarmS":1.0}],"step_ms":0.85,"per_seq_ms":0.00382,"context_per_k":0.00512,"read_per_s":196000.0,"pairs_per_m":0.166,"chunk":512,"report_lag_ms":200.0,"LoadsPerS":0.0,"loads_at_once":6,"delays":[{"From":"zone-a","To":"zone-b","delay_ms":0.25},{"From":"zone-a","To":"zone-c","delay_ms":0.25},{"From":"zone-b","To":"zone-c","delay_ms":0.25}],"usual":{"prompt":772,"answer":174},"Layers":80,"LayerMb":1750.0,"ActBytes":29500,"PipeMbps":11000.0,"Kinds":[{"Name":"h100","Megabytes":72000.0,"pace":1.4,"ReadFactor":1.0}]})";
         return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)"
             + R"({"Name":"chat","Host":"site.example","PathPrefix":"/chat/","Kind":"stream","TimeoutMs":20000,"TargetLatencyMs":500,"Priority":1,"Service":"llm","Attempts":2,"AuthExempt":false,"Sticky":true,"StreamResume":true,"GapTargetMs":200},)"
             + R"({"Name":"book","Host":"site.example","PathPrefix":"/book/","Kind":"non_idempotent","TimeoutMs":1500,"TargetLatencyMs":100,"Priority":2,"Service":"app","Attempts":1,"AuthExempt":false},)"
