--- a/review/support-3/Scene.h
+++ b/review/support-3/Scene.h
@@ -33,6 +33,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -950,6 +951,8 @@
         const std::string log = (this->temporary / (gateway.name + ".log")).string();
         const pid_t pid = fork();
         if (pid == 0) {
+            // The gateway ends with the case, however that ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int output = ::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
             dup2(output, 1);
             dup2(output, 2);
