--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,62 +1,86 @@
-// Callers send generations whose prompts list very many parts, all within the limit of the header section. The gateway must stay within the memory of
-// its machine.
+// A part of a prompt crashes the engines that begin to write an answer on it; the prompts that hold it have many parts. Afterwards, the gateway that
+// got them must go on answering.
 #include "../support-3/Scene.h"
 
 using namespace review;
 
 namespace {
 
-// The machine of the third zone; those of the others have 390 and 520 MB.
-constexpr long memoryOfMachineMb = 260;
-constexpr int callersCount = 400;
-// With the rest of the header section less than the 16,384 bytes of MaxHeaderBytes.
-constexpr int separators = 15500;
+constexpr int partsOfPrompt = 500;
+const std::string deadlyPart = "fffff0";
+constexpr Ms loadTime { 20000 };
+constexpr Ms pause { 100 };
+constexpr Ms routeTimeout { 1500 };
 
-/** \returns the most resident memory that the process has had */
-long peakMegabytes(const Gateway& gateway)
+/** \returns a prompt's parts: those of the family, the deadly one, and the request's own */
+std::string prompt(int family, int request)
 {
-    std::ifstream file("/proc/" + std::to_string(gateway.pid) + "/status");
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with("VmHWM:"))
-            return std::atol(line.c_str() + 6) / 1024;
+    std::string parts;
+    char id[16];
+    for (int part = 0; part < partsOfPrompt; ++part) {
+        std::snprintf(id, sizeof id, "%x", family * 0x1000 + part + 0x1000);
+        parts += std::string(id) + ":1,";
     }
-    return 0;
+    return "Token-Count: 800,80\r\nPrompt-Prefix: " + parts + deadlyPart + ":40," + std::to_string(request) + "a:260\r\n";
 }
 
 Verdict play(Scene& scene)
 {
     scene.addApps();
     scene.addEngines();
+    std::vector<std::thread> revivals;
+    std::mutex mutex;
+    std::atomic<int> crashes { 0 };
+    scene.replicas.override = [&](Replica& replica, const Message& request, Connection&) -> std::optional<bool> {
+        if (!Scene::troubled() || replica.kind.empty() || request.header("Prompt-Prefix").find(deadlyPart + ":") == std::string::npos)
+            return std::nullopt;
+        scene.replicas.note(replica, request, 0);
+        scene.replicas.crash(replica);
+        ++crashes;
+        const std::lock_guard lock(mutex);
+        revivals.emplace_back([&scene, &replica] {
+            std::this_thread::sleep_for(Ms(1500));
+            scene.replicas.restart(replica);
+        });
+        return false;
+    };
     scene.startGateways();
-    Gateway& gateway = *scene.gateways[2];
+    Gateway& gateway = *scene.gateways[0];
     if (!scene.generate(gateway).served())
         return couldNotRun;
-    scene.record.line("peak memory before: " + std::to_string(peakMegabytes(gateway)) + " MB");
-    // Streams of eight seconds.
-    scene.replicas.events = 80;
-    scene.replicas.gap = Ms(100);
-    const std::string prompt = Scene::troubled() ? std::string(separators, ',') : "5c1e07a2:1,";
-    std::vector<std::unique_ptr<Connection>> callers;
-    for (int index = 0; index < callersCount; ++index) {
-        auto connection = Connection::open(gateway.front);
-        if (!connection)
-            break;
-        const std::string id = "many-" + std::to_string(index);
-        connection->send("POST /chat/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 20000\r\nKey: key-2\r\nModel: m\r\nToken-Count: 10,10\r\nPrompt-Prefix: " + prompt + "a:1\r\nContent-Length: 2\r\n\r\n{}");
-        callers.push_back(std::move(connection));
-        std::this_thread::sleep_for(Ms(4));
+    int request = 0;
+    for (const int family : { 0, 0, 0, 0, 0, 1, 1, 1 }) {
+        scene.generate(gateway, prompt(family, ++request), "key-2");
+        std::this_thread::sleep_for(Ms(3500));
     }
-    std::this_thread::sleep_for(Ms(1500));
-    int begun = 0;
-    for (const auto& caller : callers) {
-        while (caller->buffer.size() < 12 && caller->fill(Clock::now())) { }
-        begun += caller->buffer.starts_with("HTTP/1.1 200") ? 1 : 0;
+    scene.record.line("crashes: " + std::to_string(crashes));
+    std::atomic<int> asked { 0 };
+    std::atomic<int> unanswered { 0 };
+    std::atomic<int> late { 0 };
+    std::atomic<int> answered { 0 };
+    std::vector<std::thread> callers;
+    const auto until = Clock::now() + loadTime;
+    for (auto next = Clock::now(); next < until; next += pause) {
+        std::this_thread::sleep_until(next);
+        callers.emplace_back([&scene, &gateway] { scene.generate(gateway); });
+        callers.emplace_back([&scene, &gateway, &asked, &unanswered, &late, &answered] {
+            ++asked;
+            const Answer answer = scene.call(gateway, "GET", "/stock/x", {}, routeTimeout);
+            answered += answer.status != 0 ? 1 : 0;
+            if (answer.status != 0 && answer.seconds <= std::chrono::duration<double>(routeTimeout).count())
+                return;
+            ++unanswered;
+            late += answer.status == 0 || answer.seconds > std::chrono::duration<double>(routeTimeout + Ms(500)).count() ? 1 : 0;
+        });
     }
-    const long peak = peakMegabytes(gateway);
-    const bool running = gateway.running();
-    scene.record.line("callers: " + std::to_string(callers.size()) + ", streams begun: " + std::to_string(begun) + "; peak memory: " + std::to_string(peak) + " MB; process " + (running ? "runs" : "ended by " + gateway.end()));
-    callers.clear();
-    return !running || peak > memoryOfMachineMb ? ruleBroken : ruleHeld;
+    for (std::thread& caller : callers)
+        caller.join();
+    for (std::thread& revival : revivals)
+        revival.join();
+    scene.record.line("look-ups: " + std::to_string(asked) + ", unanswered at the route's TimeoutMs " + std::to_string(unanswered) + ", of them without an answer half a second later " + std::to_string(late));
+    if (Scene::troubled() && crashes < 5)
+        return couldNotRun;
+    return late > 20 && 2 * late > unanswered ? ruleBroken : ruleHeld;
 }
 
 }
