Test support: endpoints that answer at the head of a request, and callers that upload

ReplicaStandIn answers as soon as it has a request's head if it is told so, and can end its side of a connection while it reads on. GatewayScene::upload() sends a body of any size. Nothing uses either yet.

--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.cpp
@@ -234,6 +234,12 @@
     return std::make_unique<RawCaller>(this->context, this->callers, text);
 }
 
+std::unique_ptr<RawCaller> GatewayScene::upload(const std::string& path, const std::string& body)
+{
+    const std::string text = callText({ "POST", path, "request-" + std::to_string(++this->calls), std::chrono::seconds(4), "key-1", "Connection: close\r\n", body });
+    return std::make_unique<RawCaller>(this->context, this->callers, text);
+}
+
 std::string GatewayScene::answer(RawCaller& caller, const std::string& ending)
 {
     this->await([&] { return caller.closed() || caller.received().find(ending) != std::string::npos; });
--- a/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
+++ b/testing/filbertspoke/src/PlatformTesting/GatewayScene.h
@@ -58,6 +58,8 @@
     bool await(const std::function<bool()>& condition) { return runUntil(this->context, condition); }
     /** \brief Sends a request for a path as a caller with a sound key. */
     std::unique_ptr<RawCaller> call(const std::string& method, const std::string& path, const std::string& extraHeaders = {}, const std::string& key = "key-1");
+    /** \brief Sends a POST request with the body, as a caller with a sound key whose connection ends with the answer. */
+    std::unique_ptr<RawCaller> upload(const std::string& path, const std::string& body);
     /** \brief Waits until the caller has an answer that ends with \a ending or the connection is closed. */
     std::string answer(RawCaller&, const std::string& ending);
 
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.cpp
@@ -15,7 +15,7 @@
 std::string callText(const CallText& call)
 {
     return call.method + " " + call.target + " HTTP/1.1\r\nHost: h.example\r\n" + requestIdHeader() + ": " + call.id + "\r\nDeadline-Ms: " + std::to_string(call.limit.count())
-        + "\r\nKey: " + call.key + "\r\nToken-Count: 10,10\r\n" + call.extraHeaders + (call.method == "POST" ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
+        + "\r\nKey: " + call.key + "\r\nToken-Count: 10,10\r\n" + call.extraHeaders + (call.method == "POST" ? "Content-Length: " + std::to_string(call.body.size()) + "\r\n\r\n" + call.body : "\r\n");
 }
 
 ForwardedRequest readForwarded(const HttpRequest& request)
--- a/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
+++ b/testing/filbertspoke/src/PlatformTesting/PlatformDocuments.h
@@ -64,6 +64,7 @@
     std::chrono::milliseconds limit { 4000 };
     std::string key = "key-1";
     std::string extraHeaders;
+    std::string body = "body"; ///< of a POST request
 
     bool operator==(const CallText&) const = default;
 };
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.cpp
@@ -52,9 +52,14 @@
             // Replicas take whatever body the gateway's limits allow; the parser's own limit is 1 MB.
             http::request_parser<http::string_body> parser;
             parser.body_limit(boost::none);
-            const auto [error, bytes] = co_await http::async_read(*socket, buffer, parser, asTuple);
-            if (error)
+            const auto [headError, headBytes] = co_await http::async_read_header(*socket, buffer, parser, asTuple);
+            if (headError)
                 co_return;
+            if (!this->answersAtHead) {
+                const auto [error, bytes] = co_await http::async_read(*socket, buffer, parser, asTuple);
+                if (error)
+                    co_return;
+            }
             const auto& message = parser.get();
             HttpRequest request;
             request.method = std::string(message.method_string());
@@ -66,6 +71,10 @@
                 this->requests.push_back(request);
             const ReplicaScript script = this->answer(request);
             open = co_await this->play(*socket, script);
+            if (!parser.is_done() && (open || script.end == ReplicaScript::End::HalfClose)) {
+                const auto [error, bytes] = co_await http::async_read(*socket, buffer, parser, asTuple);
+                open = open && !error;
+            }
         }
     }
 
@@ -97,7 +106,9 @@
             ++this->abandoned;
             co_return false;
         }
-        if (script.end != ReplicaScript::End::Keep)
+        if (script.end == ReplicaScript::End::HalfClose)
+            socket.shutdown(tcp::socket::shutdown_send);
+        else if (script.end != ReplicaScript::End::Keep)
             socket.close();
         co_return script.end == ReplicaScript::End::Keep;
     }
@@ -107,6 +118,7 @@
     Answer answer;
     std::vector<HttpRequest> requests;
     int abandoned = 0;
+    bool answersAtHead = false;
 };
 
 ReplicaStandIn::ReplicaStandIn(asio::io_context& context, const std::string& address, Answer answer)
@@ -156,6 +168,11 @@
     this->state->answer = std::move(answer);
 }
 
+void ReplicaStandIn::setAnswersAtHead(bool atHead)
+{
+    this->state->answersAtHead = atHead;
+}
+
 ReplicaScript emptyReport()
 {
     ReplicaScript script;
@@ -206,9 +223,15 @@
     return "HTTP/1.1 200 OK\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-std::string unframedHead(const HttpRequest& request)
+std::string unframedHead(const HttpRequest& request, unsigned status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\n\r\n";
+}
+
+std::string unframedRefusal(const HttpRequest& request)
 {
-    return "HTTP/1.1 200 OK\r\n" + requestIdHeader() + ": " + readForwarded(request).id + "\r\nServer-Seal: seal\r\n\r\n";
+    std::string head = unframedHead(request, 503);
+    return head.insert(head.find("\r\n") + 2, "Not-Executed: 1\r\n");
 }
 
 std::string unframedEvent(int id)
--- a/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
+++ b/testing/filbertspoke/src/PlatformTesting/ReplicaStandIn.h
@@ -18,7 +18,8 @@
 struct ReplicaScript {
     enum class End {
         Keep, ///< the connection stays open for the next request
-        Close,
+        Close, ///< the system resets the connection if a part of the request is unread
+        HalfClose, ///< only the sending side is closed, and the connection once the request has been read
         Reset,
         Silence, ///< nothing more comes, and the connection stays open
         Endless, ///< the last piece comes again and again until the connection is closed
@@ -47,6 +48,8 @@
     void setListening(bool);
     /** \brief Replaces the answers from now on. */
     void setAnswer(Answer);
+    /** \brief Answers requests as soon as their head has arrived, from now on. A script that keeps the connection open has the body read behind it. */
+    void setAnswersAtHead(bool);
 
 private:
     class State;
@@ -71,7 +74,9 @@
 /** \returns the head of a stream in chunks, with id and seal */
 std::string streamHead(const HttpRequest& request);
 /** \returns the head of an answer with neither length nor chunks, which ends with its connection */
-std::string unframedHead(const HttpRequest& request);
+std::string unframedHead(const HttpRequest& request, unsigned status = statusOk);
+/** \returns the head of a refusal with neither length nor chunks, which says that the endpoint has not run the request */
+std::string unframedRefusal(const HttpRequest& request);
 /** \returns one event of a stream without chunks */
 std::string unframedEvent(int id);
 /** \returns one event of a stream as a chunk */
