Count a refusal whose body is cut off

Callers of bookings got 502 although the endpoint had said, in a whole head, that it had not run the request, and another endpoint was free: the connection was reset within the body of the refusal. A call read the body first, and a body that breaks off counted as a request that may have run. Streams go by the head already.

The head decides now for calls too.

--- a/packages/Daemon/tests/UnframedAnswers.cpp
+++ b/packages/Daemon/tests/UnframedAnswers.cpp
@@ -47,6 +47,19 @@
     BOOST_TEST(contains(this->answer(*this->call("POST", "/book/x"), "\r\n\r\n"), "HTTP/1.1 502"));
 }
 
+// Guards against bookings that failed although their endpoint had refused them and another one was free.
+BOOST_FIXTURE_TEST_CASE(refusedCallGoesToAnotherEndpointThoughItsConnectionIsReset, Fixture)
+{
+    int attempts = 0;
+    this->setAnswers(serviceReplicas, [&attempts](const HttpRequest& request) {
+        if (++attempts == 1)
+            return ReplicaScript { { unframedRefusal(request), "fu" }, 5ms, ReplicaScript::End::Reset };
+        return ReplicaScript { { wholeAnswer(request, 200, "served") } };
+    });
+    BOOST_TEST(contains(this->answer(*this->call("POST", "/book/x"), "served"), "HTTP/1.1 200"));
+    BOOST_TEST(attempts == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(streamIsWholeWhenItsConnectionEndsAfterAnEvent, Fixture)
 {
     this->setAnswers(firstEngines, [](const HttpRequest& request) { return ReplicaScript { { unframedHead(request), unframedEvent(1), unframedEvent(2) }, 5ms, ReplicaScript::End::Close }; });
--- a/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/ForwardCall.cpp
@@ -121,7 +121,8 @@
             co_return AttemptResult { AttemptEnd::Lost, EndpointFault::Silent, {}, "answer-unfinished" };
         progress = co_await connection->readBody(response.body, task.timeLeft());
     }
-    if (!progress)
+    // That the request has not run stands in the head of its response, whatever becomes of the body.
+    if (!progress && !reply->notExecuted)
         co_return lostResponse(progress.error(), EndpointFault::Broken, "answer-broken-off");
     task.context.pool.giveBack(endpoint.address, connection);
     if (const auto failure = task.classifyFailure(*reply)) {
