Reject answers that end with a connection which was reset under the upload

Callers got a part of an answer as a whole one, with status 200: an endpoint answered a long upload at once with neither a length nor chunks, sent a part of the body and reset the connection while the gateway was still writing. Bookings, look-ups and streams alike, and answers of gateways to which requests are handed over.

Cause: the kernel reports a reset once. The write that fails takes the error, and the read behind it finds an ordinary end, with which a body without a length is complete. Reading on after a failed write is right as such, since the endpoint may have answered in full.

ResponseParser, which decides for all readers what a response is, knows now that the request was interrupted: the end of the connection is then no end of a body. UpstreamConnection tells it. Length and chunks decide as before, so that a whole answer before a reset is passed on. The attempt ends as with any answer that breaks off: a look-up goes to another endpoint, a stream is resumed, a booking gets 502.

Failed before the change: Daemon.MalformedHandoverAnswers.unframedAnswerOfAnotherGatewayThatResetsTheUploadDoesNotReachTheCaller, Proxy.UpstreamConnection.responseToAnInterruptedRequestDoesNotEndWithItsConnection. Passed before and after: whole answers before a reset, answers whose endpoint ends its side and reads the upload to its end.

--- a/packages/Daemon/tests/MalformedHandoverAnswers.cpp
+++ b/packages/Daemon/tests/MalformedHandoverAnswers.cpp
@@ -1,4 +1,4 @@
-// Runs a gateway that is cut off from all endpoints, and hands its requests over to a gateway that answers with bytes that are no HTTP response.
+// Runs a gateway that is cut off from all endpoints, and hands its requests over to a gateway that answers with bytes that are no whole HTTP response.
 #include <filbertspoke/PlatformTesting>
 
 #include <filbertspoke/Peer>
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -40,10 +41,11 @@
 /** \brief A gateway of another failure domain, which takes requests and answers them all in the same way. */
 class MalformedGateway {
 public:
-    MalformedGateway(boost::asio::io_context& context, const ReplicaStandIn::Answer& answer)
+    MalformedGateway(boost::asio::io_context& context, const ReplicaStandIn::Answer& answer, bool atHead)
         : server(context, { ownLoopbackAddress(2), 0 }, [this](const HttpRequest&) -> boost::asio::awaitable<std::optional<HttpResponse>> { co_return HttpResponse { statusOk, {}, this->message() }; })
         , handover(context, ownLoopbackAddress(2), answer)
     {
+        this->handover.setAnswersAtHead(atHead);
     }
 
     /** \returns the message by which another gateway hears of this one */
@@ -67,7 +69,12 @@
 class Scene : public GatewayScene {
 public:
     Scene(const std::string& head, const std::string& body)
-        : peer(this->context, [head, body](const HttpRequest& request) { return ReplicaScript { { malformedAnswer(head, body, request) }, 5ms, ReplicaScript::End::Close }; })
+        : Scene([head, body](const HttpRequest& request) { return ReplicaScript { { malformedAnswer(head, body, request) }, 5ms, ReplicaScript::End::Close }; })
+    {
+    }
+
+    explicit Scene(const ReplicaStandIn::Answer& answer, bool atHead = false)
+        : peer(this->context, answer, atHead)
     {
         const std::string address = ownLoopbackAddress(3);
         for (const std::string& id : endpointIds) {
@@ -80,15 +87,20 @@
         BOOST_TEST_REQUIRE(std::holds_alternative<HttpResponse>(exchange(this->context, this->started.at("gateway-1").peers, introduction)));
     }
 
+    std::string handedOver(const std::string& method, const std::string& path)
+    {
+        return this->handedOver([&] { return this->call(method, path, "Connection: close\r\n"); });
+    }
+
     /** \brief Sends requests until one of them is handed over.
      * \returns what the caller of that one received */
-    std::string handedOver(const std::string& method, const std::string& path)
+    std::string handedOver(const std::function<std::unique_ptr<RawCaller>()>& send)
     {
         const std::size_t before = this->peer.requests();
         std::string received;
         this->await([&] {
             const auto sentAt = Clock::now();
-            const auto caller = this->call(method, path, "Connection: close\r\n");
+            const auto caller = send();
             this->await([&] { return caller->closed(); });
             BOOST_TEST((Clock::now() - sentAt < rejectionTime));
             received = caller->received();
@@ -130,3 +142,16 @@
         }
     }
 }
+
+// Guards against a part of an answer of another gateway that callers got as a whole one.
+BOOST_AUTO_TEST_CASE(unframedAnswerOfAnotherGatewayThatResetsTheUploadDoesNotReachTheCaller)
+{
+    constexpr std::size_t uploadBytes = 4'000'000; // exceeds what the sockets of both sides keep
+    Scene scene([](const HttpRequest& request) { return ReplicaScript { { unframedHead(request) + unframedEvent(1) }, 0ms, ReplicaScript::End::Reset }; }, true);
+    for (const std::string path : { "/stock/x", "/book/x" }) {
+        const std::string received = scene.handedOver([&] { return scene.upload(path, std::string(uploadBytes, 'x')); });
+        BOOST_TEST(received.starts_with("HTTP/1.1 502"), received);
+    }
+    const std::string generated = scene.handedOver([&] { return scene.upload("/chat/x", std::string(uploadBytes, 'x')); });
+    BOOST_TEST(!generated.ends_with(lastChunk()), generated);
+}
--- a/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
+++ b/packages/Http/filbertspoke/src/Http/ResponseParser.cpp
@@ -71,6 +71,12 @@
     return kept;
 }
 
+void ResponseParser::on_finish_impl(ParseError& error)
+{
+    if (this->requestInterrupted && this->need_eof())
+        error = http::error::partial_message;
+}
+
 bool isMalformedResponse(const std::error_code& error)
 {
     const std::error_code closed = http::make_error_code(http::error::end_of_stream);
--- a/packages/Http/tests/ResponseParser.cpp
+++ b/packages/Http/tests/ResponseParser.cpp
@@ -39,6 +39,18 @@
     return { error, { parser.status(), parser.headers(), parser.takeBody() }, parser.is_done() };
 }
 
+/** \returns the message of the error with which the connection's end is read behind the response to an interrupted request */
+std::string endOfInterrupted(const std::string& bytes)
+{
+    ResponseParser parser;
+    parser.eager(true);
+    parser.setRequestInterrupted();
+    boost::beast::error_code error;
+    parser.put(boost::asio::buffer(bytes), error);
+    parser.put_eof(error);
+    return error.message();
+}
+
 void checkAccepted(const std::string& bytes, const HttpResponse& expected)
 {
     for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
@@ -76,6 +88,17 @@
     checkAccepted("HTTP/1.1 100 Continue\r\n\r\n", { 100, {}, "" });
 }
 
+// Guards against a part of a body that was taken for a whole one after the connection had been reset under an upload.
+BOOST_AUTO_TEST_CASE(bodyOfAnInterruptedRequestDoesNotEndWithItsConnection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const std::string unframed : { "\r\nbody", "\r\n", "Content-Length: 5\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n" })
+        BOOST_TEST(endOfInterrupted(head + unframed) == http::make_error_code(http::error::partial_message).message(), unframed);
+    for (const std::string framed : { "Content-Length: 4\r\n\r\nbody", "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" })
+        BOOST_TEST(endOfInterrupted(head + framed) == std::error_code().message(), framed);
+    BOOST_TEST(endOfInterrupted("HTTP/1.1 204 None\r\n\r\n") == std::error_code().message());
+}
+
 BOOST_AUTO_TEST_CASE(bodyBeyondTheCapacityWaits)
 {
     const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabcdef";
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -58,6 +58,7 @@
     beast::flat_buffer buffer { maximumBufferBytes };
     std::optional<ResponseParser> parser;
     bool headRequest = false; ///< the current request has the method HEAD, so that its response has no body
+    bool requestInterrupted = false; ///< the current request could not be sent whole
     bool usable = false;
 };
 
@@ -104,6 +105,7 @@
     state->parser.reset();
     state->stream.expires_after(timeout);
     const auto [error, bytes] = co_await asio::async_write(state->stream, message, asTuple);
+    state->requestInterrupted = static_cast<bool>(error);
     co_return error;
 }
 
@@ -116,6 +118,8 @@
         parser.header_limit(maximumHeaderBytes);
         parser.body_limit(boost::none);
         parser.skip(state->headRequest);
+        if (state->requestInterrupted)
+            parser.setRequestInterrupted();
         const auto [error, bytes] = co_await http::async_read_header(state->stream, state->buffer, parser, asTuple);
         if (error) {
             state->usable = false;
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.h
@@ -45,7 +45,8 @@
 
     /** \returns an empty error code once the connection is established */
     boost::asio::awaitable<std::error_code> connect(Duration timeout);
-    /** \brief Writes the request. After an error, the endpoint may still have received it.
+    /** \brief Writes the request. After an error, the endpoint may still have received it and have responded; a response that ends with the connection then
+     * counts as partial.
      * \returns an empty error code once the whole request is written to the socket */
     boost::asio::awaitable<std::error_code> send(const HttpRequest&, Duration timeout);
     /** \brief Reads the head of the next final response, and skips interim ones before it.
--- a/packages/Proxy/tests/UpstreamConnection.cpp
+++ b/packages/Proxy/tests/UpstreamConnection.cpp
@@ -26,6 +26,8 @@
 constexpr int receiveBufferBytes = 4096;
 // Fits into the sender's socket buffer, but not into the receiver's.
 constexpr std::size_t bodyBytes = 200 * 1024;
+// Exceeds what the sockets of both sides keep.
+constexpr std::size_t longBodyBytes = 8 * 1024 * 1024;
 
 struct Fixture {
     Fixture()
@@ -88,6 +90,36 @@
         BOOST_TEST(!kept.reusable());
     }
 
+    /** \brief Sends a request to an endpoint that responds to its first bytes and resets the connection while the rest is being written, and reads the response. */
+    asio::awaitable<void> checkInterrupted(std::string response, bool whole)
+    {
+        const auto address = this->listener.local_endpoint();
+        UpstreamConnection interrupted(this->context, SocketAddress { address.address().to_string(), address.port() });
+        const std::error_code connected = co_await interrupted.connect(1s);
+        BOOST_TEST(!connected);
+        asio::co_spawn(this->context, respondAndReset(co_await this->listener.async_accept(asio::use_awaitable), response), asio::detached);
+        const HttpRequest request { "POST", "/book/x", {}, std::string(longBodyBytes, 'x') };
+        const std::error_code sent = co_await interrupted.send(request, 5s);
+        BOOST_TEST(static_cast<bool>(sent));
+        const auto head = co_await interrupted.readHead(1s);
+        BOOST_TEST((head && head->status == 200));
+        std::string body;
+        Result<BodyProgress> progress = BodyProgress::More;
+        while (progress && *progress == BodyProgress::More)
+            progress = co_await interrupted.readBody(body, 1s);
+        BOOST_TEST(progress.has_value() == whole);
+        BOOST_TEST(body == "body");
+        BOOST_TEST(!interrupted.reusable());
+    }
+
+    static asio::awaitable<void> respondAndReset(tcp::socket endpoint, std::string response)
+    {
+        co_await endpoint.async_wait(tcp::socket::wait_read, asio::use_awaitable);
+        asio::write(endpoint, asio::buffer(response));
+        endpoint.set_option(asio::socket_base::linger(true, 0));
+        endpoint.close();
+    }
+
     static asio::awaitable<void> writeSegments(std::shared_ptr<tcp::socket> socket, std::string text, std::size_t segmentBytes)
     {
         socket->set_option(tcp::no_delay(true));
@@ -147,3 +179,14 @@
 {
     this->run(this->checkHead("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", { 200, { { "Content-Length", "0" } } }));
 }
+
+// Guards against a part of a response that was taken for a whole one: the failed write had taken the error of the reset connection, so that the read found an ordinary end.
+BOOST_FIXTURE_TEST_CASE(responseToAnInterruptedRequestDoesNotEndWithItsConnection, Fixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    this->run(this->checkInterrupted(head + "\r\nbody", false));
+    this->run(this->checkInterrupted(head + "Content-Length: 5\r\n\r\nbody", false));
+    this->run(this->checkInterrupted(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false));
+    this->run(this->checkInterrupted(head + "Content-Length: 4\r\n\r\nbody", true));
+    this->run(this->checkInterrupted(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true));
+}
