Test responses to interrupted requests on connections to the store, peers and engines

HttpConnection fails an exchange whose write fails, and never reads its response, and sees the error of a connection that is reset later.

--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -22,11 +22,11 @@
     {
     }
 
-    void exchange()
+    void exchange(HttpRequest request = {})
     {
         this->outcome.reset();
         this->io.restart();
-        this->connection.exchange(HttpRequest {}, std::chrono::seconds(5), [this](HttpOutcome outcome) { this->outcome = std::move(outcome); });
+        this->connection.exchange(std::move(request), std::chrono::seconds(5), [this](HttpOutcome outcome) { this->outcome = std::move(outcome); });
     }
 
     /** \brief Accepts the next connection and reads a whole request header from it. */
@@ -186,3 +186,27 @@
     BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
     BOOST_TEST(std::get<HttpFailure>(outcome).error == make_error_code(ErrorCode::MalformedMessage));
 }
+
+// Guards against a part of a response of the store, a peer or an engine that is taken for a whole one.
+BOOST_FIXTURE_TEST_CASE(responseToAnInterruptedRequestDoesNotEndWithItsConnection, ConnectionFixture)
+{
+    constexpr std::size_t bodyBytes = 8 * 1024 * 1024; // exceeds what the sockets of both sides keep
+    this->exchange({ "POST", "/x", {}, std::string(bodyBytes, 'x') });
+    tcp::socket server = this->accept();
+    boost::asio::write(server, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nbody")));
+    server.set_option(boost::asio::socket_base::linger(true, 0));
+    server.close();
+    const HttpOutcome outcome = this->await();
+    BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    BOOST_TEST(std::get<HttpFailure>(outcome).sent);
+}
+
+BOOST_FIXTURE_TEST_CASE(responseDoesNotEndWithAConnectionThatIsReset, ConnectionFixture)
+{
+    tcp::socket server = this->answerOnNewConnection("HTTP/1.1 200 OK\r\n\r\nbody");
+    server.set_option(boost::asio::socket_base::linger(true, 0));
+    server.close();
+    const HttpOutcome outcome = this->await();
+    BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    BOOST_TEST(std::get<HttpFailure>(outcome).sent);
+}
