Soak: a response to an interrupted request does not end with its connection

The soak's callers read on after a failed write, like the gateway, and took the end of the connection for the end of a body without a length.

--- a/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
+++ b/packages/Soak/filbertspoke/src/Soak/SoakCaller.cpp
@@ -85,6 +85,8 @@
     const auto [writeError, written] = co_await asio::async_write(*this->stream, asio::buffer(text), asTuple);
     ResponseParser parser;
     parser.body_limit(boost::none);
+    if (writeError)
+        parser.setRequestInterrupted();
     const auto [error, bytes] = co_await http::async_read(*this->stream, this->buffer, parser, asTuple);
     call.endedAt = Clock::now();
     call.undisturbed = running && !process.handled && process.disturbedAt < call.sentAt && process.starts == call.start;
