Reject answers whose connection is reset behind its end

An endpoint that answered without a length, ended its side in order and then reset the connection, because it took no more of the upload, was heard as long as the request had fitted into the socket: a read finds the end, and leaves the error of the reset behind it.

Where a body has ended with its connection, UpstreamConnection and HttpConnection take the pending error too. An endpoint that read its request causes none, also if it only ends its side and reads on. A reset that arrives after the end was read stays unseen.

--- a/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
+++ b/packages/Http/filbertspoke/src/Http/HttpConnection.cpp
@@ -63,6 +63,7 @@
     void read();
     void resetParser();
     void readMore();
+    void handleEnd();
     void skipInterim();
     void finish();
     void fail(std::error_code, bool sent);
@@ -179,13 +180,25 @@
             if (error)
                 return self->fail(error, true);
             if (channel->parser->is_done())
-                return channel->parser->isInterim() ? self->skipInterim() : self->finish();
+                return self->handleEnd();
             if (self->limits.transferAllowance > Duration::zero())
                 channel->stream.expires_at(std::min(self->responseDeadline, std::chrono::steady_clock::now() + self->timeout));
             self->readMore();
         });
 }
 
+void HttpConnection::State::handleEnd()
+{
+    ResponseParser& parser = *this->channel->parser;
+    if (parser.isInterim())
+        return this->skipInterim();
+    // The server may have ended its side, and reset the connection because it takes no more of the request.
+    const std::error_code reset = parser.need_eof() ? takePendingError(this->channel->stream.socket().native_handle()) : std::error_code();
+    if (reset)
+        return this->fail(reset, true);
+    this->finish();
+}
+
 void HttpConnection::State::finish()
 {
     ResponseParser& parser = *this->channel->parser;
--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -210,3 +210,17 @@
     BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
     BOOST_TEST(std::get<HttpFailure>(outcome).sent);
 }
+
+// Guards against a part of a response that was taken for a whole one: the connection was reset behind its end, with a part of the request unread.
+BOOST_FIXTURE_TEST_CASE(responseDoesNotEndWithAConnectionThatIsResetBehindItsEnd, ConnectionFixture)
+{
+    this->exchange({ "POST", "/x", {}, "body" });
+    tcp::socket server = this->accept();
+    this->io.poll();
+    boost::asio::write(server, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nbody")));
+    server.shutdown(tcp::socket::shutdown_send);
+    server.close();
+    const HttpOutcome outcome = this->await();
+    BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
+    BOOST_TEST(std::get<HttpFailure>(outcome).sent);
+}
--- a/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
+++ b/packages/Proxy/filbertspoke/src/Proxy/UpstreamConnection.cpp
@@ -146,7 +146,15 @@
         state->usable = false;
         co_return std::error_code(error);
     }
-    co_return parser.is_done() ? BodyProgress::Ended : BodyProgress::More;
+    if (!parser.is_done())
+        co_return BodyProgress::More;
+    // The endpoint may have ended its side, and reset the connection because it takes no more of the request.
+    const std::error_code reset = parser.need_eof() ? takePendingError(state->stream.socket().native_handle()) : std::error_code();
+    if (reset) {
+        state->usable = false;
+        co_return reset;
+    }
+    co_return BodyProgress::Ended;
 }
 
 asio::awaitable<std::error_code> UpstreamConnection::skipBody(Duration timeout)
--- a/packages/Proxy/tests/UpstreamConnection.cpp
+++ b/packages/Proxy/tests/UpstreamConnection.cpp
@@ -26,6 +26,8 @@
 constexpr int receiveBufferBytes = 4096;
 // Fits into the sender's socket buffer, but not into the receiver's.
 constexpr std::size_t bodyBytes = 200 * 1024;
+// Fits into the sender's socket buffer in one write, but not into the receiver's.
+constexpr std::size_t shortBodyBytes = 32 * 1024;
 // Exceeds what the sockets of both sides keep.
 constexpr std::size_t longBodyBytes = 8 * 1024 * 1024;
 
@@ -92,15 +94,27 @@
 
     /** \brief Sends a request to an endpoint that responds to its first bytes and resets the connection while the rest is being written, and reads the response. */
     asio::awaitable<void> checkInterrupted(std::string response, bool whole)
+    {
+        return this->checkReset(std::move(response), whole, longBodyBytes, false);
+    }
+
+    /** \brief Sends a request to an endpoint that responds to its first bytes, ends its side of the connection and resets it after the request was written, and
+     * reads the response. */
+    asio::awaitable<void> checkResetAfterEnd(std::string response, bool whole)
+    {
+        return this->checkReset(std::move(response), whole, shortBodyBytes, true);
+    }
+
+    asio::awaitable<void> checkReset(std::string response, bool whole, std::size_t requestBytes, bool endsFirst)
     {
         const auto address = this->listener.local_endpoint();
         UpstreamConnection interrupted(this->context, SocketAddress { address.address().to_string(), address.port() });
         const std::error_code connected = co_await interrupted.connect(1s);
         BOOST_TEST(!connected);
-        asio::co_spawn(this->context, respondAndReset(co_await this->listener.async_accept(asio::use_awaitable), response), asio::detached);
-        const HttpRequest request { "POST", "/book/x", {}, std::string(longBodyBytes, 'x') };
+        asio::co_spawn(this->context, respondAndReset(co_await this->listener.async_accept(asio::use_awaitable), response, endsFirst), asio::detached);
+        const HttpRequest request { "POST", "/book/x", {}, std::string(requestBytes, 'x') };
         const std::error_code sent = co_await interrupted.send(request, 5s);
-        BOOST_TEST(static_cast<bool>(sent));
+        BOOST_TEST(static_cast<bool>(sent) == (requestBytes == longBodyBytes));
         const auto head = co_await interrupted.readHead(1s);
         BOOST_TEST((head && head->status == 200));
         std::string body;
@@ -112,10 +126,12 @@
         BOOST_TEST(!interrupted.reusable());
     }
 
-    static asio::awaitable<void> respondAndReset(tcp::socket endpoint, std::string response)
+    static asio::awaitable<void> respondAndReset(tcp::socket endpoint, std::string response, bool endsFirst)
     {
         co_await endpoint.async_wait(tcp::socket::wait_read, asio::use_awaitable);
         asio::write(endpoint, asio::buffer(response));
+        if (endsFirst)
+            endpoint.shutdown(tcp::socket::shutdown_send);
         endpoint.set_option(asio::socket_base::linger(true, 0));
         endpoint.close();
     }
@@ -190,3 +206,12 @@
     this->run(this->checkInterrupted(head + "Content-Length: 4\r\n\r\nbody", true));
     this->run(this->checkInterrupted(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true));
 }
+
+// Guards against a part of a response that was taken for a whole one: the connection was reset behind its end, with a part of the request unread.
+BOOST_FIXTURE_TEST_CASE(responseDoesNotEndWithAConnectionThatIsResetBehindItsEnd, Fixture)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    this->run(this->checkResetAfterEnd(head + "\r\nbody", false));
+    this->run(this->checkResetAfterEnd(head + "Content-Length: 4\r\n\r\nbody", true));
+    this->run(this->checkResetAfterEnd(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true));
+}
