Interrupted uploads: play failures with status 500 too

Daemon.InterruptedUploads.unframedFailureOfAResetConnectionIsNotWhole played status 404 to calls only; its answer with status 500 was never asked for.

--- a/packages/Daemon/tests/InterruptedUploads.cpp
+++ b/packages/Daemon/tests/InterruptedUploads.cpp
@@ -103,11 +103,14 @@
 
 BOOST_AUTO_TEST_CASE(unframedFailureOfAResetConnectionIsNotWhole)
 {
-    forEachReset([](End end) {
-        Scene scene([](const HttpRequest& request) { return unframedAnswer(request, 404); }, [](const HttpRequest& request) { return unframedAnswer(request, 500); }, end);
-        BOOST_TEST(scene.answerTo(lookUp, 2).ends_with("served"));
-        BOOST_TEST(scene.answerTo(booking, 1).starts_with("HTTP/1.1 502"));
-    });
+    for (const unsigned status : { 404U, 500U }) {
+        forEachReset([status](End end) {
+            const auto failure = [status](const HttpRequest& request) { return unframedAnswer(request, status); };
+            Scene scene(failure, failure, end);
+            BOOST_TEST(scene.answerTo(lookUp, 2).ends_with("served"));
+            BOOST_TEST(scene.answerTo(booking, 1).starts_with("HTTP/1.1 502"));
+        });
+    }
 }
 
 // A refusal promises in its head that the request has not run.
