--- a/packages/Daemon/tests/MalformedHandoverAnswers.cpp
+++ b/packages/Daemon/tests/MalformedHandoverAnswers.cpp
@@ -87,6 +87,7 @@
         BOOST_TEST_REQUIRE(std::holds_alternative<HttpResponse>(exchange(this->context, this->started.at("gateway-1").peers, introduction)));
     }
 
+    /** \brief Sends requests as GatewayScene::call() does until one of them is handed over. */
     std::string handedOver(const std::string& method, const std::string& path)
     {
         return this->handedOver([&] { return this->call(method, path, "Connection: close\r\n"); });
