Tests of reset connections: one check for each reader

What read badly: the test of UpstreamConnection chose between two resets by a body size and a flag, and the three tests of HttpConnection repeated how a connection is reset and what must follow.

Cause: the second fault was found after the first one's test stood. Change: an enumeration names the two resets, and HttpConnection's fixture has the check. The checks and bounds are the same; the case behind an end resets without a linger time now, as the others do. The header line of InterruptedUploads.cpp names the endpoints that only end their side.

--- a/packages/Daemon/tests/InterruptedUploads.cpp
+++ b/packages/Daemon/tests/InterruptedUploads.cpp
@@ -1,4 +1,4 @@
-// Runs a gateway whose endpoints answer the first attempt of an upload as soon as they have its head, and end the connection before they have read its body.
+// Runs a gateway whose endpoints answer the first attempt of an upload as soon as they have its head, and end the connection or their side of it.
 #include <filbertspoke/PlatformTesting>
 
 #include <boost/test/unit_test.hpp>
--- a/packages/Http/tests/HttpConnection.cpp
+++ b/packages/Http/tests/HttpConnection.cpp
@@ -71,6 +71,16 @@
         return server;
     }
 
+    /** \brief Resets the accepted side, and checks that the exchange fails although the server may have run its request. */
+    void checkReset(tcp::socket& server)
+    {
+        server.set_option(boost::asio::socket_base::linger(true, 0));
+        server.close();
+        const HttpOutcome result = this->await();
+        BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(result));
+        BOOST_TEST(std::get<HttpFailure>(result).sent);
+    }
+
     boost::asio::io_context io;
     tcp::acceptor acceptor;
     HttpConnection connection;
@@ -194,21 +204,13 @@
     this->exchange({ "POST", "/x", {}, std::string(bodyBytes, 'x') });
     tcp::socket server = this->accept();
     boost::asio::write(server, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nbody")));
-    server.set_option(boost::asio::socket_base::linger(true, 0));
-    server.close();
-    const HttpOutcome outcome = this->await();
-    BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
-    BOOST_TEST(std::get<HttpFailure>(outcome).sent);
+    this->checkReset(server);
 }
 
 BOOST_FIXTURE_TEST_CASE(responseDoesNotEndWithAConnectionThatIsReset, ConnectionFixture)
 {
     tcp::socket server = this->answerOnNewConnection("HTTP/1.1 200 OK\r\n\r\nbody");
-    server.set_option(boost::asio::socket_base::linger(true, 0));
-    server.close();
-    const HttpOutcome outcome = this->await();
-    BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
-    BOOST_TEST(std::get<HttpFailure>(outcome).sent);
+    this->checkReset(server);
 }
 
 // Guards against a part of a response that was taken for a whole one: the connection was reset behind its end, with a part of the request unread.
@@ -219,8 +221,5 @@
     this->io.poll();
     boost::asio::write(server, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nbody")));
     server.shutdown(tcp::socket::shutdown_send);
-    server.close();
-    const HttpOutcome outcome = this->await();
-    BOOST_TEST_REQUIRE(std::holds_alternative<HttpFailure>(outcome));
-    BOOST_TEST(std::get<HttpFailure>(outcome).sent);
+    this->checkReset(server);
 }
--- a/packages/Proxy/tests/UpstreamConnection.cpp
+++ b/packages/Proxy/tests/UpstreamConnection.cpp
@@ -31,6 +31,12 @@
 // Exceeds what the sockets of both sides keep.
 constexpr std::size_t longBodyBytes = 8 * 1024 * 1024;
 
+/** \brief When an endpoint resets a connection. */
+enum class Reset {
+    WhileWriting, ///< while the request is being written
+    BehindEnd, ///< after the request was written and the endpoint has ended its side
+};
+
 struct Fixture {
     Fixture()
         : listener(this->context)
@@ -92,45 +98,35 @@
         BOOST_TEST(!kept.reusable());
     }
 
-    /** \brief Sends a request to an endpoint that responds to its first bytes and resets the connection while the rest is being written, and reads the response. */
-    asio::awaitable<void> checkInterrupted(std::string response, bool whole)
-    {
-        return this->checkReset(std::move(response), whole, longBodyBytes, false);
-    }
-
-    /** \brief Sends a request to an endpoint that responds to its first bytes, ends its side of the connection and resets it after the request was written, and
-     * reads the response. */
-    asio::awaitable<void> checkResetAfterEnd(std::string response, bool whole)
-    {
-        return this->checkReset(std::move(response), whole, shortBodyBytes, true);
-    }
-
-    asio::awaitable<void> checkReset(std::string response, bool whole, std::size_t requestBytes, bool endsFirst)
+    /** \brief Sends a request to an endpoint that responds to its first bytes and resets the connection, and reads the response.
+     * \param whole whether the response should count as whole; its body is "body" in either case */
+    asio::awaitable<void> checkReset(Reset reset, std::string response, bool whole)
     {
+        const bool interrupted = reset == Reset::WhileWriting;
         const auto address = this->listener.local_endpoint();
-        UpstreamConnection interrupted(this->context, SocketAddress { address.address().to_string(), address.port() });
-        const std::error_code connected = co_await interrupted.connect(1s);
+        UpstreamConnection broken(this->context, SocketAddress { address.address().to_string(), address.port() });
+        const std::error_code connected = co_await broken.connect(1s);
         BOOST_TEST(!connected);
-        asio::co_spawn(this->context, respondAndReset(co_await this->listener.async_accept(asio::use_awaitable), response, endsFirst), asio::detached);
-        const HttpRequest request { "POST", "/book/x", {}, std::string(requestBytes, 'x') };
-        const std::error_code sent = co_await interrupted.send(request, 5s);
-        BOOST_TEST(static_cast<bool>(sent) == (requestBytes == longBodyBytes));
-        const auto head = co_await interrupted.readHead(1s);
+        asio::co_spawn(this->context, respondAndReset(co_await this->listener.async_accept(asio::use_awaitable), response, reset), asio::detached);
+        const HttpRequest request { "POST", "/book/x", {}, std::string(interrupted ? longBodyBytes : shortBodyBytes, 'x') };
+        const std::error_code sent = co_await broken.send(request, 5s);
+        BOOST_TEST(static_cast<bool>(sent) == interrupted);
+        const auto head = co_await broken.readHead(1s);
         BOOST_TEST((head && head->status == 200));
         std::string body;
         Result<BodyProgress> progress = BodyProgress::More;
         while (progress && *progress == BodyProgress::More)
-            progress = co_await interrupted.readBody(body, 1s);
+            progress = co_await broken.readBody(body, 1s);
         BOOST_TEST(progress.has_value() == whole);
         BOOST_TEST(body == "body");
-        BOOST_TEST(!interrupted.reusable());
+        BOOST_TEST(!broken.reusable());
     }
 
-    static asio::awaitable<void> respondAndReset(tcp::socket endpoint, std::string response, bool endsFirst)
+    static asio::awaitable<void> respondAndReset(tcp::socket endpoint, std::string response, Reset reset)
     {
         co_await endpoint.async_wait(tcp::socket::wait_read, asio::use_awaitable);
         asio::write(endpoint, asio::buffer(response));
-        if (endsFirst)
+        if (reset == Reset::BehindEnd)
             endpoint.shutdown(tcp::socket::shutdown_send);
         endpoint.set_option(asio::socket_base::linger(true, 0));
         endpoint.close();
@@ -200,18 +196,18 @@
 BOOST_FIXTURE_TEST_CASE(responseToAnInterruptedRequestDoesNotEndWithItsConnection, Fixture)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
-    this->run(this->checkInterrupted(head + "\r\nbody", false));
-    this->run(this->checkInterrupted(head + "Content-Length: 5\r\n\r\nbody", false));
-    this->run(this->checkInterrupted(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false));
-    this->run(this->checkInterrupted(head + "Content-Length: 4\r\n\r\nbody", true));
-    this->run(this->checkInterrupted(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true));
+    this->run(this->checkReset(Reset::WhileWriting, head + "\r\nbody", false));
+    this->run(this->checkReset(Reset::WhileWriting, head + "Content-Length: 5\r\n\r\nbody", false));
+    this->run(this->checkReset(Reset::WhileWriting, head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false));
+    this->run(this->checkReset(Reset::WhileWriting, head + "Content-Length: 4\r\n\r\nbody", true));
+    this->run(this->checkReset(Reset::WhileWriting, head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true));
 }
 
 // Guards against a part of a response that was taken for a whole one: the connection was reset behind its end, with a part of the request unread.
 BOOST_FIXTURE_TEST_CASE(responseDoesNotEndWithAConnectionThatIsResetBehindItsEnd, Fixture)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
-    this->run(this->checkResetAfterEnd(head + "\r\nbody", false));
-    this->run(this->checkResetAfterEnd(head + "Content-Length: 4\r\n\r\nbody", true));
-    this->run(this->checkResetAfterEnd(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true));
+    this->run(this->checkReset(Reset::BehindEnd, head + "\r\nbody", false));
+    this->run(this->checkReset(Reset::BehindEnd, head + "Content-Length: 4\r\n\r\nbody", true));
+    this->run(this->checkReset(Reset::BehindEnd, head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true));
 }
